Start: wire types, events, actions, blackboard, codec and the build

Cause: every part of the serving layer is to be written against the same input and output types of the core, so these come first. Conclusion: the controllers are empty for now; each is filled in its own file.

--- /dev/null
+++ b/lacewing/grantcontroller.h
@@ -0,0 +1,18 @@
+// Controller: shares the weight store between the VMs that load.
+
+#pragma once
+
+#include "action.h"
+#include "event.h"
+
+namespace lacewing {
+
+struct Blackboard;
+
+/// @param blackboard read and written
+/// @param event what happened
+/// @param now time of the event
+/// @param actions appended to
+void stepGrant(Blackboard &blackboard, const Event &event, TimePoint now, Actions &actions);
+
+} // namespace lacewing
--- /dev/null
+++ b/lacewing/keycontroller.cpp
@@ -0,0 +1,12 @@
+#include "keycontroller.h"
+
+#include "blackboard.h"
+
+namespace lacewing {
+
+void stepKey([[maybe_unused]] Blackboard &blackboard, [[maybe_unused]] const Event &event,
+             [[maybe_unused]] TimePoint now, [[maybe_unused]] Actions &actions)
+{
+}
+
+} // namespace lacewing
--- /dev/null
+++ b/lacewing/keycontroller.h
@@ -0,0 +1,18 @@
+// Controller: mints idempotency keys and claims caller-chosen ones.
+
+#pragma once
+
+#include "action.h"
+#include "event.h"
+
+namespace lacewing {
+
+struct Blackboard;
+
+/// @param blackboard read and written
+/// @param event what happened
+/// @param now time of the event
+/// @param actions appended to
+void stepKey(Blackboard &blackboard, const Event &event, TimePoint now, Actions &actions);
+
+} // namespace lacewing
--- /dev/null
+++ b/lacewing/lacewing.thrift
@@ -0,0 +1,206 @@
+/**
+ * Messages between lacewingd processes and records on the platform's log.
+ *
+ * The generated C++ is committed in lacewing/generated/; scripts/generate rebuilds it.
+ * Fields are only ever added, as optional ones with new numbers. A reader that does not
+ * know a field skips it; a reader that knows no body in a LogRecord counts it as skipped.
+ */
+namespace cpp lacewing.wire
+
+enum RequestClass { Urgent = 1, Patient = 2 }
+
+/** Identifies one caller request: the accepting VM's incarnation and a counter in it. */
+struct RequestId { 1: i64 node, 2: i64 number }
+
+/** One try of a request on one endpoint. */
+struct AttemptId { 1: RequestId request, 2: i32 number }
+
+struct AdapterVersion { 1: string adapter, 2: i32 version }
+
+// ---------------------------------------------------------------- configuration
+
+struct MemberSpec { 1: string name, 2: string keyHash, 3: i32 maxInFlight = 0 }
+struct AdapterSpec { 1: string name, 2: string member, 3: string baseModel }
+struct VersionSpec { 1: string adapter, 2: i32 version, 3: string source }
+/** Assigns a version of an adapter as the one in force for its member's deployment. */
+struct AssignmentSpec { 1: string adapter, 2: i32 version }
+
+struct EndpointSpec {
+  1: string name,
+  2: string zone,
+  3: string address,           // host:port
+  4: string baseModel,         // empty for a plain service
+  5: string serviceName,           // name of the plain service, empty for an engine
+  6: string member,            // member that may reach the service; empty: all
+  7: bool checksFencing = false,
+  8: i32 adapterSlots = 4,
+  9: i32 maxRunning = 8,
+  10: bool draining = false
+}
+
+/** Weights and limits of one operating mode. Exactly one preset is in force. */
+struct PresetSpec {
+  1: string name,
+  2: double urgentReserve = 0.25,   // share of an endpoint's places only urgent work may take
+  3: i32 gatherMilliseconds = 200,  // bound on how long patient work waits to gather per adapter
+  4: double loadsPerSecond = 3.0,
+  5: double stallWeight = 1.0,
+  6: double batchWeight = 1.0,
+  7: bool acceptPatient = true
+}
+
+/** Exactly one field is set. */
+struct ConfigChange {
+  1: optional MemberSpec memberAdd,
+  2: optional AdapterSpec adapterCreate,
+  3: optional string adapterDelete,
+  4: optional VersionSpec versionAdd,
+  5: optional VersionSpec versionRetire,
+  6: optional AssignmentSpec assign,
+  7: optional EndpointSpec endpointAdd,
+  8: optional string endpointDrain,
+  9: optional PresetSpec presetDefine,
+  10: optional string presetUse
+}
+
+/** Accepted only if basedOn is the revision in force when it is replayed. */
+struct ConfigRecord {
+  1: i64 basedOn,
+  2: list<ConfigChange> changes,
+  3: string author,
+  4: string note
+}
+
+// ---------------------------------------------------------------- log records
+
+/** Holds only if supersedes is the offset of the current claim (-1: none so far). */
+struct ClaimRecord { 1: string resource, 2: string vm, 3: i64 incarnation, 4: i64 supersedes = -1 }
+
+/** Frees a resource whose current claim has this offset. */
+struct ReleaseRecord { 1: string resource, 2: i64 claim }
+
+struct KeyClaim { 1: string keyHash, 2: RequestId request }
+/** Grouped claims of caller-chosen idempotency keys; the first in log order runs. */
+struct KeyClaimsRecord { 1: string vm, 2: i64 incarnation, 3: list<KeyClaim> claims }
+
+struct ClaimState { 1: string resource, 2: string vm, 3: i64 incarnation, 4: i64 offset, 5: bool released = false }
+
+struct ConfigSnapshot {
+  1: i64 revision,
+  2: list<MemberSpec> members,
+  3: list<AdapterSpec> adapters,
+  4: list<VersionSpec> versions,
+  5: list<AssignmentSpec> assignments,
+  6: list<EndpointSpec> endpoints,
+  7: list<PresetSpec> presets,
+  8: string presetInForce
+}
+
+/** The state after all records below throughOffset; outlives the log's retention. */
+struct CheckpointRecord { 1: i64 throughOffset, 2: ConfigSnapshot config, 3: list<ClaimState> claims, 4: i32 part = 0, 5: i32 parts = 1 }
+
+/** Exactly one of the optional bodies is set in records of a known format. */
+struct LogRecord {
+  1: i32 format = 1,
+  2: string nonce,
+  3: string writer,
+  4: optional ConfigRecord config,
+  5: optional ClaimRecord claim,
+  6: optional ReleaseRecord release,
+  7: optional KeyClaimsRecord keys,
+  8: optional CheckpointRecord checkpoint
+}
+
+struct StoredRecord { 1: i64 offset, 2: LogRecord record }
+
+// ---------------------------------------------------------------- control messages
+
+struct ResidencyDelta {
+  1: string endpoint,
+  2: i64 epoch,                       // fencing number of the owner that reports
+  3: i64 sequence,
+  4: bool full = false,               // replaces all that was known of the endpoint
+  5: list<AdapterVersion> added,
+  6: list<AdapterVersion> removed,
+  7: i32 queued = 0,
+  8: i32 running = 0,
+  9: bool healthy = true
+}
+
+struct Heartbeat {
+  1: string vm, 2: i64 incarnation, 3: string zone, 4: i64 sequence,
+  5: i64 appliedOffset, 6: i64 configRevision,
+  7: bool leaving = false,
+  8: list<ResidencyDelta> residency,
+  9: list<string> reachable            // peers this VM heard lately, for indirect evidence
+}
+
+struct GrantRequest { 1: string endpoint, 2: AdapterVersion adapter, 3: double worth, 4: i64 number, 5: i32 urgentWaiting = 0 }
+struct GrantReply { 1: string endpoint, 2: AdapterVersion adapter, 3: i64 number, 4: bool granted, 5: i64 validMilliseconds }
+struct GrantDone { 1: string endpoint, 2: AdapterVersion adapter, 3: i64 number, 4: bool loaded }
+
+struct RecordsRequest { 1: i64 fromOffset, 2: i32 most }
+struct RecordsReply { 1: i64 endOffset, 2: list<StoredRecord> records }
+
+/** Exactly one field is set. */
+struct ControlMessage {
+  1: optional Heartbeat heartbeat,
+  2: optional GrantRequest grantRequest,
+  3: optional GrantReply grantReply,
+  4: optional GrantDone grantDone,
+  5: optional RecordsRequest recordsRequest,
+  6: optional RecordsReply recordsReply
+}
+
+// ---------------------------------------------------------------- requests between VMs
+
+/** What the owner of an endpoint must know of a request to queue and run it. */
+struct RequestOffer {
+  1: AttemptId attempt,
+  2: string endpoint,
+  3: i64 fencing,                      // claim the entry VM believes in; 0: unknown
+  4: string member,
+  5: AdapterVersion adapter,           // adapter empty: plain service
+  6: string serviceName,
+  7: RequestClass requestClass,
+  8: bool repeatable = true,
+  9: i64 remainingMilliseconds,        // until the deadline
+  10: i64 waitedMilliseconds = 0,      // since the request was accepted
+  11: i64 resumePosition = 0,
+  12: i32 promptTokens = 0,
+  13: i32 maxTokens = 0,
+  14: i64 prefixHash = 0
+}
+
+enum AttemptOutcome { Completed = 1, NotRun = 2, Unknown = 3, Broken = 4, Failed = 5 }
+
+/** How an attempt ended. NotRun is a proof that nothing of it ran. */
+struct AttemptResult {
+  1: AttemptOutcome outcome,
+  2: i32 code = 0,
+  3: i64 position = 0,
+  4: i64 retryAfterMilliseconds = 0,
+  5: string tryEndpoint,
+  6: i64 queueMicroseconds = 0,
+  7: i64 stallMicroseconds = 0
+}
+
+struct HttpHead { 1: string method, 2: string target, 3: i32 status = 0, 4: map<string, string> headers }
+
+struct OfferFrame { 1: RequestOffer offer, 2: HttpHead head, 3: string body }
+struct DataFrame { 1: AttemptId attempt, 2: i64 position, 3: string bytes, 4: optional HttpHead head }
+struct EndFrame { 1: AttemptId attempt, 2: AttemptResult result }
+struct CancelFrame { 1: AttemptId attempt }
+struct CreditFrame { 1: AttemptId attempt, 2: i32 bytes }
+struct HelloFrame { 1: string vm, 2: i64 incarnation, 3: string token, 4: i32 format = 1 }
+
+/** Exactly one field is set. */
+struct PeerFrame {
+  1: optional HelloFrame hello,
+  2: optional OfferFrame offer,
+  3: optional DataFrame data,
+  4: optional EndFrame ended,
+  5: optional CancelFrame cancel,
+  6: optional CreditFrame credit,
+  7: optional ControlMessage control
+}
--- /dev/null
+++ b/lacewing/ownershipcontroller.cpp
@@ -0,0 +1,12 @@
+#include "ownershipcontroller.h"
+
+#include "blackboard.h"
+
+namespace lacewing {
+
+void stepOwnership([[maybe_unused]] Blackboard &blackboard, [[maybe_unused]] const Event &event,
+                   [[maybe_unused]] TimePoint now, [[maybe_unused]] Actions &actions)
+{
+}
+
+} // namespace lacewing
