--- a/lacewing/action.h
+++ b/lacewing/action.h
@@ -105,6 +105,12 @@
     wire::LogRecord record;
 };
 
+/// Read the log once from an offset on, waiting a while for new records. RecordsRead or LogReadFailed
+/// follows. The runtime reads for no other reason.
+struct ReadLog {
+    LogOffset from = 0;
+};
+
 struct SendPeer {
     VmId to;
     wire::ControlMessage message;
@@ -168,8 +174,8 @@
 };
 
 using Action = std::variant<OfferAttempt, CancelOffer, FinishRequest, KeyMinted, AcceptOffer, EndOffer, StartRun,
-                            StopRun, OrderAdapter, ProbeEndpoint, AppendRecord, SendPeer, AnswerOperator, WriteLog,
-                            Observe, Count, StopFinished>;
+                            StopRun, OrderAdapter, ProbeEndpoint, AppendRecord, ReadLog, SendPeer, AnswerOperator,
+                            WriteLog, Observe, Count, StopFinished>;
 
 using Actions = std::vector<Action>;
 
--- a/lacewing/appendstate.h
+++ b/lacewing/appendstate.h
@@ -1,5 +1,5 @@
 // Records on their way to the log. An append whose answer is lost stays here until its nonce is seen
-// in the log or its absence is certain.
+// in the log or it has been waited for long enough.
 
 #pragma once
 
@@ -11,11 +11,18 @@
 
 namespace lacewing {
 
+enum class AppendPhase {
+    Sent,
+    Stored, ///< the log gave its offset; not replayed yet
+    Unknown, ///< the answer was lost; the record may still appear
+};
+
 struct PendingAppend {
-    wire::LogRecord record;
     TimePoint sent;
-    std::int32_t tries = 0;
-    std::int64_t operatorToken = 0; ///< answers an operator when settled; 0: none
+    AppendPhase phase = AppendPhase::Sent;
+    LogOffset offset = noOffset; ///< valid if Stored
+    std::int64_t operatorToken = 0; ///< echoed to the operator when settled
+    bool fromOperator = false;
 };
 
 struct AppendTable {
--- a/lacewing/blackboard.h
+++ b/lacewing/blackboard.h
@@ -11,6 +11,7 @@
 #include "entrystate.h"
 #include "grantstate.h"
 #include "keystate.h"
+#include "logstate.h"
 #include "membershipstate.h"
 #include "ownerstate.h"
 #include "residencystate.h"
@@ -19,6 +20,7 @@
 
 struct Blackboard {
     CoreSettings settings;
+    LogState log;
     ConfigState config;
     ClaimTable claims;
     AppendTable appends;
--- a/lacewing/coresettings.h
+++ b/lacewing/coresettings.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <string>
 
 #include "types.h"
 
@@ -14,6 +15,7 @@
     VmId vm; ///< name of this VM on the platform's VM list
     std::int64_t incarnation = 0; ///< differs at each start of the process
     ZoneName zone;
+    std::string peerAddress; ///< as the VM list should show it; empty: unknown
 
     Duration heartbeatInterval = milliseconds(500);
     Duration heartbeatTimeout = milliseconds(2000);
@@ -21,6 +23,9 @@
     Duration leavingGrace = milliseconds(2000);
 
     Duration appendTimeout = milliseconds(2000);
+    Duration logReadTimeout = milliseconds(10000); ///< a read of the log not answered by then is asked again
+    Duration logRetryDelay = milliseconds(500); ///< after a failed read
+    Duration checkpointInterval = milliseconds(900000);
     Duration keyLifetime = milliseconds(600000);
 
     std::size_t openRequestLimit = 4096;
--- a/lacewing/event.h
+++ b/lacewing/event.h
@@ -130,7 +130,8 @@
 
 // ---------------------------------------------------------------- platform and peers
 
-/// Records were read from the log, in offset order, starting at firstOffset.
+/// Records were read from the log, in offset order, starting at firstOffset. No offset between two of them
+/// is left out: a record that could not be decoded comes as one without a body. Answers ReadLog.
 struct RecordsRead {
     LogOffset firstOffset = 0;
     LogOffset oldestKept = 0; ///< retention has dropped all before
--- a/lacewing/lacewing.thrift
+++ b/lacewing/lacewing.thrift
@@ -22,7 +22,7 @@
 struct MemberSpec { 1: string name, 2: string keyHash, 3: i32 maxInFlight = 0 }
 struct AdapterSpec { 1: string name, 2: string member, 3: string baseModel }
 struct VersionSpec { 1: string adapter, 2: i32 version, 3: string source }
-/** Assigns a version of an adapter as the one in force for its member's deployment. */
+/** Assigns a version of an adapter as the one in force for its member's deployment; 0: none. */
 struct AssignmentSpec { 1: string adapter, 2: i32 version }
 
 struct EndpointSpec {
@@ -49,7 +49,7 @@
   7: bool acceptPatient = true
 }
 
-/** Exactly one field is set. */
+/** Exactly one field is set. Fields 11 to 14 undo others, for rollbacks. */
 struct ConfigChange {
   1: optional MemberSpec memberAdd,
   2: optional AdapterSpec adapterCreate,
@@ -60,7 +60,11 @@
   7: optional EndpointSpec endpointAdd,
   8: optional string endpointDrain,
   9: optional PresetSpec presetDefine,
-  10: optional string presetUse
+  10: optional string presetUse,
+  11: optional string memberRemove,
+  12: optional string endpointRemove,
+  13: optional VersionSpec versionRestore,
+  14: optional string presetRemove
 }
 
 /** Accepted only if basedOn is the revision in force when it is replayed. */
@@ -93,11 +97,34 @@
   5: list<AssignmentSpec> assignments,
   6: list<EndpointSpec> endpoints,
   7: list<PresetSpec> presets,
-  8: string presetInForce
+  8: string presetInForce,
+  9: list<VersionSpec> retired,        // those of field 4 that are retired
+  10: list<VersionSpec> deleted        // versions of deleted adapters: never to be given another source
+}
+
+/** One accepted change, kept so that operators can look back and roll back. */
+struct RevisionEntry {
+  1: i64 revision,
+  2: i64 offset,
+  3: string nonce,
+  4: string author,
+  5: string note,
+  6: list<ConfigChange> changes,
+  7: list<ConfigChange> inverse        // undoes the changes, in this order
 }
 
-/** The state after all records below throughOffset; outlives the log's retention. */
-struct CheckpointRecord { 1: i64 throughOffset, 2: ConfigSnapshot config, 3: list<ClaimState> claims, 4: i32 part = 0, 5: i32 parts = 1 }
+/**
+ * The state after all records with offsets below throughOffset; outlives the log's retention. Each
+ * part holds a share of each list; revision and presetInForce stand in all of them.
+ */
+struct CheckpointRecord {
+  1: i64 throughOffset,
+  2: ConfigSnapshot config,
+  3: list<ClaimState> claims,
+  4: i32 part = 0,
+  5: i32 parts = 1,
+  6: list<RevisionEntry> history
+}
 
 /** Exactly one of the optional bodies is set in records of a known format. */
 struct LogRecord {
@@ -127,12 +154,17 @@
   9: bool healthy = true
 }
 
+/** A VM that should have sent heartbeats to the VM named in by, and did not. */
+struct Suspicion { 1: string vm, 2: string by, 3: i64 sequence, 4: bool heard = false }
+
 struct Heartbeat {
   1: string vm, 2: i64 incarnation, 3: string zone, 4: i64 sequence,
   5: i64 appliedOffset, 6: i64 configRevision,
   7: bool leaving = false,
   8: list<ResidencyDelta> residency,
-  9: list<string> reachable            // peers this VM heard lately, for indirect evidence
+  9: list<string> reachable,           // peers this VM heard lately, for indirect evidence
+  10: list<Suspicion> suspicions,      // news only: each is passed on once
+  11: i64 logAgeMilliseconds = -1      // since the platform last told someone of the zone the log's end; -1: never
 }
 
 struct GrantRequest { 1: string endpoint, 2: AdapterVersion adapter, 3: double worth, 4: i64 number, 5: i32 urgentWaiting = 0 }
--- a/lacewing/step.cpp
+++ b/lacewing/step.cpp
@@ -5,11 +5,11 @@
 
 #include "appendcontroller.h"
 #include "blackboard.h"
-#include "configcontroller.h"
 #include "entrycontroller.h"
 #include "grantcontroller.h"
 #include "keycontroller.h"
 #include "loadcontroller.h"
+#include "logcontroller.h"
 #include "membershipcontroller.h"
 #include "ownershipcontroller.h"
 #include "queuecontroller.h"
@@ -19,7 +19,8 @@
 Actions step(Blackboard &blackboard, const Event &event, TimePoint now)
 {
     Actions actions;
-    stepConfig(blackboard, event, now, actions);
+    blackboard.stopping = blackboard.stopping || std::holds_alternative<StopRequested>(event);
+    stepLog(blackboard, event, now, actions);
     stepMembership(blackboard, event, now, actions);
     stepOwnership(blackboard, event, now, actions);
     stepKey(blackboard, event, now, actions);
