Requests: entry controller, retry budget and idempotency keys

Cause: the entry side had no life of a request. Now: limits, attempts with exclusions, backoff with jitter from the request id, a retry budget, deadlines, resume at the position, outcomes by proof only; minted keys granted by their home VM from memory, caller-chosen keys claimed on the log in grouped appends, first in log order.

--- a/lacewing/coresettings.h
+++ b/lacewing/coresettings.h
@@ -5,7 +5,9 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <string>
 
+#include "safetyrules.h"
 #include "types.h"
 
 namespace lacewing {
@@ -22,13 +24,29 @@
 
     Duration appendTimeout = milliseconds(2000);
     Duration keyLifetime = milliseconds(600000);
+    Duration keyAskInterval = milliseconds(250); ///< between repeats of a question about a key
+    Duration keyAskTimeout = milliseconds(5000); ///< then the VM that knows the key counts as gone
+    Duration keyGroupInterval = milliseconds(5); ///< at least this long between appends of key claims
+    double keyAppendRate = 200; ///< appends of key claims a second, of all VMs together
+    std::string keySecret; ///< signs minted keys; the same on all VMs
+    std::size_t keyLimit = 200000; ///< keys remembered, of each kind
 
     std::size_t openRequestLimit = 4096;
     std::size_t queueLimit = 512; ///< per endpoint
     double retryShare = 0.1; ///< retries allowed as a share of first attempts
-    std::int32_t mostAttempts = 6;
+    double retryFloor = 20; ///< retries a second allowed however little traffic there is
+    double retryBurst = 200; ///< retries that may be saved up
+    std::int32_t mostAttempts = 6; ///< in a row without progress
+    Duration retryBackoff = milliseconds(20); ///< before the second attempt; doubles up to retryBackoffLimit
+    Duration retryBackoffLimit = milliseconds(1000);
+    Duration routeWait = milliseconds(10000); ///< how long a request waits for any endpoint
+    Duration offerTimeout = milliseconds(2000); ///< for the owner to take or refuse an offer
+    Duration silenceTimeout = milliseconds(10000); ///< between two pieces of an answer
+    Duration deadlineMargin = milliseconds(30); ///< owners give up this much earlier, so that their proof arrives
 
     Duration loadEstimate = milliseconds(400); ///< until loads have been measured
+
+    SafetyRules rules; ///< all on, but for the check of the checker
 };
 
 } // namespace lacewing
--- a/lacewing/entrystate.h
+++ b/lacewing/entrystate.h
@@ -3,10 +3,13 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "event.h"
+#include "retrybudget.h"
 #include "types.h"
 
 namespace lacewing {
@@ -25,12 +28,28 @@
     AttemptId attempt; ///< the current one; frames of any other are dropped
     EndpointName endpoint;
     VmId owner;
-    std::int64_t position = 0; ///< tokens passed to the caller so far
+    LogOffset fencing = 0; ///< of the claim the current attempt was offered under
+    std::int64_t position = 0; ///< tokens or bytes passed to the caller so far
     TimePoint notBefore; ///< no new attempt before this
+    TimePoint lastProgress; ///< of the current attempt
+    TimePoint unplacedSince; ///< no owner has taken it since
+    std::int32_t refusals = 0; ///< attempts refused in a row
+    std::int32_t breaks = 0; ///< attempts broken in a row without progress
+    std::vector<EndpointName> excluded; ///< refused or broke lately; bounded by excludedLimit
+    TimePoint endpointRetryAt; ///< earliest time an excluded endpoint asked to be tried again
+    EndpointName suggested; ///< by the last owner that refused
+    ResultCode lastCode = ResultCode::NoEndpoint;
+    bool retrySpends = false; ///< the next attempt takes from the retry budget
+    bool keyHeld = false; ///< the request holds its idempotency key
+    bool mayHaveRun = false; ///< an earlier attempt was not proved not to have run
+    bool firstTokenSeen = false;
 };
 
 struct EntryState {
     std::unordered_map<RequestId, EntryRequest, RequestIdHash> requests;
+    std::multimap<TimePoint, RequestId> timers; ///< when to look at a request again; may name ended ones
+    std::unordered_map<MemberName, std::int32_t> openByMember;
+    RetryBudget retryBudget;
 };
 
 } // namespace lacewing
--- a/lacewing/lacewing.thrift
+++ b/lacewing/lacewing.thrift
@@ -81,7 +81,12 @@
 
 struct KeyClaim { 1: string keyHash, 2: RequestId request }
 /** Grouped claims of caller-chosen idempotency keys; the first in log order runs. */
-struct KeyClaimsRecord { 1: string vm, 2: i64 incarnation, 3: list<KeyClaim> claims }
+struct KeyClaimsRecord {
+  1: string vm,
+  2: i64 incarnation,
+  3: list<KeyClaim> claims,
+  4: list<KeyClaim> released           // held by a request that was proved not to have run
+}
 
 struct ClaimState { 1: string resource, 2: string vm, 3: i64 incarnation, 4: i64 offset, 5: bool released = false }
 
@@ -139,6 +144,13 @@
 struct GrantReply { 1: string endpoint, 2: AdapterVersion adapter, 3: i64 number, 4: bool granted, 5: i64 validMilliseconds }
 struct GrantDone { 1: string endpoint, 2: AdapterVersion adapter, 3: i64 number, 4: bool loaded }
 
+enum KeyVerdict {
+  KeyGranted = 1, KeyInProgress = 2, KeyAnswered = 3, KeyFailed = 4, KeyUnknown = 5, KeyNotRun = 6, KeyExpired = 7, KeyFull = 8
+}
+/** Asks a minted key's home VM for the right to run, or (claim false) any VM how a request with a key ended. */
+struct KeyAsk { 1: string key, 2: RequestId request, 3: i64 incarnation, 4: bool claim }
+struct KeyAnswer { 1: string key, 2: RequestId request, 3: KeyVerdict verdict }
+
 struct RecordsRequest { 1: i64 fromOffset, 2: i32 most }
 struct RecordsReply { 1: i64 endOffset, 2: list<StoredRecord> records }
 
@@ -149,7 +161,9 @@
   3: optional GrantReply grantReply,
   4: optional GrantDone grantDone,
   5: optional RecordsRequest recordsRequest,
-  6: optional RecordsReply recordsReply
+  6: optional RecordsReply recordsReply,
+  20: optional KeyAsk keyAsk,
+  21: optional KeyAnswer keyAnswer
 }
 
 // ---------------------------------------------------------------- requests between VMs
--- a/lacewing/resultcode.h
+++ b/lacewing/resultcode.h
@@ -24,6 +24,7 @@
     RequestTimeout = 106,
     MethodNotAllowed = 107,
     NotFound = 108,
+    InvalidKey = 109,
     // 2xx: refused for now, not run
     QueueFull = 200,
     MemberLimit = 201,
--- /dev/null
+++ b/lacewing/retrybudget.cpp
@@ -0,0 +1,64 @@
+// A bucket rather than a counted window: it needs two numbers and refills smoothly. The jitter comes from a
+// hash of the request id, so that a recorded run replays to the same delays while requests still spread.
+
+#include "retrybudget.h"
+
+#include <algorithm>
+
+#include "coresettings.h"
+
+namespace lacewing {
+
+namespace {
+
+void refill(RetryBudget &budget, const CoreSettings &settings, TimePoint now)
+{
+    if (!budget.started) {
+        budget.started = true;
+        budget.tokens = settings.retryBurst;
+    } else {
+        const double seconds = std::chrono::duration<double>(now - budget.refilled).count();
+        budget.tokens = std::min(settings.retryBurst, budget.tokens + seconds * settings.retryFloor);
+    }
+    budget.refilled = now;
+}
+
+/// The finaliser of SplitMix64: spreads neighbouring request numbers evenly.
+std::uint64_t mixBits(std::uint64_t value)
+{
+    value += 0x9e3779b97f4a7c15ULL;
+    value = (value ^ (value >> 30U)) * 0xbf58476d1ce4e5b9ULL;
+    value = (value ^ (value >> 27U)) * 0x94d049bb133111ebULL;
+    return value ^ (value >> 31U);
+}
+
+} // namespace
+
+void noteFirstAttempt(RetryBudget &budget, const CoreSettings &settings, TimePoint now)
+{
+    refill(budget, settings, now);
+    budget.tokens = std::min(settings.retryBurst, budget.tokens + settings.retryShare);
+}
+
+bool takeRetry(RetryBudget &budget, const CoreSettings &settings, TimePoint now)
+{
+    refill(budget, settings, now);
+    if (budget.tokens < 1) {
+        return false;
+    }
+    budget.tokens -= 1;
+    return true;
+}
+
+Duration retryDelay(const CoreSettings &settings, const RequestId &request, std::int32_t failures)
+{
+    constexpr std::int32_t mostDoublings = 20;
+    constexpr std::uint64_t jitterSteps = 1024;
+    const std::int32_t doublings = std::clamp(failures - 1, 0, mostDoublings);
+    const Duration full = std::min(settings.retryBackoffLimit, settings.retryBackoff * (std::int64_t {1} << doublings));
+    const auto seed = static_cast<std::uint64_t>(request.node) ^ mixBits(static_cast<std::uint64_t>(request.number));
+    const std::uint64_t jitter = mixBits(seed + static_cast<std::uint64_t>(failures)) % jitterSteps;
+    return full / 2 + full * static_cast<std::int64_t>(jitter) / static_cast<std::int64_t>(jitterSteps);
+}
+
+} // namespace lacewing
