--- a/lacewing/coresettings.h
+++ b/lacewing/coresettings.h
@@ -16,6 +16,7 @@
     VmId vm; ///< name of this VM on the platform's VM list
     std::int64_t incarnation = 0; ///< differs at each start of the process
     ZoneName zone;
+    std::string peerAddress; ///< as the VM list should show it; empty: unknown
 
     Duration heartbeatInterval = milliseconds(500);
     Duration heartbeatTimeout = milliseconds(2000);
@@ -23,6 +24,9 @@
     Duration leavingGrace = milliseconds(2000);
 
     Duration appendTimeout = milliseconds(2000);
+    Duration logReadTimeout = milliseconds(10000); ///< a read of the log not answered by then is asked again
+    Duration logRetryDelay = milliseconds(500); ///< after a failed read
+    Duration checkpointInterval = milliseconds(900000);
     Duration keyLifetime = milliseconds(600000);
     Duration keyAskInterval = milliseconds(250); ///< between repeats of a question about a key
     Duration keyAskTimeout = milliseconds(5000); ///< then the VM that knows the key counts as gone
