Settings, logging, metrics, platform client and operator face: first form

The daemon needs these to be wired up: settings by flag and environment, key=value log lines, Prometheus text, the platform's log and VM list, and the operators' HTTP interface with its JSON.

Cause: cxxtools' blocking HTTP calls bound neither the whole exchange nor the answer's size, and its JSON parser crashes on deep nesting; so the client is driven asynchronously in short waits and JSON is nlohmann-json.

--- /dev/null
+++ b/lacewing/platformclient.h
@@ -0,0 +1,98 @@
+// Talks to the platform from threads of its own: reads the log and the VM list, and appends records. What
+// happens is delivered as events; the receiver passes them on to the runtime's thread.
+//
+//   PlatformClient client(options, [&](Event event) { post(std::move(event)); });
+//   client.start(0);
+//   client.append(record);   // AppendEnded follows
+//   client.stop();
+
+#pragma once
+
+#include <atomic>
+#include <condition_variable>
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "event.h"
+#include "hostport.h"
+#include "types.h"
+
+namespace lacewing {
+
+struct PlatformOptions {
+    HostPort platform;
+    Duration appendTimeout = milliseconds(2000);
+    Duration readTimeout = milliseconds(4000); ///< of a page of the log, above longPoll
+    Duration longPoll = milliseconds(1000); ///< how long the platform may hold a read with nothing new
+    Duration vmListInterval = milliseconds(1000);
+    Duration vmListTimeout = milliseconds(2000);
+    Duration shortestPause = milliseconds(100); ///< after a failed read, doubled up to longestPause
+    Duration longestPause = milliseconds(1000);
+    std::size_t pageRecords = 512;
+    std::size_t appendQueueLimit = 1024;
+    std::size_t appendThreads = 4;
+};
+
+class PlatformClient
+{
+public:
+    using Receiver = std::function<void(Event)>;
+
+    /// @param wanted where and how
+    /// @param eventReceiver called from the client's threads; must not block for long
+    PlatformClient(PlatformOptions wanted, Receiver eventReceiver);
+    ~PlatformClient();
+    PlatformClient(const PlatformClient &) = delete;
+    PlatformClient &operator=(const PlatformClient &) = delete;
+
+    /// Starts the threads; call once.
+    /// @param from offset of the log to read from
+    void start(LogOffset from);
+
+    /// Goes on reading from another offset, after what is being read now.
+    /// @param from offset to read next
+    void readFrom(LogOffset from);
+
+    /// Pauses or resumes reading the log, for a VM that gets its records from peers.
+    /// @param wanted whether to read
+    void setReading(bool wanted);
+
+    /// Queues a record for the log. AppendEnded says how it ended: Refused only if it was surely not stored.
+    /// @param record to append; its nonce comes back in the event
+    void append(const wire::LogRecord &record);
+
+    /// Ends the threads; exchanges in progress are given up within a fraction of a second, and no event is
+    /// delivered after it returns. Called by the destructor too.
+    void stop();
+
+private:
+    struct QueuedAppend {
+        std::string nonce;
+        std::string bytes;
+    };
+
+    void readLog();
+    void readVmList();
+    void runAppends();
+    AppendEnded carryOut(class HttpClient &client, const QueuedAppend &queued) const;
+    LogOffset waitForReading();
+    void advance(LogOffset asked, LogOffset next);
+    void pause(Duration length);
+
+    PlatformOptions options;
+    Receiver receiver;
+    std::atomic<bool> stopped {false};
+    std::mutex mutex;
+    std::condition_variable changed;
+    LogOffset nextOffset = 0;
+    bool reading = true;
+    std::deque<QueuedAppend> appends;
+    std::vector<std::thread> threads;
+};
+
+} // namespace lacewing
