Platform client reads the log when the decisions ask; its HTTP client renamed

Conclusion: read(from) answers with one RecordsRead or LogReadFailed; a page whose offsets are not contiguous counts as failed.

--- a/lacewing/httpclient.cpp
+++ b/lacewing/blockinghttp.cpp
@@ -3,7 +3,7 @@
 // between them. After any failure the connection is dropped, so that a late answer can never be taken for
 // that of the next request. Errors arrive as exceptions and end here.
 
-#include "httpclient.h"
+#include "blockinghttp.h"
 
 #include <chrono>
 #include <exception>
@@ -38,19 +38,19 @@
 
 } // namespace
 
-class HttpExchange : public cxxtools::Connectable
+class BlockingHttpExchange : public cxxtools::Connectable
 {
 public:
-    explicit HttpExchange(const HostPort &address)
+    explicit BlockingHttpExchange(const HostPort &address)
     {
         this->client.prepareConnect(address.host, address.port);
         this->client.setSelector(this->selector);
-        this->client.replyFinished.connect(cxxtools::slot(*this, &HttpExchange::onFinished));
-        this->client.requestSent.connect(cxxtools::slot(*this, &HttpExchange::onSent));
-        cxxtools::connect(this->client.bodyAvailable, *this, &HttpExchange::onBody);
+        this->client.replyFinished.connect(cxxtools::slot(*this, &BlockingHttpExchange::onFinished));
+        this->client.requestSent.connect(cxxtools::slot(*this, &BlockingHttpExchange::onSent));
+        cxxtools::connect(this->client.bodyAvailable, *this, &BlockingHttpExchange::onBody);
     }
 
-    void begin(const HttpRequest &request)
+    void begin(const BlockingHttpRequest &request)
     {
         this->finished = false;
         this->sent = false;
@@ -66,7 +66,7 @@
         this->client.beginExecute(this->outgoing);
     }
 
-    std::error_code waitUntilFinished(const HttpRequest &request, const std::atomic<bool> *stopFlag)
+    std::error_code waitUntilFinished(const BlockingHttpRequest &request, const std::atomic<bool> *stopFlag)
     {
         const auto deadline = SteadyClock::now() + request.timeout;
         while (!this->finished) {
@@ -134,19 +134,19 @@
     bool sent = false;
 };
 
-HttpClient::HttpClient(HostPort address, const std::atomic<bool> *stopFlag)
+BlockingHttpClient::BlockingHttpClient(HostPort address, const std::atomic<bool> *stopFlag)
     : server(std::move(address)), stopped(stopFlag)
 {
 }
 
-HttpClient::~HttpClient() = default;
+BlockingHttpClient::~BlockingHttpClient() = default;
 
-std::error_code HttpClient::exchange(const HttpRequest &request, HttpAnswer &answer)
+std::error_code BlockingHttpClient::exchange(const BlockingHttpRequest &request, BlockingHttpAnswer &answer)
 {
     std::error_code error;
     try {
         if (!this->exchangeState) {
-            this->exchangeState = std::make_unique<HttpExchange>(this->server);
+            this->exchangeState = std::make_unique<BlockingHttpExchange>(this->server);
         }
         this->exchangeState->begin(request);
         error = this->exchangeState->waitUntilFinished(request, this->stopped);
--- a/lacewing/httpclient.h
+++ b/lacewing/blockinghttp.h
@@ -1,13 +1,13 @@
 // A blocking HTTP request over cxxtools with what its own blocking calls lack: one deadline for the whole
 // exchange, a limit on the answer's body, and a flag that ends it at once.
 //
-//   HttpClient client(server);
-//   HttpRequest request;
+//   BlockingHttpClient client(server);
+//   BlockingHttpRequest request;
 //   request.target = "/vms";
-//   HttpAnswer answer;
+//   BlockingHttpAnswer answer;
 //   if (std::error_code error = client.exchange(request, answer)) …
 //
-// One HttpClient belongs to one thread. The connection is kept between requests.
+// One BlockingHttpClient belongs to one thread. The connection is kept between requests.
 
 #pragma once
 
@@ -25,7 +25,7 @@
 
 namespace lacewing {
 
-struct HttpRequest {
+struct BlockingHttpRequest {
     std::string method = "GET";
     std::string target = "/"; ///< path with query
     std::vector<std::pair<std::string, std::string>> headers;
@@ -34,33 +34,33 @@
     std::size_t answerLimit = 32 * mebibyte;
 };
 
-struct HttpAnswer {
+struct BlockingHttpAnswer {
     int status = 0;
     std::string body;
     bool sent = false; ///< the server may have acted on the request even if the exchange failed
 };
 
-class HttpExchange;
+class BlockingHttpExchange;
 
-class HttpClient
+class BlockingHttpClient
 {
 public:
     /// @param address where to connect
     /// @param stopFlag ends a running exchange when it becomes true; may be null
-    explicit HttpClient(HostPort address, const std::atomic<bool> *stopFlag = nullptr);
-    ~HttpClient();
-    HttpClient(const HttpClient &) = delete;
-    HttpClient &operator=(const HttpClient &) = delete;
+    explicit BlockingHttpClient(HostPort address, const std::atomic<bool> *stopFlag = nullptr);
+    ~BlockingHttpClient();
+    BlockingHttpClient(const BlockingHttpClient &) = delete;
+    BlockingHttpClient &operator=(const BlockingHttpClient &) = delete;
 
     /// @param request what to send
     /// @param answer filled as far as it was read
     /// @return no error, or PeerUnreachable, RequestTimeout, LimitExceeded or StreamBroken
-    std::error_code exchange(const HttpRequest &request, HttpAnswer &answer);
+    std::error_code exchange(const BlockingHttpRequest &request, BlockingHttpAnswer &answer);
 
 private:
     HostPort server;
     const std::atomic<bool> *stopped;
-    std::unique_ptr<HttpExchange> exchangeState; ///< null after a failure: the next request connects anew
+    std::unique_ptr<BlockingHttpExchange> exchangeState; ///< null after a failure: the next request connects anew
 };
 
 } // namespace lacewing
--- a/lacewing/platformclient.cpp
+++ b/lacewing/platformclient.cpp
@@ -6,8 +6,8 @@
 #include <algorithm>
 #include <chrono>
 
+#include "blockinghttp.h"
 #include "codec.h"
-#include "httpclient.h"
 #include "platformjson.h"
 #include "resultcode.h"
 #include "sizes.h"
@@ -40,11 +40,10 @@
     this->stop();
 }
 
-void PlatformClient::start(LogOffset from)
+void PlatformClient::start()
 {
-    this->readFrom(from);
-    this->threads.emplace_back([this] { this->readLog(); });
-    this->threads.emplace_back([this] { this->readVmList(); });
+    this->threads.emplace_back([this] { this->runReads(); });
+    this->threads.emplace_back([this] { this->runVmList(); });
     for (std::size_t count = 0; count < this->options.appendThreads; ++count) {
         this->threads.emplace_back([this] { this->runAppends(); });
     }
@@ -63,17 +62,11 @@
     this->threads.clear();
 }
 
-void PlatformClient::readFrom(LogOffset from)
-{
-    const std::scoped_lock lock(this->mutex);
-    this->nextOffset = std::max<LogOffset>(from, 0);
-}
-
-void PlatformClient::setReading(bool wanted)
+void PlatformClient::read(LogOffset from)
 {
     {
         const std::scoped_lock lock(this->mutex);
-        this->reading = wanted;
+        this->wantedRead = std::max<LogOffset>(from, 0);
     }
     this->changed.notify_all();
 }
@@ -95,63 +88,51 @@
     this->receiver(std::move(ended));
 }
 
-LogOffset PlatformClient::waitForReading()
-{
-    std::unique_lock lock(this->mutex);
-    this->changed.wait(lock, [this] { return this->stopped || this->reading; });
-    return this->nextOffset;
-}
-
-void PlatformClient::advance(LogOffset asked, LogOffset next)
+Event PlatformClient::readPage(BlockingHttpClient &client, LogOffset from) const
 {
-    const std::scoped_lock lock(this->mutex);
-    const bool movedMeanwhile = this->nextOffset != asked;
-    this->nextOffset = movedMeanwhile ? this->nextOffset : next;
-}
-
-void PlatformClient::pause(Duration length)
-{
-    std::unique_lock lock(this->mutex);
-    this->changed.wait_for(lock, length, [this] { return this->stopped.load(); });
+    BlockingHttpRequest request;
+    request.target = "/log?from=" + std::to_string(from) + "&most=" + std::to_string(this->options.pageRecords)
+        + "&wait=" + std::to_string(toMilliseconds(this->options.longPoll));
+    request.timeout = this->options.readTimeout;
+    BlockingHttpAnswer answer;
+    RecordsRead page;
+    const std::error_code error = client.exchange(request, answer);
+    if (error || answer.status != statusOk || parseLogPage(answer.body, page)) {
+        return LogReadFailed {};
+    }
+    return page;
 }
 
-void PlatformClient::readLog()
+void PlatformClient::runReads()
 {
-    HttpClient client(this->options.platform, &this->stopped);
-    Duration pauseLength = this->options.shortestPause;
-    while (!this->stopped) {
-        const LogOffset from = this->waitForReading();
-        HttpRequest request;
-        request.target = "/log?from=" + std::to_string(from) + "&most=" + std::to_string(this->options.pageRecords)
-            + "&wait=" + std::to_string(toMilliseconds(this->options.longPoll));
-        request.timeout = this->options.readTimeout;
-        HttpAnswer answer;
-        RecordsRead page;
-        const std::error_code error = client.exchange(request, answer);
+    BlockingHttpClient client(this->options.platform, &this->stopped);
+    while (true) {
+        LogOffset from = 0;
+        {
+            std::unique_lock lock(this->mutex);
+            this->changed.wait(lock, [this] { return this->stopped || this->wantedRead; });
+            if (this->stopped) {
+                return;
+            }
+            from = *this->wantedRead;
+            this->wantedRead.reset();
+        }
+        Event event = this->readPage(client, from);
         if (this->stopped) {
             return;
         }
-        if (error || answer.status != statusOk || parseLogPage(answer.body, page)) {
-            this->receiver(LogReadFailed {});
-            this->pause(pauseLength);
-            pauseLength = std::min(pauseLength * 2, this->options.longestPause);
-            continue;
-        }
-        pauseLength = this->options.shortestPause;
-        const LogOffset next = page.records.empty() ? page.firstOffset : page.records.back().offset + 1;
-        this->advance(from, std::max(next, page.oldestKept));
-        this->receiver(std::move(page));
+        this->receiver(std::move(event));
     }
 }
 
-void PlatformClient::readVmList()
+void PlatformClient::runVmList()
 {
-    HttpClient client(this->options.platform, &this->stopped);
+    BlockingHttpClient client(this->options.platform, &this->stopped);
     while (!this->stopped) {
-        HttpRequest request;
+        BlockingHttpRequest request;
         request.target = "/vms";
         request.timeout = this->options.vmListTimeout;
-        HttpAnswer answer;
+        BlockingHttpAnswer answer;
         VmListRead list;
         const std::error_code error = client.exchange(request, answer);
         if (this->stopped) {
@@ -162,13 +143,14 @@
         } else {
             this->receiver(std::move(list));
         }
-        this->pause(this->options.vmListInterval);
+        std::unique_lock lock(this->mutex);
+        this->changed.wait_for(lock, this->options.vmListInterval, [this] { return this->stopped.load(); });
     }
 }
 
 void PlatformClient::runAppends()
 {
-    HttpClient client(this->options.platform, &this->stopped);
+    BlockingHttpClient client(this->options.platform, &this->stopped);
     while (true) {
         QueuedAppend queued;
         {
@@ -188,16 +170,16 @@
     }
 }
 
-AppendEnded PlatformClient::carryOut(HttpClient &client, const QueuedAppend &queued) const
+AppendEnded PlatformClient::carryOut(BlockingHttpClient &client, const QueuedAppend &queued) const
 {
-    HttpRequest request;
+    BlockingHttpRequest request;
     request.method = "POST";
     request.target = "/log";
     request.headers.emplace_back("Content-Type", "application/octet-stream");
     request.body = queued.bytes;
     request.timeout = this->options.appendTimeout;
     request.answerLimit = largestAppendAnswer;
-    HttpAnswer answer;
+    BlockingHttpAnswer answer;
     const std::error_code error = client.exchange(request, answer);
     AppendEnded ended;
     ended.nonce = queued.nonce;
--- a/lacewing/platformclient.h
+++ b/lacewing/platformclient.h
@@ -2,7 +2,8 @@
 // happens is delivered as events; the receiver passes them on to the runtime's thread.
 //
 //   PlatformClient client(options, [&](Event event) { post(std::move(event)); });
-//   client.start(0);
+//   client.start();
+//   client.read(0);          // RecordsRead or LogReadFailed follows
 //   client.append(record);   // AppendEnded follows
 //   client.stop();
 
@@ -14,6 +15,7 @@
 #include <deque>
 #include <functional>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -31,8 +33,6 @@
     Duration longPoll = milliseconds(1000); ///< how long the platform may hold a read with nothing new
     Duration vmListInterval = milliseconds(1000);
     Duration vmListTimeout = milliseconds(2000);
-    Duration shortestPause = milliseconds(100); ///< after a failed read, doubled up to longestPause
-    Duration longestPause = milliseconds(1000);
     std::size_t pageRecords = 512;
     std::size_t appendQueueLimit = 1024;
     std::size_t appendThreads = 4;
@@ -51,16 +51,11 @@
     PlatformClient &operator=(const PlatformClient &) = delete;
 
     /// Starts the threads; call once.
-    /// @param from offset of the log to read from
-    void start(LogOffset from);
+    void start();
 
-    /// Goes on reading from another offset, after what is being read now.
-    /// @param from offset to read next
-    void readFrom(LogOffset from);
-
-    /// Pauses or resumes reading the log, for a VM that gets its records from peers.
-    /// @param wanted whether to read
-    void setReading(bool wanted);
+    /// Reads the log once. RecordsRead or LogReadFailed follows; a newer call replaces one not yet begun.
+    /// @param from offset to read from
+    void read(LogOffset from);
 
     /// Queues a record for the log. AppendEnded says how it ended: Refused only if it was surely not stored.
     /// @param record to append; its nonce comes back in the event
@@ -76,21 +71,18 @@
         std::string bytes;
     };
 
-    void readLog();
-    void readVmList();
+    void runReads();
+    void runVmList();
     void runAppends();
-    AppendEnded carryOut(class HttpClient &client, const QueuedAppend &queued) const;
-    LogOffset waitForReading();
-    void advance(LogOffset asked, LogOffset next);
-    void pause(Duration length);
+    AppendEnded carryOut(class BlockingHttpClient &client, const QueuedAppend &queued) const;
+    Event readPage(class BlockingHttpClient &client, LogOffset from) const;
 
     PlatformOptions options;
     Receiver receiver;
     std::atomic<bool> stopped {false};
     std::mutex mutex;
     std::condition_variable changed;
-    LogOffset nextOffset = 0;
-    bool reading = true;
+    std::optional<LogOffset> wantedRead;
     std::deque<QueuedAppend> appends;
     std::vector<std::thread> threads;
 };
--- a/lacewing/platformjson.cpp
+++ b/lacewing/platformjson.cpp
@@ -129,10 +129,10 @@
     LogOffset next = *first;
     for (const Json &entry : *records) {
         std::optional<wire::StoredRecord> stored = readRecord(entry);
-        if (!stored || stored->offset < next || stored->offset >= *end) {
+        if (!stored || stored->offset != next || next >= *end) {
             return ResultCode::MalformedRecord;
         }
-        next = stored->offset + 1;
+        ++next;
         read.records.push_back(std::move(*stored));
     }
     page = std::move(read);
--- a/lacewing/platformjson.h
+++ b/lacewing/platformjson.h
@@ -1,6 +1,6 @@
 // Reads the platform's answers: pages of the log, the VM list and the offset of an append. Nothing in them is
 // trusted: sizes, types and order are checked, and a log record that cannot be decoded is passed on empty, so
-// that its offset is not missing.
+// that no offset is missing.
 
 #pragma once
 
