Policy: routing, residency, queues, loads and grants, first version

Cause: the controllers of this lane were empty. ResidencyDelta gains urgentQueued, patientRunning and freeSlots (optional, new numbers). types.cpp defines the operator< that the generated code declares.

--- a/lacewing/blackboard.h
+++ b/lacewing/blackboard.h
@@ -14,6 +14,7 @@
 #include "membershipstate.h"
 #include "ownerstate.h"
 #include "residencystate.h"
+#include "routingstate.h"
 
 namespace lacewing {
 
@@ -24,6 +25,7 @@
     AppendTable appends;
     MembershipState membership;
     ResidencyState residency;
+    RoutingState routing;
     KeyState keys;
     EntryState entry;
     OwnerState owner;
--- /dev/null
+++ b/lacewing/grantorder.h
@@ -0,0 +1,32 @@
+// Who hands out grants to load from the weight store, and to whom the next one goes.
+
+#pragma once
+
+#include <optional>
+#include <utility>
+
+#include "grantstate.h"
+#include "types.h"
+
+namespace lacewing {
+
+struct Blackboard;
+
+struct GrantHolder {
+    VmId vm;
+    double share = 1.0; ///< of the store's rate that it hands out
+};
+
+/// @param blackboard state to look in
+/// @param now time
+/// @return the VM to ask for grants
+GrantHolder grantHolder(const Blackboard &blackboard, TimePoint now);
+
+/// @param grants the pending requests
+/// @param prefetch whether loads that nobody waits for may be chosen
+/// @param now time
+/// @return the load that ends most waiting, none if none is pending
+std::optional<std::pair<EndpointName, AdapterVersion>> chooseGrant(const GrantState &grants, bool prefetch,
+                                                                   TimePoint now);
+
+} // namespace lacewing
--- a/lacewing/lacewing.thrift
+++ b/lacewing/lacewing.thrift
@@ -124,7 +124,10 @@
   6: list<AdapterVersion> removed,
   7: i32 queued = 0,
   8: i32 running = 0,
-  9: bool healthy = true
+  9: bool healthy = true,
+  10: i32 urgentQueued = 0,           // part of queued
+  11: i32 patientRunning = 0,         // part of running
+  12: i32 freeSlots = 0               // adapter slots that a load could take now
 }
 
 struct Heartbeat {
--- a/lacewing/types.cpp
+++ b/lacewing/types.cpp
@@ -42,4 +42,25 @@
     return toString(id.request) + "-" + std::to_string(id.number);
 }
 
+namespace wire {
+
+// Declared by the generated code, left to us to define: the order of ordered containers.
+
+bool AdapterVersion::operator<(const AdapterVersion &other) const
+{
+    return std::tie(this->adapter, this->version) < std::tie(other.adapter, other.version);
+}
+
+bool RequestId::operator<(const RequestId &other) const
+{
+    return std::tie(this->node, this->number) < std::tie(other.node, other.number);
+}
+
+bool AttemptId::operator<(const AttemptId &other) const
+{
+    return std::tie(this->request, this->number) < std::tie(other.request, other.number);
+}
+
+} // namespace wire
+
 } // namespace lacewing
