--- a/lacewing/blackboard.h
+++ b/lacewing/blackboard.h
@@ -15,6 +15,7 @@
 #include "membershipstate.h"
 #include "ownerstate.h"
 #include "residencystate.h"
+#include "routingstate.h"
 
 namespace lacewing {
 
@@ -26,6 +27,7 @@
     AppendTable appends;
     MembershipState membership;
     ResidencyState residency;
+    RoutingState routing;
     KeyState keys;
     EntryState entry;
     OwnerState owner;
