--- a/lacewing/answerformat.h
+++ b/lacewing/answerformat.h
@@ -19,6 +19,7 @@
     std::string model; ///< adapter@version
     std::int64_t created = 0; ///< seconds since 1970
     std::int32_t promptTokens = 0;
+    std::int32_t maxTokens = 0; ///< an answer of this many tokens ended for its length
     std::string eventStart; ///< of a token event, up to the text
     std::string eventEnd; ///< of a token event, after the text
 };
--- a/lacewing/answerstream.cpp
+++ b/lacewing/answerstream.cpp
@@ -17,13 +17,20 @@
 {
 }
 
-void AnswerStream::beginAttempt(const AttemptId &id, [[maybe_unused]] std::int64_t resumePosition)
+void AnswerStream::beginAttempt(const AttemptId &id)
 {
     this->attempt = id;
     this->owedCredit = 0;
     this->waitingBytes = 0;
 }
 
+void AnswerStream::cancelAttempt(const AttemptId &id)
+{
+    if (this->attempt && *this->attempt == id) {
+        this->attempt.reset();
+    }
+}
+
 FrameVerdict AnswerStream::takeData(wire::DataFrame &frame)
 {
     if (!this->attempt || !(frame.attempt == *this->attempt) || this->finished) {
--- a/lacewing/answerstream.h
+++ b/lacewing/answerstream.h
@@ -41,8 +41,11 @@
 
     /// From here on only this attempt's frames are taken.
     /// @param attempt the new attempt
-    /// @param resumePosition position from which it will send
-    void beginAttempt(const AttemptId &attempt, std::int64_t resumePosition);
+    void beginAttempt(const AttemptId &attempt);
+
+    /// From here on no frame of this attempt is taken.
+    /// @param attempt that was cancelled
+    void cancelAttempt(const AttemptId &attempt);
 
     /// @param frame data of some attempt
     /// @return what became of it
--- a/lacewing/engineclient.cpp
+++ b/lacewing/engineclient.cpp
@@ -104,7 +104,7 @@
 asio::awaitable<void> EngineClient::carryOut(OrderAdapter order, std::string address)
 {
     HttpCall call = makeOrderCall(order, std::move(address), this->settings.orderTimeout);
-    const HttpReply reply = co_await fetch(this->pool, std::move(call));
+    const HttpReply reply = co_await fetch(this->pool, call);
     OrderEnded ended;
     ended.endpoint = order.endpoint;
     ended.adapter = order.adapter;
@@ -128,11 +128,11 @@
         call.address = std::move(address);
         call.target = "/health";
         call.timeout = this->settings.probeTimeout;
-        const HttpReply reply = co_await fetch(this->pool, std::move(call));
+        const HttpReply reply = co_await fetch(this->pool, call);
         probed.leaving = saysLeaving(reply.status, reply.body);
         probed.healthy = reply.status == statusOk || probed.leaving;
     } else {
-        auto connection = co_await this->pool.acquire(std::move(address), true, this->settings.probeTimeout);
+        auto connection = co_await this->pool.acquire(address, true, this->settings.probeTimeout);
         probed.healthy = connection != nullptr;
         if (connection) {
             this->pool.release(std::move(connection));
@@ -167,49 +167,49 @@
     asio::steady_timer timer(this->context);
     NetError ignored; // the timer is never cancelled
     while (!poller->stopped) {
-        co_await this->pollLoad(poller);
-        co_await this->pollCache(poller);
+        co_await this->pollLoad(*poller);
+        co_await this->pollCache(*poller);
         timer.expires_after(this->settings.reportInterval);
         co_await timer.async_wait(awaitInto(ignored));
     }
 }
 
-asio::awaitable<void> EngineClient::pollLoad(std::shared_ptr<Poller> poller)
+asio::awaitable<void> EngineClient::pollLoad(Poller &poller)
 {
     HttpCall call;
-    call.address = poller->endpoint.address;
+    call.address = poller.endpoint.address;
     call.target = "/load";
     call.timeout = this->settings.probeTimeout;
-    const HttpReply reply = co_await fetch(this->pool, std::move(call));
-    if (poller->stopped) {
+    const HttpReply reply = co_await fetch(this->pool, call);
+    if (poller.stopped) {
         co_return;
     }
     EndpointReported report;
-    report.endpoint = poller->endpoint.name;
+    report.endpoint = poller.endpoint.name;
     if (reply.status == statusOk && readLoadReport(reply.body, report)) {
         this->handlers.event(std::move(report));
         co_return;
     }
     EndpointProbed probed;
-    probed.endpoint = poller->endpoint.name;
+    probed.endpoint = poller.endpoint.name;
     probed.leaving = saysLeaving(reply.status, reply.body);
     probed.healthy = probed.leaving;
     this->handlers.event(std::move(probed));
 }
 
-asio::awaitable<void> EngineClient::pollCache(std::shared_ptr<Poller> poller)
+asio::awaitable<void> EngineClient::pollCache(Poller &poller)
 {
     HttpCall call;
-    call.address = poller->endpoint.address;
-    call.target = "/cache_events?from=" + std::to_string(poller->nextCacheEvent);
+    call.address = poller.endpoint.address;
+    call.target = "/cache_events?from=" + std::to_string(poller.nextCacheEvent);
     call.timeout = this->settings.probeTimeout;
-    const HttpReply reply = co_await fetch(this->pool, std::move(call));
+    const HttpReply reply = co_await fetch(this->pool, call);
     std::vector<CacheReported> reports;
-    if (poller->stopped || reply.status != statusOk || !readCacheEvents(reply.body, poller->nextCacheEvent, reports)) {
+    if (poller.stopped || reply.status != statusOk || !readCacheEvents(reply.body, poller.nextCacheEvent, reports)) {
         co_return;
     }
     for (CacheReported &report : reports) {
-        report.endpoint = poller->endpoint.name;
+        report.endpoint = poller.endpoint.name;
         this->handlers.event(report);
     }
 }
--- a/lacewing/engineclient.h
+++ b/lacewing/engineclient.h
@@ -70,8 +70,8 @@
     asio::awaitable<void> carryOut(OrderAdapter order, std::string address);
     asio::awaitable<void> ask(EndpointName endpoint, std::string address, bool model);
     asio::awaitable<void> poll(std::shared_ptr<Poller> poller);
-    asio::awaitable<void> pollLoad(std::shared_ptr<Poller> poller);
-    asio::awaitable<void> pollCache(std::shared_ptr<Poller> poller);
+    asio::awaitable<void> pollLoad(Poller &poller);
+    asio::awaitable<void> pollCache(Poller &poller);
 
     asio::io_context &context;
     EngineSettings settings;
--- a/lacewing/httpclient.cpp
+++ b/lacewing/httpclient.cpp
@@ -73,7 +73,8 @@
     return nullptr;
 }
 
-asio::awaitable<std::unique_ptr<HttpConnection>> HttpPool::acquire(std::string address, bool fresh, Duration timeout)
+asio::awaitable<std::unique_ptr<HttpConnection>> HttpPool::acquire(const std::string &address, bool fresh,
+                                                                   Duration timeout)
 {
     std::unique_ptr<HttpConnection> connection;
     if (!fresh) {
@@ -108,7 +109,7 @@
     }
 }
 
-asio::awaitable<HttpReply> fetch(HttpPool &pool, HttpCall call)
+asio::awaitable<HttpReply> fetch(HttpPool &pool, const HttpCall &call)
 {
     const http::request<http::string_body> request = makeRequest(call);
     HttpReply reply;
--- a/lacewing/httpclient.h
+++ b/lacewing/httpclient.h
@@ -52,7 +52,7 @@
     /// @param fresh whether it must be new, so that a failure to connect proves that nothing was sent
     /// @param timeout for making it
     /// @return the connection, or null if it could not be made
-    asio::awaitable<std::unique_ptr<HttpConnection>> acquire(std::string address, bool fresh, Duration timeout);
+    asio::awaitable<std::unique_ptr<HttpConnection>> acquire(const std::string &address, bool fresh, Duration timeout);
 
     /// Gives back a connection on which an exchange has ended cleanly.
     /// @param connection to be kept
@@ -93,7 +93,7 @@
 /// @param pool connections to use
 /// @param call what to ask
 /// @return the answer; a call that found its kept connection dead is sent once more on a new one
-asio::awaitable<HttpReply> fetch(HttpPool &pool, HttpCall call);
+asio::awaitable<HttpReply> fetch(HttpPool &pool, const HttpCall &call);
 
 /// @param text value of a Retry-After header, in seconds
 /// @return the span of time, 0 if it has not that form
--- a/lacewing/peerlink.cpp
+++ b/lacewing/peerlink.cpp
@@ -147,7 +147,7 @@
     this->sendOut(to, frame);
 }
 
-asio::awaitable<NetError> PeerLinks::connectTo(Tcp::socket &socket, std::string address)
+asio::awaitable<NetError> PeerLinks::connectTo(Tcp::socket &socket, const std::string &address)
 {
     NetError error;
     const auto endpoint = parseAddress(address);
--- a/lacewing/peerlink.h
+++ b/lacewing/peerlink.h
@@ -102,7 +102,7 @@
     Outgoing &outgoing(const VmId &vm);
     void sendOut(const VmId &to, const wire::PeerFrame &frame);
     asio::awaitable<void> dial(std::shared_ptr<Outgoing> link);
-    asio::awaitable<NetError> connectTo(Tcp::socket &socket, std::string address);
+    asio::awaitable<NetError> connectTo(Tcp::socket &socket, const std::string &address);
     void startOutgoing(const std::shared_ptr<Outgoing> &link, Tcp::socket socket);
     void receiveOutgoing(Outgoing &link, wire::PeerFrame &frame);
     void loseOutgoing(Outgoing &link);
