--- a/lacewing/operatorapi.cpp
+++ b/lacewing/operatorapi.cpp
@@ -106,6 +106,11 @@
                          [](const Blackboard &blackboard, TimePoint now) { return describeStatus(blackboard, now); });
 }
 
+OperatorReply showRevision(const Call &call)
+{
+    return inspectAsJson(call, [](const Blackboard &blackboard, TimePoint) { return describeRevision(blackboard); });
+}
+
 OperatorReply showHistory(const Call &call)
 {
     return inspectAsJson(call, [](const Blackboard &blackboard, TimePoint) { return describeHistory(blackboard); });
@@ -166,15 +171,11 @@
 };
 
 constexpr std::array routes {
-    Route {"GET", "/metrics", false, showMetrics},
-    Route {"GET", "/healthz", false, showHealth},
-    Route {"GET", "/readyz", false, showReadiness},
-    Route {"GET", "/v1/status", true, showStatus},
-    Route {"GET", "/v1/history", true, showHistory},
-    Route {"GET", "/v1/config/members", true, showMembers},
-    Route {"GET", "/v1/config/endpoints", true, showEndpoints},
-    Route {"GET", "/v1/config/presets", true, showPresets},
-    Route {"GET", "/v1/config/adapters", true, showAdapters},
+    Route {"GET", "/metrics", false, showMetrics},          Route {"GET", "/healthz", false, showHealth},
+    Route {"GET", "/readyz", false, showReadiness},         Route {"GET", "/v1/status", true, showStatus},
+    Route {"GET", "/v1/revision", true, showRevision},      Route {"GET", "/v1/history", true, showHistory},
+    Route {"GET", "/v1/config/members", true, showMembers}, Route {"GET", "/v1/config/endpoints", true, showEndpoints},
+    Route {"GET", "/v1/config/presets", true, showPresets}, Route {"GET", "/v1/config/adapters", true, showAdapters},
     Route {"POST", "/v1/changes", true, submitChange},
 };
 
--- a/lacewing/operatorjson.cpp
+++ b/lacewing/operatorjson.cpp
@@ -180,6 +180,14 @@
                  {"heard", std::move(heard)}});
 }
 
+std::string describeRevision(const Blackboard &blackboard)
+{
+    return dump({{"vm", blackboard.settings.vm},
+                 {"zone", blackboard.settings.zone},
+                 {"revision", blackboard.config.revision},
+                 {"preset", blackboard.config.presetInForce}});
+}
+
 std::string describeHistory(const Blackboard &blackboard)
 {
     return dump({{"revision", blackboard.config.revision}, {"history", Json::array()}});
--- a/lacewing/operatorjson.h
+++ b/lacewing/operatorjson.h
@@ -44,6 +44,10 @@
 /// @return JSON of this VM: revision, preset, endpoints and who owns them, open requests
 std::string describeStatus(const Blackboard &blackboard, TimePoint now);
 
+/// @param blackboard read only
+/// @return JSON of this VM's name, revision and preset in force; short, for frequent looks
+std::string describeRevision(const Blackboard &blackboard);
+
 /// @param blackboard read only
 /// @return JSON of what the name says
 std::string describeHistory(const Blackboard &blackboard);
