--- a/lacewing/requestattempt.cpp
+++ b/lacewing/requestattempt.cpp
@@ -44,6 +44,17 @@
     return query;
 }
 
+/// The version stays as it was fixed on arrival, whatever is assigned meanwhile.
+AdapterVersion targetOf(const Blackboard &blackboard, const EntryRequest &request)
+{
+    AdapterVersion target = request.arrival.target;
+    const auto adapter = blackboard.config.adapters.find(target.adapter);
+    if (!blackboard.settings.rules.versionFixed && adapter != blackboard.config.adapters.end()) {
+        target.version = adapter->second.assignedVersion;
+    }
+    return target;
+}
+
 wire::RequestOffer makeOffer(const Blackboard &blackboard, const EntryRequest &request, TimePoint now)
 {
     wire::RequestOffer offer;
@@ -51,7 +62,7 @@
     offer.endpoint = request.endpoint;
     offer.fencing = request.fencing;
     offer.member = request.arrival.member;
-    offer.adapter = request.arrival.target;
+    offer.adapter = targetOf(blackboard, request);
     offer.serviceName = request.arrival.service;
     offer.requestClass = request.arrival.requestClass;
     offer.repeatable = request.arrival.repeatable;
--- a/lacewing/safetyrules.h
+++ b/lacewing/safetyrules.h
@@ -18,7 +18,7 @@
     bool baseRevision = true; ///< a change must build on the revision in force
     bool replayOrder = true; ///< records are applied in log order only
     bool resendOnlyNotRun = true; ///< a request that may not be repeated is resent only after a proof of not run
-    bool versionCheck = true; ///< an owner starts a run only where exactly that adapter version is loaded
+    bool versionFixed = true; ///< the version is fixed on arrival; later attempts keep it
     bool refuseRepeatedOffer = true; ///< an owner takes each attempt at most once
     bool leavingCheck = true; ///< nothing new is started at a leaving endpoint
     bool stopWhenIdle = true; ///< a planned stop waits for the requests in progress
