--- a/bench/faultharness.cpp
+++ b/bench/faultharness.cpp
@@ -19,6 +19,7 @@
 constexpr Duration tokenTime = milliseconds(30);
 constexpr Duration platformDelay = milliseconds(10);
 constexpr Duration logPoll = milliseconds(50);
+constexpr Duration logWait = milliseconds(2000);
 constexpr Duration slowPoll = milliseconds(500);
 constexpr Duration disconnectDelay = milliseconds(1500);
 constexpr Duration listDropDelay = milliseconds(2000);
@@ -125,6 +126,7 @@
     fresh.alive = true;
     fresh.blackboard.settings.vm = name;
     fresh.blackboard.settings.zone = vm.zone;
+    fresh.blackboard.settings.peerAddress = name + ":1";
     fresh.blackboard.settings.incarnation = this->nextIncarnation++;
     fresh.blackboard.settings.keySecret = "faults";
     fresh.blackboard.settings.rules = this->rules;
@@ -289,14 +291,9 @@
     const bool slow = (this->now - this->started) % slowPoll < logPoll;
     if (this->log.down || vm.platformCut) {
         if (slow) {
-            this->deliver(name, LogReadFailed {});
             this->deliver(name, VmListFailed {});
         }
     } else {
-        RecordsRead read = this->log.read(vm.blackboard.config.appliedOffset + 1);
-        if (slow || !read.records.empty()) {
-            this->after(platformDelay, [this, name, read = std::move(read)] { this->deliver(name, read); });
-        }
         if (slow) {
             const VmListRead list = this->vmList.read(this->now - this->vmListLag);
             this->whenAwake(name, life, [this, name, list] { this->showList(name, list); });
@@ -406,6 +403,7 @@
 void FaultHarness::addEndpoint(const wire::EndpointSpec &spec)
 {
     this->endpoints[spec.name].spec = spec;
+    this->endpoints[spec.name].checksFencing = spec.checksFencing && this->rules.fencingCheck;
     this->vmList.put(this->now, VmListEntry {spec.name, spec.zone, "", false});
 }
 
@@ -549,6 +547,25 @@
     this->after(platformDelay, [this, vm, ended] { this->deliver(vm, ended); });
 }
 
+/// A long poll: answers at once if there is something to read, else when the wait is over.
+void FaultHarness::readLog(const VmId &name, std::uint64_t life, LogOffset from, TimePoint waitEnd)
+{
+    const FakeVm &vm = this->vms.at(name);
+    const bool fails = this->log.down || vm.platformCut;
+    const bool ready = static_cast<LogOffset>(this->log.records.size()) > from || this->now >= waitEnd;
+    if (fails) {
+        this->after(platformDelay, [this, name, life] {
+            this->whenAwake(name, life, [this, name] { this->run(name, LogReadFailed {}); });
+        });
+    } else if (ready) {
+        this->after(platformDelay, [this, name, life, read = this->log.read(from)] {
+            this->whenAwake(name, life, [this, name, read] { this->run(name, read); });
+        });
+    } else {
+        this->after(logPoll, [this, name, life, from, waitEnd] { this->readLog(name, life, from, waitEnd); });
+    }
+}
+
 void FaultHarness::carryOut(const VmId &vm, const Action &action)
 {
     if (const auto *offer = std::get_if<OfferAttempt>(&action)) {
@@ -591,6 +608,8 @@
         this->after(engineDelay, [this, vm, probed] { this->deliver(vm, probed); });
     } else if (const auto *record = std::get_if<AppendRecord>(&action)) {
         this->after(platformDelay, [this, vm, copy = record->record] { this->append(vm, copy); });
+    } else if (const auto *readAction = std::get_if<ReadLog>(&action)) {
+        this->readLog(vm, this->vms.at(vm).life, readAction->from, this->now + logWait);
     } else if (const auto *answer = std::get_if<AnswerOperator>(&action)) {
         if (answer->code == ResultCode::Ok) {
             this->note({.kind = TraceKind::ChangeAccepted,
--- a/bench/faultharness.h
+++ b/bench/faultharness.h
@@ -140,6 +140,7 @@
     void endRun(const EndpointName &name, std::uint64_t serial, AttemptOutcome outcome, ResultCode code);
     void stopRun(const VmId &vm, const StopRun &stop);
     void orderAdapter(const VmId &vm, const OrderAdapter &order);
+    void readLog(const VmId &vm, std::uint64_t life, LogOffset from, TimePoint waitEnd);
     void append(const VmId &vm, const wire::LogRecord &record);
     void noteState(const VmId &vm);
 
--- a/bench/faultplatform.cpp
+++ b/bench/faultplatform.cpp
@@ -64,7 +64,7 @@
 
 bool FakeEndpoint::isStale(LogOffset fencing)
 {
-    if (this->spec.checksFencing && fencing < this->highestFencing) {
+    if (this->checksFencing && fencing < this->highestFencing) {
         return true;
     }
     this->highestFencing = std::max(this->highestFencing, fencing);
--- a/bench/faultplatform.h
+++ b/bench/faultplatform.h
@@ -63,6 +63,7 @@
 /// An endpoint: runs what it holds, refuses old fencing numbers if it checks them.
 struct FakeEndpoint {
     wire::EndpointSpec spec;
+    bool checksFencing = false;
     std::set<std::string> loaded; ///< adapter@version
     std::map<std::uint64_t, FakeRun> runs; ///< by serial
     LogOffset highestFencing = 0;
--- a/bench/faultschedule.cpp
+++ b/bench/faultschedule.cpp
@@ -63,6 +63,7 @@
 
 constexpr std::array ruleTable {
     NamedRule {"fencing-check", &SafetyRules::fencingCheck},
+    NamedRule {"claim-order", &SafetyRules::claimOrder},
     NamedRule {"vm-list-wait", &SafetyRules::vmListWait},
     NamedRule {"claim-before-run", &SafetyRules::claimBeforeRun},
     NamedRule {"home-vm-check", &SafetyRules::homeVmCheck},
--- a/lacewing/admission.cpp
+++ b/lacewing/admission.cpp
@@ -69,7 +69,8 @@
     const bool listedAsLeaving
         = listed != blackboard.membership.listed.end() && (listed->second.leaving || !listed->second.present);
     const bool draining = spec == blackboard.config.endpoints.end() || spec->second.draining;
-    if (blackboard.stopping || owned.leaving || draining || listedAsLeaving) {
+    const bool leaving = owned.leaving || draining || listedAsLeaving;
+    if (blackboard.stopping || (leaving && blackboard.settings.rules.leavingCheck)) {
         return ResultCode::EndpointLeaving;
     }
     return owned.healthy ? ResultCode::Ok : ResultCode::EndpointUnhealthy;
--- a/lacewing/claims.cpp
+++ b/lacewing/claims.cpp
@@ -105,7 +105,7 @@
 {
     const wire::ClaimState *before = findClaim(blackboard, claim.resource);
     const LogOffset currentOffset = before == nullptr ? noOffset : before->offset;
-    if (claim.supersedes != currentOffset) {
+    if (claim.supersedes != currentOffset && blackboard.settings.rules.claimOrder) {
         return false;
     }
     wire::ClaimState after;
--- a/lacewing/eviction.cpp
+++ b/lacewing/eviction.cpp
@@ -16,10 +16,11 @@
 
 namespace {
 
-bool mayUnload(const OwnedEndpoint &owned, const AdapterSlot &slot)
+bool mayUnload(const Blackboard &blackboard, const OwnedEndpoint &owned, const AdapterSlot &slot)
 {
     const bool foreign = slot.adopted && owned.foreignRuns;
-    return slot.phase == SlotPhase::Resident && slot.serving == 0 && !foreign;
+    const bool pinned = slot.serving > 0 || foreign;
+    return slot.phase == SlotPhase::Resident && !(pinned && blackboard.settings.rules.pinWhileServing);
 }
 
 /// 0: nothing queued, 1: only patient offers queued, 2: urgent offers queued.
@@ -72,7 +73,7 @@
     std::tuple<int, double, TimePoint> least;
     for (const auto &[adapter, slot] : owned.slots) {
         const int rank = queueRank(owned, adapter);
-        if (!mayUnload(owned, slot) || rank > worstRank) {
+        if (!mayUnload(blackboard, owned, slot) || rank > worstRank) {
             continue;
         }
         const std::tuple key {rank, worthOf(blackboard, adapter, now), slot.lastUsed};
--- a/lacewing/logreplay.cpp
+++ b/lacewing/logreplay.cpp
@@ -50,7 +50,9 @@
 ReplayVerdict replayConfig(Blackboard &blackboard, const wire::StoredRecord &stored, Actions &actions)
 {
     const wire::LogRecord &record = stored.record;
-    ReplayVerdict verdict = applyConfigRecord(blackboard.config, stored.offset, record.nonce, record.config);
+    wire::ConfigRecord config = record.config;
+    config.basedOn = blackboard.settings.rules.baseRevision ? config.basedOn : blackboard.config.revision;
+    ReplayVerdict verdict = applyConfigRecord(blackboard.config, stored.offset, record.nonce, config);
     const bool accepted = verdict.code == ResultCode::Ok;
     if (!accepted) {
         actions.emplace_back(Count {Counter::RefusedRecords});
@@ -97,10 +99,11 @@
         if (stored.record.__isset.checkpoint && (stored.offset == noOffset || needsCheckpoint(blackboard))) {
             collectCheckpointPart(blackboard, stored.record, now, actions);
         }
-        if (stored.offset == blackboard.log.keysApplied + 1) {
+        const bool anyOrder = !blackboard.settings.rules.replayOrder;
+        if (stored.offset == blackboard.log.keysApplied + 1 || anyOrder) {
             replayAtKeys(blackboard, stored, now, actions);
         }
-        if (stored.offset == blackboard.config.appliedOffset + 1) {
+        if (stored.offset == blackboard.config.appliedOffset + 1 || anyOrder) {
             replayAtConfig(blackboard, stored, now, actions);
         }
         blackboard.log.end = std::max(blackboard.log.end, stored.offset + 1);
--- a/lacewing/ownershipcontroller.cpp
+++ b/lacewing/ownershipcontroller.cpp
@@ -278,10 +278,11 @@
 void finishStop(Review &review)
 {
     Blackboard &blackboard = review.blackboard;
-    if (!blackboard.stopping || blackboard.claims.stopFinished || !blackboard.entry.requests.empty()) {
+    const bool busy = !blackboard.entry.requests.empty() || !ownedEndpoints(blackboard).empty();
+    if (!blackboard.stopping || blackboard.claims.stopFinished) {
         return;
     }
-    if (!ownedEndpoints(blackboard).empty()) {
+    if (busy && blackboard.settings.rules.stopWhenIdle) {
         return;
     }
     const Duration waited = review.now - blackboard.claims.lastGivenUp;
--- a/lacewing/queuecontroller.cpp
+++ b/lacewing/queuecontroller.cpp
@@ -61,10 +61,12 @@
 void handle(Blackboard &blackboard, const OfferArrived &event, TimePoint now, Actions &actions)
 {
     const AttemptId &attempt = event.offer.attempt;
-    if (!firstSight(blackboard.owner, attempt)) {
+    const auto found = blackboard.owner.endpoints.find(event.offer.endpoint);
+    const bool open = found != blackboard.owner.endpoints.end()
+        && (found->second.queued.contains(attempt) || found->second.running.contains(attempt));
+    if (!firstSight(blackboard.owner, attempt) && (open || blackboard.settings.rules.refuseRepeatedOffer)) {
         return;
     }
-    const auto found = blackboard.owner.endpoints.find(event.offer.endpoint);
     if (found == blackboard.owner.endpoints.end()) {
         actions.push_back(notRun(event.from, attempt, ResultCode::NotOwner));
         return;
--- a/lacewing/requestattempt.cpp
+++ b/lacewing/requestattempt.cpp
@@ -11,12 +11,7 @@
 #include "blackboard.h"
 #include "keycontroller.h"
 #include "requestoutcome.h"
-
-#if __has_include("routing.h")
 #include "routing.h"
-#else
-#include "interim.h"
-#endif
 
 namespace lacewing {
 
@@ -242,6 +237,9 @@
         return;
     }
     const Verdict verdict = judgeResult(*request, result, blackboard.settings.rules);
+    if (result.outcome == AttemptOutcome::NotRun) {
+        noteRefused(blackboard, request->endpoint, static_cast<ResultCode>(result.code), now);
+    }
     request->mayHaveRun = request->mayHaveRun || verdict.mayHaveRun;
     if (verdict.retry) {
         prepareRetry(blackboard, *request, result, verdict, now, actions);
--- a/lacewing/routing.cpp
+++ b/lacewing/routing.cpp
@@ -59,7 +59,8 @@
 bool listedAsLeaving(const Blackboard &blackboard, const EndpointName &endpoint)
 {
     const auto listed = blackboard.membership.listed.find(endpoint);
-    return listed != blackboard.membership.listed.end() && (listed->second.leaving || !listed->second.present);
+    return blackboard.settings.rules.leavingCheck && listed != blackboard.membership.listed.end()
+        && (listed->second.leaving || !listed->second.present);
 }
 
 bool serves(const Blackboard &blackboard, const wire::EndpointSpec &spec, const RouteQuery &query)
--- a/lacewing/safetyrules.h
+++ b/lacewing/safetyrules.h
@@ -9,7 +9,8 @@
 namespace lacewing {
 
 struct SafetyRules {
-    bool fencingCheck = true; ///< a claim holds only if it supersedes the current one
+    bool fencingCheck = true; ///< endpoints that check fencing numbers refuse old ones (switched off at the fakes)
+    bool claimOrder = true; ///< a claim holds only if it supersedes the current one
     bool vmListWait = true; ///< no takeover of an endpoint that ignores fencing before the VM list dropped its owner
     bool claimBeforeRun = true; ///< a request with a key runs only once the key is held by it
     bool homeVmCheck = true; ///< only the VM incarnation that minted a key says who holds it
--- a/lacewing/takeover.cpp
+++ b/lacewing/takeover.cpp
@@ -77,6 +77,9 @@
     if (claim.vm == blackboard.settings.vm) {
         return isPredecessor(blackboard, claim) && isOnlyProcess(blackboard);
     }
+    if (!blackboard.settings.rules.vmListWait) {
+        return mayTakeOverFenced(blackboard, claim, now);
+    }
     return hasGone(blackboard, claim, now);
 }
 
