--- a/lacewing/grantorder.cpp
+++ b/lacewing/grantorder.cpp
@@ -18,7 +18,6 @@
 
 namespace {
 
-constexpr const char *grantResource = "grant";
 constexpr Duration ageOffset = milliseconds(100); ///< so that new requests compare by callers
 
 bool isLive(const Blackboard &blackboard, const VmId &vm, TimePoint now)
@@ -66,7 +65,7 @@
 
 GrantHolder grantHolder(const Blackboard &blackboard, TimePoint now)
 {
-    const auto claim = blackboard.claims.current.find(grantResource);
+    const auto claim = blackboard.claims.current.find(std::string(grantResource));
     if (claim == blackboard.claims.current.end() || claim->second.released) {
         return {firstLive(blackboard, nullptr, now), 1.0};
     }
--- a/lacewing/operatorjson.cpp
+++ b/lacewing/operatorjson.cpp
@@ -63,7 +63,7 @@
     for (const auto &[adapter, slot] : owned.slots) {
         adapters.push_back({{"adapter", toString(adapter)}, {"serving", slot.serving}});
     }
-    return {{"queued", owned.queue.size()},
+    return {{"queued", owned.queued.size()},
             {"running", owned.running.size()},
             {"healthy", owned.healthy},
             {"leaving", owned.leaving},
--- a/lacewing/requestattempt.cpp
+++ b/lacewing/requestattempt.cpp
@@ -11,12 +11,7 @@
 #include "blackboard.h"
 #include "keycontroller.h"
 #include "requestoutcome.h"
-
-#if __has_include("routing.h")
 #include "routing.h"
-#else
-#include "interim.h"
-#endif
 
 namespace lacewing {
 
