--- a/lacewing/testing/requestfixture.cpp
+++ b/lacewing/testing/requestfixture.cpp
@@ -10,6 +10,7 @@
     this->blackboard.settings.incarnation = 7;
     this->blackboard.settings.zone = "z";
     this->blackboard.settings.keySecret = "test secret";
+    this->blackboard.membership.listed["vm-2"].zone = "z"; // the owner is alive as far as this VM knows
     for (const std::string name : {"e1", "e2"}) {
         wire::EndpointSpec endpoint;
         endpoint.name = name;
