--- a/lacewing/runtime.h
+++ b/lacewing/runtime.h
@@ -31,6 +31,7 @@
 /// Actions that others carry out; each is called on the runtime's thread and must not block.
 struct RuntimeOutputs {
     std::function<void(const AppendRecord &)> appendRecord; ///< AppendEnded has to be posted later
+    std::function<void(const ReadLog &)> readLog; ///< RecordsRead or LogReadFailed has to be posted later
     std::function<void(const AnswerOperator &)> answerOperator;
     std::function<void(const WriteLog &)> writeLog;
     std::function<void(const Observe &)> observe;
@@ -78,8 +79,8 @@
     /// @param event what happened
     void post(Event event);
     /// Runs a function on the runtime's thread, soon; from any thread.
-    /// @param function reads the state
-    void inspect(std::function<void(const Blackboard &)> function);
+    /// @param function to run between two events
+    void run(std::function<void()> function);
 
     /// @return the state of the decisions; on the runtime's thread
     const Blackboard &blackboard() const;
@@ -146,6 +147,7 @@
     void carryOut(const OrderAdapter &action);
     void carryOut(const ProbeEndpoint &action);
     void carryOut(const AppendRecord &action);
+    void carryOut(const ReadLog &action);
     void carryOut(const SendPeer &action);
     void carryOut(const AnswerOperator &action);
     void carryOut(const WriteLog &action);
