--- a/lacewing/callersession.h
+++ b/lacewing/callersession.h
@@ -77,6 +77,7 @@
     http::response<http::empty_body> serviceHead(const wire::HttpHead &head);
     bool mayKeepAlive() const;
     RequestArrived newArrival() const;
+    CallerRefusal readHeaders(const Request &request, bool repeatable, RequestArrived &arrival) const;
     wire::HttpHead newHead(const Request &request) const;
     void watchForClose();
     void startReadTimer(Duration limit);
