--- a/lacewing/grantorder.cpp
+++ b/lacewing/grantorder.cpp
@@ -13,6 +13,7 @@
 #include <tuple>
 
 #include "blackboard.h"
+#include "membership.h"
 
 namespace lacewing {
 
@@ -20,16 +21,6 @@
 
 constexpr Duration ageOffset = milliseconds(100); ///< so that new requests compare by callers
 
-bool isLive(const Blackboard &blackboard, const VmId &vm, TimePoint now)
-{
-    if (vm == blackboard.settings.vm) {
-        return true;
-    }
-    const auto heard = blackboard.membership.heard.find(vm);
-    return heard != blackboard.membership.heard.end()
-        && now - heard->second.lastHeard <= blackboard.settings.heartbeatTimeout;
-}
-
 /// The first live VM by name, of one zone or of all.
 VmId firstLive(const Blackboard &blackboard, const ZoneName *zone, TimePoint now)
 {
@@ -38,7 +29,7 @@
         if (vm >= blackboard.settings.vm) {
             break;
         }
-        if (candidate && isLive(blackboard, vm, now)) {
+        if (candidate && isHeard(blackboard, vm, now)) {
             return vm;
         }
     }
@@ -69,7 +60,7 @@
     if (claim == blackboard.claims.current.end() || claim->second.released) {
         return {firstLive(blackboard, nullptr, now), 1.0};
     }
-    if (isLive(blackboard, claim->second.vm, now)) {
+    if (isHeard(blackboard, claim->second.vm, now)) {
         return {claim->second.vm, 1.0};
     }
     const double share = 1.0 / static_cast<double>(countZones(blackboard));
--- a/lacewing/routing.cpp
+++ b/lacewing/routing.cpp
@@ -16,6 +16,7 @@
 #include <xxhash.h>
 
 #include "blackboard.h"
+#include "membership.h"
 #include "preset.h"
 #include "residency.h"
 
@@ -46,16 +47,6 @@
     return found == blackboard.claims.current.end() || found->second.released ? nullptr : &found->second;
 }
 
-bool canReach(const Blackboard &blackboard, const VmId &vm, TimePoint now)
-{
-    if (vm == blackboard.settings.vm) {
-        return true;
-    }
-    const auto heard = blackboard.membership.heard.find(vm);
-    return heard != blackboard.membership.heard.end()
-        && now - heard->second.lastHeard <= blackboard.settings.heartbeatTimeout;
-}
-
 bool listedAsLeaving(const Blackboard &blackboard, const EndpointName &endpoint)
 {
     const auto listed = blackboard.membership.listed.find(endpoint);
@@ -101,7 +92,7 @@
             continue;
         }
         const wire::ClaimState *claim = claimOf(blackboard, name);
-        if (claim == nullptr || !canReach(blackboard, claim->vm, now)) {
+        if (claim == nullptr || !isHeard(blackboard, claim->vm, now)) {
             continue;
         }
         candidates.push_back({&spec, claim, XXH64(name.data(), name.size(), seed), 0});
