--- a/lacewing/interim.h
+++ b/lacewing/interim.h
@@ -1,4 +1,4 @@
-// Stands in for routing.h and appends.h until they are there; goes with them.
+// Stands in for routing.h until it is there; goes with them.
 
 #pragma once
 
@@ -42,12 +42,4 @@
 {
 }
 
-inline std::string requestAppend(Blackboard &blackboard, wire::LogRecord record, TimePoint /*now*/, Actions &actions)
-{
-    record.nonce = blackboard.settings.vm + "-" + std::to_string(blackboard.appends.nextNonce++);
-    record.writer = blackboard.settings.vm;
-    actions.emplace_back(AppendRecord {record});
-    return record.nonce;
-}
-
 } // namespace lacewing
