--- a/lacewing/admission.cpp
+++ b/lacewing/admission.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 
 #include "blackboard.h"
+#include "membership.h"
 #include "preset.h"
 
 namespace lacewing {
@@ -62,14 +63,17 @@
     return fromSeconds(owned.secondsPerToken * static_cast<double>(tokens));
 }
 
+bool endpointLeaving(const Blackboard &blackboard, const EndpointName &endpoint)
+{
+    const auto listed = blackboard.membership.listed.find(endpoint);
+    const bool gone = listed != blackboard.membership.listed.end() && !listed->second.present;
+    return gone || isLeaving(blackboard, endpoint);
+}
+
 ResultCode closedReason(const Blackboard &blackboard, const OwnedEndpoint &owned, const EndpointName &name)
 {
-    const auto spec = blackboard.config.endpoints.find(name);
-    const auto listed = blackboard.membership.listed.find(name);
-    const bool listedAsLeaving
-        = listed != blackboard.membership.listed.end() && (listed->second.leaving || !listed->second.present);
-    const bool draining = spec == blackboard.config.endpoints.end() || spec->second.draining;
-    if (blackboard.stopping || owned.leaving || draining || listedAsLeaving) {
+    const bool configured = blackboard.config.endpoints.contains(name);
+    if (blackboard.stopping || owned.leaving || !configured || endpointLeaving(blackboard, name)) {
         return ResultCode::EndpointLeaving;
     }
     return owned.healthy ? ResultCode::Ok : ResultCode::EndpointUnhealthy;
--- a/lacewing/admission.h
+++ b/lacewing/admission.h
@@ -27,6 +27,11 @@
 /// @return why it takes no new work now, Ok if it does
 ResultCode closedReason(const Blackboard &blackboard, const OwnedEndpoint &owned, const EndpointName &name);
 
+/// @param blackboard state to look in
+/// @param endpoint name of an endpoint
+/// @return whether the configuration or the VM list shows that it is to get nothing new
+bool endpointLeaving(const Blackboard &blackboard, const EndpointName &endpoint);
+
 /// @param owned the endpoint
 /// @param offer an offer for it
 /// @return how long its run is expected to take, 0 if nothing has been measured yet
--- a/lacewing/eviction.cpp
+++ b/lacewing/eviction.cpp
@@ -16,6 +16,8 @@
 
 namespace {
 
+constexpr int freeingRank = -1; ///< emptied for this very purpose
+
 bool mayUnload(const OwnedEndpoint &owned, const AdapterSlot &slot)
 {
     const bool foreign = slot.adopted && owned.foreignRuns;
@@ -75,7 +77,7 @@
         if (!mayUnload(owned, slot) || rank > worstRank) {
             continue;
         }
-        const std::tuple key {rank, worthOf(blackboard, adapter, now), slot.lastUsed};
+        const std::tuple key {slot.freeing ? freeingRank : rank, worthOf(blackboard, adapter, now), slot.lastUsed};
         if (victim == nullptr || key < least || (key == least && adapter < *victim)) {
             victim = &adapter;
             least = key;
--- a/lacewing/ownerstate.h
+++ b/lacewing/ownerstate.h
@@ -81,6 +81,7 @@
     TimePoint ordered;
     TimePoint residentSince;
     TimePoint changed; ///< of its phase; load reports lag behind this
+    bool freeing = false; ///< its patient runs are preempted for an urgent load: no patient run starts there
     bool adopted = false; ///< found loaded; may be serving runs that a former owner started
 };
 
