--- a/lacewing/commandchanges.cpp
+++ b/lacewing/commandchanges.cpp
@@ -8,10 +8,11 @@
 
 #include <nlohmann/json.hpp>
 
+#include "callerrequest.h"
 #include "changejson.h"
 #include "commandline.h"
 #include "hostport.h"
-#include "keyhash.h"
+#include "randomtext.h"
 #include "settingvalue.h"
 
 namespace lacewing {
@@ -191,7 +192,7 @@
     }
     wire::MemberSpec member;
     member.name = line.names[0];
-    member.keyHash = hashKey(key);
+    member.keyHash = sha256Hex(key);
     options.take("max-in-flight", member.maxInFlight);
     made.changes.push_back(makeChange(&wire::ConfigChange::__set_memberAdd, member));
     made.fault = options.fault();
@@ -226,7 +227,7 @@
     }
     const auto key = member->find("key");
     if (key != member->end() && key->is_string()) {
-        (*member)["key_hash"] = hashKey(key->get<std::string>());
+        (*member)["key_hash"] = sha256Hex(key->get<std::string>());
         member->erase("key");
     }
 }
--- a/lacewing/operatorapi.cpp
+++ b/lacewing/operatorapi.cpp
@@ -90,9 +90,8 @@
 
 OperatorReply showReadiness(const Call &call)
 {
-    const std::optional<std::string> obstacle = inspect(call, [](const Blackboard &blackboard, TimePoint) {
-        return std::string(blackboard.stopping ? "shutting down" : "");
-    });
+    const std::optional<std::string> obstacle
+        = inspect(call, [](const Blackboard &blackboard, TimePoint) { return describeObstacle(blackboard); });
     if (!obstacle) {
         return {statusUnavailable, "text/plain", "the runtime does not answer\n"};
     }
@@ -141,6 +140,33 @@
         call, [query](const Blackboard &blackboard, TimePoint) { return describeAdapters(blackboard, query); });
 }
 
+OperatorReply showRevisions(const Call &call)
+{
+    RevisionQuery query;
+    if (!readRevisionQuery(call.request.query, query)) {
+        return makeError(ResultCode::MalformedRequest, "the query is malformed");
+    }
+    return inspectAsJson(
+        call, [query](const Blackboard &blackboard, TimePoint) { return describeRevisions(blackboard, query); });
+}
+
+OperatorReply showRollback(const Call &call)
+{
+    RevisionQuery query;
+    if (!readRevisionQuery(call.request.query, query)) {
+        return makeError(ResultCode::MalformedRequest, "the query is malformed");
+    }
+    const std::int64_t revision = query.after;
+    const std::optional<std::string> text = inspect(
+        call, [revision](const Blackboard &blackboard, TimePoint) { return describeRollback(blackboard, revision); });
+    if (text && text->empty()) {
+        return makeError(ResultCode::InvalidChange,
+                         "the history does not lead back to that revision, or a change since was too large to keep");
+    }
+    return text ? OperatorReply {statusOk, "application/json", *text + "\n"}
+                : makeError(ResultCode::ShuttingDown, "the runtime does not answer");
+}
+
 OperatorReply submitChange(const Call &call)
 {
     wire::ConfigRecord change;
@@ -176,6 +202,7 @@
     Route {"GET", "/v1/revision", true, showRevision},      Route {"GET", "/v1/history", true, showHistory},
     Route {"GET", "/v1/config/members", true, showMembers}, Route {"GET", "/v1/config/endpoints", true, showEndpoints},
     Route {"GET", "/v1/config/presets", true, showPresets}, Route {"GET", "/v1/config/adapters", true, showAdapters},
+    Route {"GET", "/v1/changes", true, showRevisions},      Route {"GET", "/v1/rollback", true, showRollback},
     Route {"POST", "/v1/changes", true, submitChange},
 };
 
