--- a/lacewing/changejson.cpp
+++ b/lacewing/changejson.cpp
@@ -197,7 +197,12 @@
         || visit("endpoint_add", change.endpointAdd, isset.endpointAdd, &Set::__set_endpointAdd, endpoint)
         || visit("endpoint_drain", change.endpointDrain, isset.endpointDrain, &Set::__set_endpointDrain, name)
         || visit("preset_define", change.presetDefine, isset.presetDefine, &Set::__set_presetDefine, preset)
-        || visit("preset_use", change.presetUse, isset.presetUse, &Set::__set_presetUse, name);
+        || visit("preset_use", change.presetUse, isset.presetUse, &Set::__set_presetUse, name)
+        || visit("member_remove", change.memberRemove, isset.memberRemove, &Set::__set_memberRemove, name)
+        || visit("endpoint_remove", change.endpointRemove, isset.endpointRemove, &Set::__set_endpointRemove, name)
+        || visit("version_restore", change.versionRestore, isset.versionRestore, &Set::__set_versionRestore,
+                 versionFields)
+        || visit("preset_remove", change.presetRemove, isset.presetRemove, &Set::__set_presetRemove, name);
 }
 
 } // namespace
--- a/lacewing/operatorapi.h
+++ b/lacewing/operatorapi.h
@@ -3,7 +3,10 @@
 //   GET  /metrics /healthz /readyz            without a token
 //   GET  /v1/status                           this VM: revision, preset, endpoints, open requests
 //   GET  /v1/config/PART                      members, adapters, endpoints or presets; paged for adapters
-//   GET  /v1/history                          accepted changes that this VM has replayed
+//   GET  /v1/revision                         name, revision and preset of this VM
+//   GET  /v1/history                          accepted changes that this VM has replayed, in short
+//   GET  /v1/changes?after=N&through=M        the same with their content
+//   GET  /v1/rollback?to=N                    changes that lead back to a revision
 //   POST /v1/changes                          submits a change
 //
 // All under /v1 want "Authorization: Bearer TOKEN". docs/OPERATORS-CLI.md describes the JSON.
--- a/lacewing/settings.cpp
+++ b/lacewing/settings.cpp
@@ -252,6 +252,7 @@
     core.vm = settings.vm;
     core.incarnation = incarnation;
     core.zone = settings.zone;
+    core.peerAddress = toString(settings.advertisedPeerAddress);
     core.heartbeatInterval = settings.heartbeatInterval;
     core.heartbeatTimeout = settings.heartbeatTimeout;
     core.vmListLag = settings.vmListLag;
