--- a/lacewing/calleradmission.cpp
+++ b/lacewing/calleradmission.cpp
@@ -5,11 +5,13 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 
 #include <nlohmann/json.hpp>
 
 #include "callerrequest.h"
 #include "configstate.h"
+#include "idempotencykey.h"
 
 namespace lacewing {
 
@@ -89,11 +91,27 @@
         return refuse(ResultCode::MalformedRequest, "Idempotency-Key must be up to 512 visible ASCII characters");
     }
     arrival.key = headers.idempotencyKey;
-    arrival.keyKind = KeyKind::CallerChosen;
+    arrival.keyKind = keyKindOf(arrival.key);
     arrival.repeatable = false;
     return {};
 }
 
+CallerRefusal readTimeout(std::string_view text, Duration longest, Duration &timeout)
+{
+    if (text.empty()) {
+        return {};
+    }
+    std::int64_t count = 0;
+    const char *end = text.data() + text.size();
+    const auto [rest, error] = std::from_chars(text.data(), end, count);
+    if (error != std::errc {} || rest != end || count < 1 || count > toMilliseconds(longest)) {
+        return refuse(ResultCode::MalformedRequest,
+                      "X-Request-Timeout-Ms must be from 1 to " + std::to_string(toMilliseconds(longest)));
+    }
+    timeout = milliseconds(count);
+    return {};
+}
+
 CallerRefusal resolveAdapter(const ConfigState &config, const MemberName &member, const AdapterName &adapter,
                              std::int32_t version, AdapterVersion &target)
 {
--- a/lacewing/calleradmission.h
+++ b/lacewing/calleradmission.h
@@ -30,7 +30,7 @@
     std::string_view requestClass;
     std::string_view repeatable;
     std::string_view idempotencyKey;
-    std::string_view requestId;
+    std::string_view timeout; ///< milliseconds
 };
 
 /// @param config the configuration in force
@@ -46,6 +46,12 @@
 /// @return MalformedRequest or Ok
 CallerRefusal readCallerHeaders(const CallerHeaders &headers, bool repeatableByDefault, RequestArrived &arrival);
 
+/// @param text value of the X-Request-Timeout-Ms header, empty if absent
+/// @param longest longest time accepted
+/// @param timeout set if the header is there
+/// @return MalformedRequest or Ok
+CallerRefusal readTimeout(std::string_view text, Duration longest, Duration &timeout);
+
 /// Fixes the version of a model request.
 /// @param config the configuration in force
 /// @param member who asks
--- a/lacewing/grantorder.cpp
+++ b/lacewing/grantorder.cpp
@@ -13,6 +13,8 @@
 #include <tuple>
 
 #include "blackboard.h"
+#include "claims.h"
+#include "membership.h"
 
 namespace lacewing {
 
@@ -22,12 +24,7 @@
 
 bool isLive(const Blackboard &blackboard, const VmId &vm, TimePoint now)
 {
-    if (vm == blackboard.settings.vm) {
-        return true;
-    }
-    const auto heard = blackboard.membership.heard.find(vm);
-    return heard != blackboard.membership.heard.end()
-        && now - heard->second.lastHeard <= blackboard.settings.heartbeatTimeout;
+    return vm == blackboard.settings.vm || isHeard(blackboard, vm, now);
 }
 
 /// The first live VM by name, of one zone or of all.
@@ -65,12 +62,12 @@
 
 GrantHolder grantHolder(const Blackboard &blackboard, TimePoint now)
 {
-    const auto claim = blackboard.claims.current.find(std::string(grantResource));
-    if (claim == blackboard.claims.current.end() || claim->second.released) {
+    const std::optional<VmId> owner = ownerOfResource(blackboard, grantResource);
+    if (!owner) {
         return {firstLive(blackboard, nullptr, now), 1.0};
     }
-    if (isLive(blackboard, claim->second.vm, now)) {
-        return {claim->second.vm, 1.0};
+    if (isLive(blackboard, *owner, now)) {
+        return {*owner, 1.0};
     }
     const double share = 1.0 / static_cast<double>(countZones(blackboard));
     return {firstLive(blackboard, &blackboard.settings.zone, now), share};
--- a/lacewing/loadplan.cpp
+++ b/lacewing/loadplan.cpp
@@ -173,11 +173,14 @@
                        [](const auto &entry) { return entry.second.phase == SlotPhase::Unloading; });
 }
 
-void giveUpGrant(Blackboard &blackboard, const EndpointName &name, const AdapterVersion &adapter, WantedLoad &wanted,
-                 TimePoint now, Actions &actions)
+void giveUpGrant(Blackboard &blackboard, const EndpointName &name, OwnedEndpoint &owned, const AdapterVersion &adapter,
+                 WantedLoad &wanted, TimePoint now, Actions &actions)
 {
     wanted.phase = WantedPhase::Held;
     wanted.notBefore = now + slotRetry;
+    for (auto &[resident, slot] : owned.slots) {
+        slot.freeing = false;
+    }
     returnGrant(blackboard, name, adapter, wanted.number, false, now, actions);
 }
 
@@ -212,13 +215,14 @@
     if (const auto victim = !mayEvict ? std::nullopt : chooseVictim(blackboard, owned, urgent, now)) {
         orderUnload(blackboard, name, owned, *victim, now, actions);
     } else if (const std::vector<AttemptId> runs = runsToPreemptForSlot(owned); mayEvict && urgent && !runs.empty()) {
+        owned.slots.at(owned.running.at(runs.front()).offer.adapter).freeing = true;
         for (const AttemptId &attempt : runs) {
             if (!owned.running.at(attempt).stopping) {
                 preemptRun(owned, attempt, actions);
             }
         }
     } else {
-        giveUpGrant(blackboard, name, adapter, wanted, now, actions);
+        giveUpGrant(blackboard, name, owned, adapter, wanted, now, actions);
     }
 }
 
--- a/lacewing/offerqueue.cpp
+++ b/lacewing/offerqueue.cpp
@@ -43,7 +43,8 @@
     };
     visitQueue(AdapterVersion());
     for (const auto &[adapter, slot] : endpoint.slots) {
-        if (slot.phase == SlotPhase::Resident) {
+        const bool freeing = slot.freeing && requestClass == RequestClass::Patient;
+        if (slot.phase == SlotPhase::Resident && !freeing) {
             visitQueue(adapter);
         }
     }
--- a/lacewing/operatorclient.cpp
+++ b/lacewing/operatorclient.cpp
@@ -10,8 +10,8 @@
 #include <thread>
 
 #include "blockinghttp.h"
-#include "keyhash.h"
 #include "operatorjson.h"
+#include "randomtext.h"
 #include "resultcode.h"
 
 namespace lacewing {
--- a/lacewing/platformclient.cpp
+++ b/lacewing/platformclient.cpp
@@ -88,24 +88,30 @@
     this->receiver(std::move(ended));
 }
 
-Event PlatformClient::readPage(BlockingHttpClient &client, LogOffset from) const
+Event PlatformClient::readPage(BlockingHttpClient &client, LogOffset from, std::size_t &most) const
 {
     BlockingHttpRequest request;
-    request.target = "/log?from=" + std::to_string(from) + "&most=" + std::to_string(this->options.pageRecords)
+    request.target = "/log?from=" + std::to_string(from) + "&most=" + std::to_string(most)
         + "&wait=" + std::to_string(toMilliseconds(this->options.longPoll));
     request.timeout = this->options.readTimeout;
+    request.answerLimit = this->options.pageLimit;
     BlockingHttpAnswer answer;
     RecordsRead page;
     const std::error_code error = client.exchange(request, answer);
+    if (error == ResultCode::LimitExceeded) {
+        most = std::max<std::size_t>(most / 2, 1);
+    }
     if (error || answer.status != statusOk || parseLogPage(answer.body, page)) {
         return LogReadFailed {};
     }
+    most = std::min(most * 2, this->options.pageRecords);
     return page;
 }
 
 void PlatformClient::runReads()
 {
     BlockingHttpClient client(this->options.platform, &this->stopped);
+    std::size_t most = this->options.pageRecords;
     while (true) {
         LogOffset from = 0;
         {
@@ -117,7 +123,7 @@
             from = *this->wantedRead;
             this->wantedRead.reset();
         }
-        Event event = this->readPage(client, from);
+        Event event = this->readPage(client, from, most);
         if (this->stopped) {
             return;
         }
--- a/lacewing/platformclient.h
+++ b/lacewing/platformclient.h
@@ -22,6 +22,7 @@
 
 #include "event.h"
 #include "hostport.h"
+#include "sizes.h"
 #include "types.h"
 
 namespace lacewing {
@@ -33,7 +34,8 @@
     Duration longPoll = milliseconds(1000); ///< how long the platform may hold a read with nothing new
     Duration vmListInterval = milliseconds(1000);
     Duration vmListTimeout = milliseconds(2000);
-    std::size_t pageRecords = 512;
+    std::size_t pageRecords = 512; ///< halved after a page that was too large, doubled after each that was not
+    std::size_t pageLimit = 32 * mebibyte; ///< bytes of an answer with a page
     std::size_t appendQueueLimit = 1024;
     std::size_t appendThreads = 4;
 };
@@ -75,7 +77,7 @@
     void runVmList();
     void runAppends();
     AppendEnded carryOut(class BlockingHttpClient &client, const QueuedAppend &queued) const;
-    Event readPage(class BlockingHttpClient &client, LogOffset from) const;
+    Event readPage(class BlockingHttpClient &client, LogOffset from, std::size_t &most) const;
 
     PlatformOptions options;
     Receiver receiver;
--- a/lacewing/keyhash.h
+++ b/lacewing/randomtext.h
@@ -1,16 +1,12 @@
-// Members' keys as the configuration stores them: hashed, so that reading the log gives no key away.
+// Random texts for operators: members' keys, of which the configuration stores only the hash, and the ids that
+// tell submissions apart.
 
 #pragma once
 
 #include <string>
-#include <string_view>
 
 namespace lacewing {
 
-/// @param key as callers send it
-/// @return SHA-256 of it, in lower-case hexadecimal
-std::string hashKey(std::string_view key);
-
 /// @return a new random key of 256 bits; empty if the system gives no randomness
 std::string generateKey();
 
--- a/lacewing/routing.cpp
+++ b/lacewing/routing.cpp
@@ -15,7 +15,10 @@
 
 #include <xxhash.h>
 
+#include "admission.h"
 #include "blackboard.h"
+#include "claims.h"
+#include "membership.h"
 #include "preset.h"
 #include "residency.h"
 
@@ -35,32 +38,17 @@
 
 struct Candidate {
     const wire::EndpointSpec *spec = nullptr;
-    const wire::ClaimState *claim = nullptr;
+    VmId owner;
     std::uint64_t rendezvous = 0;
     std::size_t rank = 0;
 };
 
-const wire::ClaimState *claimOf(const Blackboard &blackboard, const EndpointName &endpoint)
-{
-    const auto found = blackboard.claims.current.find(endpointResource(endpoint));
-    return found == blackboard.claims.current.end() || found->second.released ? nullptr : &found->second;
-}
-
+/// A VM that was neither listed nor heard yet may be new: nothing speaks against it, and its refusal or
+/// silence will be a proof that nothing ran.
 bool canReach(const Blackboard &blackboard, const VmId &vm, TimePoint now)
 {
-    if (vm == blackboard.settings.vm) {
-        return true;
-    }
-    const auto heard = blackboard.membership.heard.find(vm);
-    return heard != blackboard.membership.heard.end()
-        && now - heard->second.lastHeard <= blackboard.settings.heartbeatTimeout;
-}
-
-bool listedAsLeaving(const Blackboard &blackboard, const EndpointName &endpoint)
-{
-    const auto listed = blackboard.membership.listed.find(endpoint);
-    return blackboard.settings.rules.leavingCheck && listed != blackboard.membership.listed.end()
-        && (listed->second.leaving || !listed->second.present);
+    const bool unknown = !blackboard.membership.listed.contains(vm) && !blackboard.membership.heard.contains(vm);
+    return vm == blackboard.settings.vm || unknown || isHeard(blackboard, vm, now);
 }
 
 bool serves(const Blackboard &blackboard, const wire::EndpointSpec &spec, const RouteQuery &query)
@@ -75,7 +63,7 @@
 
 bool takesNewWork(const Blackboard &blackboard, const wire::EndpointSpec &spec, TimePoint now)
 {
-    if (spec.draining || listedAsLeaving(blackboard, spec.name)) {
+    if (endpointLeaving(blackboard, spec.name)) {
         return false;
     }
     const auto avoided = blackboard.routing.avoidUntil.find(spec.name);
@@ -101,11 +89,11 @@
         if (excluded || !serves(blackboard, spec, query) || !takesNewWork(blackboard, spec, now)) {
             continue;
         }
-        const wire::ClaimState *claim = claimOf(blackboard, name);
-        if (claim == nullptr || !canReach(blackboard, claim->vm, now)) {
+        std::optional<VmId> owner = ownerOf(blackboard, name);
+        if (!owner || !canReach(blackboard, *owner, now)) {
             continue;
         }
-        candidates.push_back({&spec, claim, XXH64(name.data(), name.size(), seed), 0});
+        candidates.push_back({&spec, std::move(*owner), XXH64(name.data(), name.size(), seed), 0});
     }
     std::sort(candidates.begin(), candidates.end(),
               [](const Candidate &left, const Candidate &right) { return left.rendezvous > right.rendezvous; });
@@ -236,7 +224,7 @@
     if (best == nullptr) {
         return std::nullopt;
     }
-    return Route {best->spec->name, best->claim->vm, best->claim->offset + 1};
+    return Route {best->spec->name, best->owner, fencingOf(blackboard, best->spec->name)};
 }
 
 void noteRouted(Blackboard &blackboard, const RouteQuery &query, const Route &route, TimePoint now)
--- a/lacewing/runtime.cpp
+++ b/lacewing/runtime.cpp
@@ -137,9 +137,9 @@
     asio::post(this->context, [this, moved = std::move(event)]() mutable { this->deliver(std::move(moved)); });
 }
 
-void Runtime::inspect(std::function<void(const Blackboard &)> function)
+void Runtime::run(std::function<void()> function)
 {
-    asio::post(this->context, [this, moved = std::move(function)] { moved(this->state); });
+    asio::post(this->context, std::move(function));
 }
 
 const Blackboard &Runtime::blackboard() const
