--- a/bench/faultharness.cpp
+++ b/bench/faultharness.cpp
@@ -40,7 +40,11 @@
     for (const auto &[name, adapter] : config.adapters) {
         lines[name] = adapter.member + "@" + std::to_string(adapter.assignedVersion);
         for (const auto &[version, info] : adapter.versions) {
-            lines[name] += " " + std::to_string(version) + info.source + (info.retired ? "-" : "+");
+            std::string &line = lines[name];
+            line += " ";
+            line += std::to_string(version);
+            line += info.source;
+            line += info.retired ? "-" : "+";
         }
     }
     std::string digest = config.presetInForce + " " + std::to_string(config.presets.size());
@@ -347,7 +351,7 @@
     });
 }
 
-void FaultHarness::send(const VmId &from, const VmId &to, std::function<void()> arrive)
+void FaultHarness::send(const VmId &from, const VmId &to, const std::function<void()> &arrive)
 {
     const bool lost = this->cuts.contains({from, to}) || this->chance(this->link.drop);
     const std::uint64_t life = this->vms.at(to).life;
@@ -607,7 +611,8 @@
         const EndpointProbed probed {probe->endpoint, true, endpoint.leaving && endpoint.refusesWhenLeaving};
         this->after(engineDelay, [this, vm, probed] { this->deliver(vm, probed); });
     } else if (const auto *record = std::get_if<AppendRecord>(&action)) {
-        this->after(platformDelay, [this, vm, copy = record->record] { this->append(vm, copy); });
+        const Duration slow = this->log.slowest * static_cast<std::int64_t>(this->random() % 100) / 100;
+        this->after(platformDelay + slow, [this, vm, copy = record->record] { this->append(vm, copy); });
     } else if (const auto *readAction = std::get_if<ReadLog>(&action)) {
         this->readLog(vm, this->vms.at(vm).life, readAction->from, this->now + logWait);
     } else if (const auto *answer = std::get_if<AnswerOperator>(&action)) {
--- a/bench/faultharness.h
+++ b/bench/faultharness.h
@@ -129,7 +129,7 @@
     void disconnect(const VmId &vm, const VmId &other);
     void run(const VmId &vm, const Event &event);
     void carryOut(const VmId &vm, const Action &action);
-    void send(const VmId &from, const VmId &to, std::function<void()> arrive);
+    void send(const VmId &from, const VmId &to, const std::function<void()> &arrive);
     void sendEvent(const VmId &from, const VmId &to, const Event &event);
     void tick(const VmId &vm, std::uint64_t life);
     void pollPlatform(const VmId &vm, std::uint64_t life);
--- a/bench/faultplatform.h
+++ b/bench/faultplatform.h
@@ -20,6 +20,7 @@
     std::vector<wire::StoredRecord> records;
     bool down = false;
     double lostAnswers = 0; ///< share of appends whose answer is lost, half of them after being stored
+    Duration slowest {0}; ///< appends take up to this much longer
     std::size_t kept = SIZE_MAX; ///< records kept by retention
 
     /// @return first offset that can still be read
--- a/bench/faultschedule.cpp
+++ b/bench/faultschedule.cpp
@@ -43,8 +43,10 @@
     {FaultKind::VmFreeze, "vm-freeze"},
     {FaultKind::VmFreezeMidStep, "vm-freeze-mid-step"},
     {FaultKind::VmStop, "vm-stop"},
+    {FaultKind::VmIsolated, "vm-isolated"},
     {FaultKind::LogOutage, "log-outage"},
     {FaultKind::LostAppends, "lost-appends"},
+    {FaultKind::SlowAppends, "slow-appends"},
     {FaultKind::Retention, "retention"},
     {FaultKind::ListLag, "list-lag"},
     {FaultKind::EndpointRestart, "endpoint-restart"},
@@ -353,6 +355,16 @@
     }
 }
 
+void isolate(FaultHarness &harness, const VmId &vm, bool cut)
+{
+    harness.vms.at(vm).platformCut = cut;
+    for (const auto &[other, state] : harness.vms) {
+        if (other != vm) {
+            cutBoth(harness, vm, other, cut);
+        }
+    }
+}
+
 void raceOperators(Scenario &scenario)
 {
     for (const auto &[name, vm] : scenario.harness.vms) {
@@ -381,6 +393,10 @@
     case FaultKind::VmFreezeMidStep:
         harness.freezeVm(vm, span, true);
         break;
+    case FaultKind::VmIsolated:
+        isolate(harness, vm, true);
+        scenario.later(span, [&harness, vm] { isolate(harness, vm, false); });
+        break;
     case FaultKind::VmStop:
         harness.stopVm(vm);
         scenario.later(milliseconds(25000), [&harness, vm] { harness.restore(vm); });
@@ -443,6 +459,10 @@
         harness.log.lostAnswers = 0.5;
         scenario.later(span, [&harness] { harness.log.lostAnswers = 0; });
         break;
+    case FaultKind::SlowAppends:
+        harness.log.slowest = scenario.anySpan(500, 6000);
+        scenario.later(span, [&harness] { harness.log.slowest = Duration {0}; });
+        break;
     case FaultKind::Retention:
         harness.log.kept = 50;
         break;
@@ -508,6 +528,7 @@
     constexpr std::size_t fewestFaults = 2;
     constexpr std::size_t mostFaults = 7;
     std::vector<FaultKind> faults;
+    faults.reserve(mostFaults);
     const std::size_t count = fewestFaults + scenario.pick(mostFaults - fewestFaults + 1);
     for (std::size_t index = 0; index < count; ++index) {
         faults.push_back(static_cast<FaultKind>(scenario.pick(faultKinds)));
@@ -543,9 +564,20 @@
     return faultNames.at(static_cast<std::size_t>(kind)).name;
 }
 
+std::optional<FaultKind> faultNamed(std::string_view name)
+{
+    for (const NamedFault &fault : faultNames) {
+        if (fault.name == name) {
+            return fault.kind;
+        }
+    }
+    return std::nullopt;
+}
+
 std::vector<std::string_view> ruleNames()
 {
     std::vector<std::string_view> names;
+    names.reserve(ruleTable.size());
     for (const NamedRule &rule : ruleTable) {
         names.push_back(rule.name);
     }
