--- a/loadtool/loadclient.cpp
+++ b/loadtool/loadclient.cpp
@@ -22,6 +22,7 @@
 
 constexpr unsigned httpVersion11 = 11;
 constexpr std::size_t mostFaults = 10;
+constexpr std::uint64_t largestAnswer = 1ULL << 30U;
 constexpr std::chrono::seconds answerTimeout(120);
 constexpr std::chrono::milliseconds retryPause(200);
 constexpr std::string_view eventPrefix = "data: ";
@@ -173,7 +174,7 @@
 {
     beast::flat_buffer buffer;
     Parser parser;
-    parser.body_limit(boost::none);
+    parser.body_limit(largestAnswer);
     co_await http::async_read_header(connection, buffer, parser, asio::use_awaitable);
     const auto type = parser.get()[http::field::content_type];
     if (type.starts_with("text/event-stream")) {
