Service answers are relayed: Boost 1.74 refuses bodies when its limit is off

Cause: parser.body_limit(boost::none) makes Beast 1.74 fail every answer that has a length, so each service call ended as outcome unknown although it had run.

--- a/lacewing/enginerun.cpp
+++ b/lacewing/enginerun.cpp
@@ -174,7 +174,8 @@
     bool written = co_await this->sendRequest();
     Parser parser;
     parser.header_limit(longestHead);
-    parser.body_limit(boost::none);
+    // Boost 1.74 refuses every body with a length when the limit is switched off.
+    parser.body_limit(std::numeric_limits<std::uint64_t>::max());
     if (this->head.method == "HEAD") {
         parser.skip(true);
     }
