A repeated idempotency key is told of the first call's outcome

Cause: the caller face took Answered with DuplicateKey for an answer to relay and read the head of an answer that was never begun, which ended the daemon.

--- a/lacewing/calleranswer.cpp
+++ b/lacewing/calleranswer.cpp
@@ -291,7 +291,8 @@
 asio::awaitable<bool> CallerSession::relayEnd(AnswerStream &answer)
 {
     const FinishRequest end = *answer.end();
-    if (end.outcome != RequestOutcome::Answered) {
+    // A repeated idempotency key ends as Answered with DuplicateKey: the answer went to the first call.
+    if (end.outcome != RequestOutcome::Answered || end.code != ResultCode::Ok) {
         if (this->headSent && answer.kind() == AnswerKind::EventStream) {
             co_await this->writeOutput(answer);
         }
--- a/loadtool/loadclient.cpp
+++ b/loadtool/loadclient.cpp
@@ -292,6 +292,8 @@
     ++this->seen.codes[error.value("type", "status " + std::to_string(status))];
     if (outcome == "not_run") {
         ++this->seen.notRun;
+    } else if (outcome == "answered") {
+        ++this->seen.duplicates;
     } else if (outcome == "unknown") {
         ++this->seen.unknown;
     } else {
--- a/loadtool/loadresult.cpp
+++ b/loadtool/loadresult.cpp
@@ -40,6 +40,7 @@
     const json text
         = {{"answered", result.answered},
            {"not_run", result.notRun},
+           {"duplicates", result.duplicates},
            {"unknown", result.unknown},
            {"failed", result.failed},
            {"wrong", result.wrong},
--- a/loadtool/loadresult.h
+++ b/loadtool/loadresult.h
@@ -11,6 +11,7 @@
 struct LoadResult {
     long answered = 0;
     long notRun = 0; ///< refused with the outcome not_run, after all retries
+    long duplicates = 0; ///< told that an earlier call with the key was answered
     long unknown = 0; ///< ended with the outcome unknown
     long failed = 0; ///< ended with the outcome failed
     long wrong = 0; ///< an answer with any byte that is not its own
