--- a/lacewing/heartbeats.cpp
+++ b/lacewing/heartbeats.cpp
@@ -78,34 +78,38 @@
     }
 }
 
-/// The VM of this zone that speaks for it towards another, and the one of the other it speaks to.
+/// The VM of this zone that speaks for it towards another, and, if it is this one, whom it speaks to.
 struct ZoneLink {
     VmId from;
     VmId to;
 };
 
-ZoneLink linkBetween(const Blackboard &blackboard, std::string_view fromZone, std::string_view toZone, TimePoint now)
+/// @param live VMs of this zone, in ring order
+ZoneLink linkTo(const Blackboard &blackboard, const std::vector<VmId> &live, std::string_view zone, TimePoint now)
 {
-    const std::vector<VmId> from = ringOrder(liveVms(blackboard, fromZone, now));
-    const std::vector<VmId> to = ringOrder(liveVms(blackboard, toZone, now));
-    if (from.empty() || to.empty()) {
+    const std::string &ownZone = blackboard.settings.zone;
+    const VmId &from = live[XXH3_64bits(zone.data(), zone.size()) % live.size()];
+    if (from != blackboard.settings.vm) {
+        return {from, {}};
+    }
+    const std::vector<VmId> others = ringOrder(liveVms(blackboard, zone, now));
+    if (others.empty()) {
         return {};
     }
-    const auto fromIndex = XXH3_64bits(toZone.data(), toZone.size()) % from.size();
-    const auto toIndex = XXH3_64bits(fromZone.data(), fromZone.size()) % to.size();
-    return {from[fromIndex], to[toIndex]};
+    return {from, others[XXH3_64bits(ownZone.data(), ownZone.size()) % others.size()]};
 }
 
 std::vector<VmId> remoteTargets(const Blackboard &blackboard, TimePoint now)
 {
     std::vector<VmId> targets;
     const CoreSettings &settings = blackboard.settings;
+    const std::vector<VmId> live = ringOrder(liveVms(blackboard, settings.zone, now));
+    if (live.empty()) {
+        return targets;
+    }
     for (const auto &[zone, vms] : blackboard.membership.rings) {
-        if (zone == settings.zone) {
-            continue;
-        }
-        const ZoneLink link = linkBetween(blackboard, settings.zone, zone, now);
-        if (link.from == settings.vm) {
+        const ZoneLink link = zone == settings.zone ? ZoneLink {} : linkTo(blackboard, live, zone, now);
+        if (!link.to.empty()) {
             targets.push_back(link.to);
         }
     }
--- a/lacewing/logcontroller.cpp
+++ b/lacewing/logcontroller.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr std::int32_t mostBackOffDoublings = 3;
+constexpr Duration readerReview = milliseconds(200); ///< how often a VM asks itself whether it is the reader
 
 void requestRead(Blackboard &blackboard, TimePoint now, Actions &actions)
 {
@@ -86,8 +87,11 @@
     if (log.reading && now - log.readSent >= blackboard.settings.logReadTimeout) {
         onReadFailed(blackboard, now);
     }
-    if (!log.reading && now >= log.nextRead && isLogReader(blackboard, now)) {
-        requestRead(blackboard, now, actions);
+    if (!log.reading && now >= log.nextRead) {
+        log.nextRead = now + readerReview;
+        if (isLogReader(blackboard, now)) {
+            requestRead(blackboard, now, actions);
+        }
     }
     continueTransfers(blackboard, actions);
 }
--- a/lacewing/ownershipcontroller.cpp
+++ b/lacewing/ownershipcontroller.cpp
@@ -196,7 +196,7 @@
         return;
     }
     blackboard.claims.nextRebalance = review.now + rebalanceInterval;
-    const auto hasRoom = [&review](const VmId &vm) { return review.owned[vm] + 1 < review.share + 1; };
+    const auto hasRoom = [&review](const VmId &vm) { return review.owned[vm] < review.share; };
     if (std::none_of(review.live.begin(), review.live.end(), hasRoom)) {
         return;
     }
--- a/lacewing/step.cpp
+++ b/lacewing/step.cpp
@@ -5,6 +5,7 @@
 
 #include "appendcontroller.h"
 #include "blackboard.h"
+#include "checkpointcontroller.h"
 #include "entrycontroller.h"
 #include "grantcontroller.h"
 #include "keycontroller.h"
@@ -28,6 +29,7 @@
     stepQueue(blackboard, event, now, actions);
     stepLoad(blackboard, event, now, actions);
     stepGrant(blackboard, event, now, actions);
+    stepCheckpoint(blackboard, event, now, actions);
     stepAppend(blackboard, event, now, actions);
     return actions;
 }
--- a/lacewing/testing/ownershiptest.cpp
+++ b/lacewing/testing/ownershiptest.cpp
@@ -16,6 +16,7 @@
 {
     JoinedVms joined;
     std::vector<wire::ConfigChange> changes;
+    changes.reserve(static_cast<std::size_t>(endpoints));
     for (int number = 0; number < endpoints; ++number) {
         changes.push_back(addEndpoint("e" + std::to_string(number), "z", checksFencing));
     }
