--- a/lacewing/entrycontroller.cpp
+++ b/lacewing/entrycontroller.cpp
@@ -83,11 +83,14 @@
 void onAccepted(Blackboard &blackboard, const OfferAccepted &accepted, TimePoint now, Actions &actions)
 {
     EntryRequest *request = currentRequest(blackboard, accepted.attempt, actions);
-    if (request == nullptr || request->phase != EntryPhase::Offered) {
+    if (request == nullptr) {
+        return;
+    }
+    request->lastProgress = now; // owners repeat this while the offer is queued
+    if (request->phase != EntryPhase::Offered) {
         return;
     }
     request->phase = EntryPhase::Running;
-    request->lastProgress = now;
     request->refusals = 0;
     wakeRequest(blackboard, accepted.attempt.request, now + blackboard.settings.silenceTimeout);
 }
--- a/lacewing/ownerstate.h
+++ b/lacewing/ownerstate.h
@@ -137,6 +137,7 @@
     bool leaving = false;
     std::int32_t failures = 0; ///< of the endpoint, in a row
     TimePoint probeAt; ///< valid while not healthy
+    TimePoint remindAt; ///< when to tell the offering VMs again that their offers are queued
     bool loadsDue = false; ///< the queues or slots changed since loads were last planned
     TimePoint planAt; ///< when to plan loads again without a change
 };
--- a/lacewing/queuecontroller.cpp
+++ b/lacewing/queuecontroller.cpp
@@ -23,6 +23,7 @@
 namespace {
 
 constexpr std::size_t seenLimit = 65536;
+constexpr Duration remindInterval = milliseconds(3000);
 constexpr double meanWeight = 0.1; ///< of the newest value in a running mean
 
 void updateMean(double &mean, double value)
@@ -220,10 +221,27 @@
     noteCachedPrefix(blackboard, event.endpoint, event.prefixHash, event.stored);
 }
 
+/// Tells the offering VMs that their offers are still queued, so that a long wait is no silence to them.
+void remindQueued(OwnedEndpoint &owned, TimePoint now, Actions &actions)
+{
+    if (owned.remindAt > now) {
+        return;
+    }
+    owned.remindAt = now + remindInterval;
+    for (const auto &[adapter, queue] : owned.queues) {
+        for (const auto *offers : {&queue.urgent, &queue.patient}) {
+            for (const auto &[key, offer] : *offers) {
+                actions.push_back(AcceptOffer {offer.from, offer.offer.attempt});
+            }
+        }
+    }
+}
+
 /// Refuses offers whose deadline would pass while they wait.
 void handle(Blackboard &blackboard, const Tick &, TimePoint now, Actions &actions)
 {
     for (auto &[name, owned] : blackboard.owner.endpoints) {
+        remindQueued(owned, now, actions);
         while (!owned.deadlines.empty() && owned.deadlines.begin()->first.first <= now) {
             const AttemptId attempt = owned.deadlines.begin()->second;
             refuseQueued(owned, attempt, ResultCode::DeadlineWouldPass, Duration(0), actions);
