--- a/lacewing/calleranswer.cpp
+++ b/lacewing/calleranswer.cpp
@@ -29,10 +29,24 @@
 /// Headers that concern one connection only, or this system only, and are not passed on to a service.
 bool isNotPassedOn(std::string_view name)
 {
-    constexpr std::array names {
-        "connection",          "keep-alive",       "transfer-encoding", "te",        "trailer",     "upgrade",
-        "proxy-authorization", "proxy-connection", "authorization",     "host",      "expect",      "content-length",
-        "x-request-class",     "x-repeatable",     "x-request-id",      "x-fencing", "x-attempt-id"};
+    constexpr std::array names {"connection",
+                                "keep-alive",
+                                "transfer-encoding",
+                                "te",
+                                "trailer",
+                                "upgrade",
+                                "proxy-authorization",
+                                "proxy-connection",
+                                "authorization",
+                                "host",
+                                "expect",
+                                "content-length",
+                                "x-request-class",
+                                "x-request-timeout-ms",
+                                "x-repeatable",
+                                "x-request-id",
+                                "x-fencing",
+                                "x-attempt-id"};
     const auto same
         = [name](const char *each) { return beast::iequals(beast::string_view(name.data(), name.size()), each); };
     return std::any_of(names.begin(), names.end(), same);
@@ -44,6 +58,7 @@
     headers.requestClass = view(request["X-Request-Class"]);
     headers.repeatable = view(request["X-Repeatable"]);
     headers.idempotencyKey = view(request["Idempotency-Key"]);
+    headers.timeout = view(request["X-Request-Timeout-Ms"]);
     return headers;
 }
 
@@ -98,10 +113,21 @@
 {
     RequestArrived arrival;
     arrival.request.node = this->face.runtime.blackboard().settings.incarnation;
-    arrival.deadline = this->face.runtime.clock().now() + this->face.settings.requestDeadline;
     return arrival;
 }
 
+CallerRefusal CallerSession::readHeaders(const Request &request, bool repeatable, RequestArrived &arrival) const
+{
+    const CallerHeaders headers = callerHeaders(request);
+    CallerRefusal refusal = readCallerHeaders(headers, repeatable, arrival);
+    Duration timeout = this->face.settings.defaultDeadline;
+    if (refusal.code == ResultCode::Ok) {
+        refusal = readTimeout(headers.timeout, this->face.settings.longestDeadline, timeout);
+    }
+    arrival.deadline = this->face.runtime.clock().now() + timeout;
+    return refusal;
+}
+
 wire::HttpHead CallerSession::newHead(const Request &request) const
 {
     wire::HttpHead head;
@@ -119,7 +145,7 @@
     if (bad) {
         co_return co_await this->refuse(static_cast<ResultCode>(bad.value()), detail);
     }
-    CallerRefusal refusal = readCallerHeaders(callerHeaders(request), true, arrival);
+    CallerRefusal refusal = this->readHeaders(request, true, arrival);
     if (refusal.code == ResultCode::Ok) {
         const ConfigState &config = this->face.runtime.blackboard().config;
         refusal = resolveAdapter(config, arrival.member, model.adapter, model.version, arrival.target);
@@ -150,7 +176,7 @@
         co_return co_await this->refuse(ResultCode::NotFound, "");
     }
     const bool repeatable = isIdempotentMethod(head.method);
-    CallerRefusal refusal = readCallerHeaders(callerHeaders(request), repeatable, arrival);
+    CallerRefusal refusal = this->readHeaders(request, repeatable, arrival);
     if (refusal.code == ResultCode::Ok) {
         const ConfigState &config = this->face.runtime.blackboard().config;
         refusal = resolveService(config, arrival.member, arrival.service);
