--- a/bench/policysim.cpp
+++ b/bench/policysim.cpp
@@ -15,12 +15,13 @@
 constexpr double never = std::numeric_limits<double>::infinity();
 constexpr double tickSeconds = 0.020;
 constexpr double overlapFactor = 0.85; ///< of the store's rate in sum, for each load more
+constexpr double leastRate = 0.5; ///< however many loads overlap
 constexpr double tolerance = 1e-9;
 constexpr double drainSeconds = 40; ///< after the last arrival
 
 double storeRate(std::size_t loads)
 {
-    return loads == 0 ? 0 : std::pow(overlapFactor, static_cast<double>(loads - 1));
+    return loads == 0 ? 0 : std::max(leastRate, std::pow(overlapFactor, static_cast<double>(loads - 1)));
 }
 
 } // namespace
--- a/lacewing/grantorder.cpp
+++ b/lacewing/grantorder.cpp
@@ -9,6 +9,8 @@
 
 #include "grantorder.h"
 
+#include <algorithm>
+#include <cmath>
 #include <set>
 #include <tuple>
 
@@ -20,6 +22,8 @@
 
 namespace {
 
+constexpr double meanWeight = 0.2; ///< of the newest value in a running mean
+constexpr Duration waitHalfLife = milliseconds(10000); ///< of what a mean is above one undisturbed load
 constexpr Duration ageOffset = milliseconds(100); ///< so that new requests compare by callers
 
 bool isLive(const Blackboard &blackboard, const VmId &vm, TimePoint now)
@@ -91,4 +95,23 @@
     return best == nullptr ? std::nullopt : std::optional(*best);
 }
 
+void noteLoadWait(GrantState &grants, RequestClass requestClass, Duration wait, TimePoint now)
+{
+    LoadWait &known = requestClass == RequestClass::Urgent ? grants.urgentWait : grants.patientWait;
+    const double change = meanWeight * static_cast<double>((wait - known.mean).count());
+    known.mean = known.mean.count() == 0 ? wait : known.mean + Duration(static_cast<std::int64_t>(change));
+    known.updated = now;
+}
+
+Duration expectedLoadWait(const Blackboard &blackboard, RequestClass requestClass, TimePoint now)
+{
+    const GrantState &grants = blackboard.grants;
+    const Duration load = grants.loadTime.count() > 0 ? grants.loadTime : blackboard.settings.loadEstimate;
+    const LoadWait &known = requestClass == RequestClass::Urgent ? grants.urgentWait : grants.patientWait;
+    const double excess = static_cast<double>(std::max<std::int64_t>(0, (known.mean - load).count()));
+    const double halfLives
+        = static_cast<double>((now - known.updated).count()) / static_cast<double>(waitHalfLife.count());
+    return load + Duration(static_cast<std::int64_t>(excess * std::exp2(-halfLives)));
+}
+
 } // namespace lacewing
--- a/lacewing/grantorder.h
+++ b/lacewing/grantorder.h
@@ -29,4 +29,17 @@
 std::optional<std::pair<EndpointName, AdapterVersion>> chooseGrant(const GrantState &grants, bool prefetch,
                                                                    TimePoint now);
 
+/// Takes in how long a load was waited for.
+/// @param grants changed
+/// @param requestClass urgent if urgent offers waited for it
+/// @param wait time from wanting it to its end
+/// @param now time
+void noteLoadWait(GrantState &grants, RequestClass requestClass, Duration wait, TimePoint now);
+
+/// @param blackboard state to look in
+/// @param requestClass class of the offer that would wait
+/// @param now time
+/// @return how long a load that is asked for now is expected to be waited for
+Duration expectedLoadWait(const Blackboard &blackboard, RequestClass requestClass, TimePoint now);
+
 } // namespace lacewing
--- a/lacewing/grantstate.h
+++ b/lacewing/grantstate.h
@@ -33,6 +33,12 @@
     TimePoint expires;
 };
 
+/// Mean measured time from wanting a load to its end.
+struct LoadWait {
+    Duration mean {0}; ///< 0: none measured yet
+    TimePoint updated;
+};
+
 struct GrantState {
     std::int64_t nextNumber = 1;
     std::map<std::pair<EndpointName, AdapterVersion>, PendingGrant> pending;
@@ -40,7 +46,8 @@
     TimePoint nextGrantAt;
     TimePoint busyUntil; ///< last time anything was pending or loading: prefetch waits for idleness
     Duration loadTime {0}; ///< mean measured time of a load; 0: none measured yet
-    Duration loadWait {0}; ///< mean measured time from asking for a grant to the end of the load
+    LoadWait urgentWait; ///< of loads that urgent offers waited for
+    LoadWait patientWait; ///< of all others
 };
 
 } // namespace lacewing
--- a/lacewing/loadcontroller.cpp
+++ b/lacewing/loadcontroller.cpp
@@ -13,6 +13,7 @@
 #include "demand.h"
 #include "dispatch.h"
 #include "endpointhealth.h"
+#include "grantorder.h"
 #include "loadplan.h"
 #include "residency.h"
 
@@ -56,7 +57,8 @@
     actions.push_back(Count {Counter::Loads, 1});
     const auto wanted = owned.wanted.find(event.adapter);
     if (wanted != owned.wanted.end()) {
-        updateMean(blackboard.grants.loadWait, now - wanted->second.since);
+        const RequestClass waiting = wanted->second.urgentAsked > 0 ? RequestClass::Urgent : RequestClass::Patient;
+        noteLoadWait(blackboard.grants, waiting, now - wanted->second.since, now);
         returnGrant(blackboard, event.endpoint, event.adapter, wanted->second.number, true, now, actions);
         owned.wanted.erase(wanted);
     }
--- a/lacewing/routing.cpp
+++ b/lacewing/routing.cpp
@@ -18,6 +18,7 @@
 #include "admission.h"
 #include "blackboard.h"
 #include "claims.h"
+#include "grantorder.h"
 #include "membership.h"
 #include "preset.h"
 #include "residency.h"
@@ -148,13 +149,12 @@
 
 /// Seconds until the adapter is there, if it is not.
 double loadSeconds(const Blackboard &blackboard, const RouteQuery &query, const Candidate &candidate,
-                   const EndpointView *view)
+                   const EndpointView *view, TimePoint now)
 {
     if (!query.service.empty() || (view != nullptr && view->resident.contains(query.target))) {
         return 0;
     }
-    const Duration measured = blackboard.grants.loadWait;
-    const Duration load = measured.count() > 0 ? measured : blackboard.settings.loadEstimate;
+    const Duration load = expectedLoadWait(blackboard, query.requestClass, now);
     double seconds = std::chrono::duration<double>(load).count();
     if (loadWasAskedThere(blackboard, query, candidate.spec->name)) {
         return seconds * joinShare;
@@ -194,7 +194,7 @@
     const auto found = blackboard.residency.endpoints.find(name);
     const EndpointView *view = found == blackboard.residency.endpoints.end() ? nullptr : &found->second;
     double cost = placeWait(blackboard, candidate, view, sentSince(blackboard, name, now), query.requestClass);
-    cost += loadSeconds(blackboard, query, candidate, view);
+    cost += loadSeconds(blackboard, query, candidate, view, now);
     cost += sharingCost(blackboard, candidate, view, query.requestClass);
     cost += candidate.spec->zone == blackboard.settings.zone ? 0 : otherZoneSeconds;
     cost -= prefixWentThere(blackboard, query.prefixHash, name) ? prefixSeconds : 0;
