--- a/lacewing/callerface.h
+++ b/lacewing/callerface.h
@@ -30,7 +30,8 @@
     Duration bodyTimeout = milliseconds(30000);
     Duration idleTimeout = milliseconds(60000); ///< between two requests on a connection
     Duration writeTimeout = milliseconds(30000); ///< for a caller that does not read
-    Duration requestDeadline = milliseconds(120000);
+    Duration defaultDeadline = milliseconds(60000);
+    Duration longestDeadline = milliseconds(600000); ///< that a caller may ask for
     std::size_t connectionLimit = 8192;
     std::size_t openRequestLimit = 4096;
     std::size_t requestsPerConnection = 100000;
--- a/lacewing/runtimeactions.cpp
+++ b/lacewing/runtimeactions.cpp
@@ -147,6 +147,13 @@
     }
 }
 
+void Runtime::carryOut(const ReadLog &action)
+{
+    if (this->outputs.readLog) {
+        this->outputs.readLog(action);
+    }
+}
+
 void Runtime::carryOut(const AnswerOperator &action)
 {
     if (this->outputs.answerOperator) {
--- /dev/null
+++ b/lacewing/testing/fakebackend.h
@@ -0,0 +1,48 @@
+// An OperatorBackend for tests: a real configuration, replayed as on the log, without a runtime round it.
+
+#pragma once
+
+#include <future>
+#include <mutex>
+
+#include "blackboard.h"
+#include "configreplay.h"
+#include "operatorbackend.h"
+
+namespace lacewing {
+
+class FakeBackend : public OperatorBackend
+{
+public:
+    std::future<ChangeAnswer> submitChange(wire::ConfigRecord change) override
+    {
+        const std::scoped_lock lock(this->mutex);
+        std::promise<ChangeAnswer> promise;
+        std::future<ChangeAnswer> answer = promise.get_future();
+        const ReplayVerdict verdict
+            = this->applies ? applyConfigRecord(this->blackboard.config, 0, "nonce", change) : ReplayVerdict {};
+        if (this->answers) {
+            promise.set_value({verdict.code, this->blackboard.config.revision, verdict.reason});
+        }
+        return answer; // without a value its promise breaks, as when the runtime ends
+    }
+
+    std::future<std::string> inspect(Inspection inspection) override
+    {
+        const std::scoped_lock lock(this->mutex);
+        std::promise<std::string> promise;
+        std::future<std::string> answer = promise.get_future();
+        if (this->answers || this->inspects) {
+            promise.set_value(inspection(this->blackboard, TimePoint {}));
+        }
+        return answer;
+    }
+
+    std::mutex mutex;
+    Blackboard blackboard;
+    bool applies = true; ///< whether a submitted change reaches the configuration
+    bool answers = true;
+    bool inspects = true;
+};
+
+} // namespace lacewing
