--- a/lacewing/ownershipcontroller.cpp
+++ b/lacewing/ownershipcontroller.cpp
@@ -22,7 +22,7 @@
 #include "claims.h"
 #include "logreplay.h"
 #include "membership.h"
-#include "ownerhooks.h"
+#include "queuecontroller.h"
 #include "takeover.h"
 
 namespace lacewing {
