--- a/lacewing/testing/fakebackend.h
+++ b/lacewing/testing/fakebackend.h
@@ -3,11 +3,14 @@
 #pragma once
 
 #include <future>
+#include <memory>
 #include <mutex>
 
 #include "blackboard.h"
 #include "configreplay.h"
+#include "fakehttpserver.h"
 #include "operatorbackend.h"
+#include "operatorface.h"
 
 namespace lacewing {
 
@@ -45,4 +48,24 @@
     bool inspects = true;
 };
 
+/// Starts a face on a free port. Another process may take the port between finding and binding it, so it is
+/// looked for anew then.
+/// @param options their address is set
+/// @param metrics must outlive the face
+/// @param backend must outlive the face
+/// @return the face, serving; null if no port could be had
+inline std::unique_ptr<OperatorFace> startFace(OperatorFaceOptions &options, const Metrics &metrics,
+                                               OperatorBackend &backend)
+{
+    constexpr int mostTries = 50;
+    for (int tries = 0; tries < mostTries; ++tries) {
+        options.address = freeAddress();
+        auto face = std::make_unique<OperatorFace>(options, metrics, backend);
+        if (!face->start()) {
+            return face;
+        }
+    }
+    return nullptr;
+}
+
 } // namespace lacewing
--- a/lacewing/testing/operatorcommandstest.cpp
+++ b/lacewing/testing/operatorcommandstest.cpp
@@ -25,11 +25,10 @@
     explicit Vm(const std::string &token = "secret")
     {
         OperatorFaceOptions options;
-        options.address = freeAddress();
         options.api.token = token;
+        this->face = startFace(options, this->metrics, this->backend);
+        cr_assert(this->face);
         this->address = options.address;
-        this->face = std::make_unique<OperatorFace>(options, this->metrics, this->backend);
-        cr_assert(!this->face->start());
     }
 
     std::string url() const
--- a/lacewing/testing/operatorfacetest.cpp
+++ b/lacewing/testing/operatorfacetest.cpp
@@ -17,13 +17,12 @@
 struct Face {
     Face()
     {
-        this->options.address = freeAddress();
         this->options.api.token = "secret";
         this->options.api.inspectTimeout = milliseconds(50);
         this->options.api.changeTimeout = milliseconds(50);
         this->options.bodyLimit = 100'000;
-        this->face = std::make_unique<OperatorFace>(this->options, this->metrics, this->backend);
-        cr_assert(!this->face->start());
+        this->face = startFace(this->options, this->metrics, this->backend);
+        cr_assert(this->face);
         this->backend.blackboard.log.hasCaughtUp = true;
     }
 
