--- a/lacewing/operatorclient.cpp
+++ b/lacewing/operatorclient.cpp
@@ -5,6 +5,7 @@
 #include "operatorclient.h"
 
 #include <algorithm>
+#include <atomic>
 #include <chrono>
 #include <optional>
 #include <thread>
@@ -22,6 +23,9 @@
 using SteadyClock = std::chrono::steady_clock;
 
 constexpr int statusOk = 200;
+constexpr Duration longestLook = milliseconds(1000);
+constexpr Duration longestAsk = milliseconds(3000); ///< longer than a face waits for its runtime
+constexpr std::size_t mostAskedAtOnce = 32; ///< so that a VM that does not answer holds up few others
 constexpr auto timeBetweenLooks = std::chrono::milliseconds(200);
 
 std::int64_t integerOf(const Json &body, const char *name)
@@ -96,7 +100,7 @@
 OperatorClient::~OperatorClient() = default;
 
 OperatorCallResult OperatorClient::call(std::size_t face, const std::string &method, const std::string &target,
-                                        const std::string &body)
+                                        const std::string &body, Duration longest)
 {
     BlockingHttpRequest request;
     request.method = method;
@@ -104,7 +108,7 @@
     request.headers.emplace_back("Authorization", "Bearer " + this->token);
     request.headers.emplace_back("Content-Type", "application/json");
     request.body = body;
-    request.timeout = this->timeout;
+    request.timeout = longest;
     BlockingHttpAnswer answer;
     const std::error_code error = this->clients[face]->exchange(request, answer);
     OperatorCallResult result;
@@ -119,17 +123,27 @@
 {
     OperatorCallResult result;
     for (std::size_t face = 0; face < this->faces.size() && result.status == 0; ++face) {
-        result = this->call(face, "GET", target, "");
+        result = this->call(face, "GET", target, "", std::min(this->timeout, longestAsk));
     }
     return result;
 }
 
 std::vector<OperatorView> OperatorClient::askAll(const std::string &target)
 {
-    std::vector<OperatorView> views;
-    for (std::size_t face = 0; face < this->faces.size(); ++face) {
-        OperatorCallResult result = this->call(face, "GET", target, "");
-        views.push_back({this->faces[face], result.status, std::move(result.body)});
+    std::vector<OperatorView> views(this->faces.size());
+    std::atomic<std::size_t> next {0};
+    const auto askSome = [&] {
+        for (std::size_t face = next++; face < views.size(); face = next++) {
+            OperatorCallResult result = this->call(face, "GET", target, "", std::min(this->timeout, longestLook));
+            views[face] = {this->faces[face], result.status, std::move(result.body)};
+        }
+    };
+    std::vector<std::thread> threads;
+    for (std::size_t count = 0; count < std::min(views.size(), mostAskedAtOnce); ++count) {
+        threads.emplace_back(askSome);
+    }
+    for (std::thread &thread : threads) {
+        thread.join();
     }
     return views;
 }
@@ -141,7 +155,7 @@
     const std::string body = writeChange(change);
     Submission submission;
     for (std::size_t face = 0; face < this->faces.size(); ++face) {
-        const OperatorCallResult result = this->call(face, "POST", "/v1/changes", body);
+        const OperatorCallResult result = this->call(face, "POST", "/v1/changes", body, this->timeout);
         submission.outcome = outcomeOf(result);
         submission.revision = integerOf(result.body, "revision");
         submission.message = describeFailure(result);
--- a/lacewing/operatorclient.h
+++ b/lacewing/operatorclient.h
@@ -67,7 +67,7 @@
     /// @return the first answer
     OperatorCallResult ask(const std::string &target);
 
-    /// Asks every VM.
+    /// Asks every VM, many at once; one that hangs holds up the answer for at most a second.
     /// @param target path with query
     /// @return one answer for each
     std::vector<OperatorView> askAll(const std::string &target);
@@ -86,7 +86,7 @@
 
 private:
     OperatorCallResult call(std::size_t face, const std::string &method, const std::string &target,
-                            const std::string &body);
+                            const std::string &body, Duration longest);
     Submission findOut(const std::string &submissionId, std::int64_t basedOn);
 
     std::vector<HostPort> faces;
--- a/lacewing/testing/operatorcommandstest.cpp
+++ b/lacewing/testing/operatorcommandstest.cpp
@@ -1,6 +1,7 @@
 // lacewingctl against operator faces: each exit code, racing operators, outcomes found out, waiting.
 
 #include <array>
+#include <random>
 #include <sstream>
 
 #include <unistd.h>
@@ -16,6 +17,7 @@
 #include "metrics.h"
 #include "operatorcommands.h"
 #include "operatorface.h"
+#include "operatorjson.h"
 
 using namespace lacewing;
 
@@ -180,6 +182,29 @@
     cr_assert(run(urls, {"preset", "use", "ordinary", "--wait"}).code == CommandExit::Done);
 }
 
+Test(operatorcommands, aVmThatHangsDoesNotHideWhatTheOthersSay)
+{
+    Vm first;
+    Vm second;
+    std::promise<void> released;
+    const std::shared_future<void> release = released.get_future().share();
+    const FakeHttpServer hung([&](const FakeRequest &) -> std::optional<FakeReply> {
+        {
+            const std::scoped_lock lock(second.backend.mutex);
+            second.backend.blackboard.config.revision = 1; // after the first look has begun
+        }
+        release.wait();
+        return std::nullopt;
+    });
+    const std::string hungUrl = "http://" + toString(hung.address());
+    const std::string urls = first.url() + "," + second.url() + "," + hungUrl;
+    const Run late = run(urls, {"preset", "use", "peak", "--wait", "--timeout", "4s"});
+    released.set_value();
+    cr_assert(late.code == CommandExit::NotInForce, "%s", late.errors.c_str());
+    cr_assert(has(late.out, "not yet in force on " + toString(hung.address())), "%s", late.out.c_str());
+    cr_assert(!has(late.out, "not yet in force on " + toString(second.address)), "%s", late.out.c_str());
+}
+
 Test(operatorcommands, largeFilesGoInBoundedRecords)
 {
     constexpr std::size_t count = 3 * changesPerRecord + 1;
@@ -231,3 +256,26 @@
         cr_expect(writeChangeJson(change) == nlohmann::json::parse(body), "%s", body);
     }
 }
+
+Test(operatorcommands, changedBytesAreReadOrRefused)
+{
+    constexpr int rounds = 5000;
+    const std::string good = R"({"based_on":3,"author":"a","note":"n","changes":[{"adapter_create":{"name":"n",)"
+                             R"("member":"m","base_model":"b"}},{"assign":{"adapter":"a","version":2}}]})";
+    wire::ConfigRecord record;
+    cr_assert(readChange(good, record).empty() && record.changes.size() == 2);
+    std::mt19937_64 random(23);
+    for (int round = 0; round < rounds; ++round) {
+        std::string body = good;
+        const std::size_t changes = 1 + random() % 3;
+        for (std::size_t change = 0; change < changes; ++change) {
+            body[random() % body.size()] = static_cast<char>(random());
+        }
+        wire::ConfigRecord read;
+        if (readChange(body, read).empty()) {
+            wire::ConfigRecord again;
+            cr_assert(readChange(writeChange(read), again).empty() && again == read, "%s", body.c_str());
+        }
+        readChangesFile(body);
+    }
+}
