--- a/lacewing/testing/platformclienttest.cpp
+++ b/lacewing/testing/platformclienttest.cpp
@@ -210,7 +210,7 @@
     Collector<LogReadFailed> failures;
     const auto toReads = reads.receiver();
     const auto toFailures = failures.receiver();
-    PlatformClient client(options, [&](Event event) {
+    PlatformClient client(options, [&](const Event &event) {
         toReads(event);
         toFailures(event);
     });
--- a/lacewing/testing/settingstest.cpp
+++ b/lacewing/testing/settingstest.cpp
@@ -7,6 +7,7 @@
 
 #include "settings.h"
 #include "settingvalue.h"
+#include "sizes.h"
 
 using namespace lacewing;
 
@@ -57,7 +58,7 @@
     variables["LACEWING_KEY_LIFETIME"] = "30s";
     const SettingsReading reading = read({"--body-limit", "64K", "--vm=vm-9"}, variables);
     cr_assert(reading.run);
-    cr_assert(reading.settings.bodyLimit == 64 * 1024);
+    cr_assert(reading.settings.bodyLimit == 64 * kibibyte);
     cr_assert(reading.settings.vm == "vm-9");
     cr_assert(reading.settings.keyLifetime == milliseconds(30'000));
 }
@@ -114,7 +115,7 @@
         cr_assert(back == Duration(microseconds));
     }
     std::size_t size = 0;
-    cr_assert(readValue("16K", size).empty() && size == 16 * 1024 && writeValue(size) == "16K");
+    cr_assert(readValue("16K", size).empty() && size == 16 * kibibyte && writeValue(size) == "16K");
     for (const char *text : {"", "-1", "1x", "1 s", "99999999999999999999s", "9223372036854775807h", "0s", "s"}) {
         Duration duration = milliseconds(5);
         cr_assert(!readValue(text, duration).empty() && duration == milliseconds(5), "%s", text);
