--- a/lacewing/chosenkeys.cpp
+++ b/lacewing/chosenkeys.cpp
@@ -10,18 +10,13 @@
 
 #include <algorithm>
 
+#include "appends.h"
 #include "blackboard.h"
 #include "idempotencykey.h"
 #include "keycontroller.h"
 #include "keyverdict.h"
 #include "requestattempt.h"
 
-#if __has_include("appends.h")
-#include "appends.h"
-#else
-#include "interim.h"
-#endif
-
 namespace lacewing {
 
 namespace {
--- a/lacewing/operatorjson.cpp
+++ b/lacewing/operatorjson.cpp
@@ -63,7 +63,7 @@
     for (const auto &[adapter, slot] : owned.slots) {
         adapters.push_back({{"adapter", toString(adapter)}, {"serving", slot.serving}});
     }
-    return {{"queued", owned.queue.size()},
+    return {{"queued", owned.queued.size()},
             {"running", owned.running.size()},
             {"healthy", owned.healthy},
             {"leaving", owned.leaving},
@@ -180,6 +180,14 @@
                  {"heard", std::move(heard)}});
 }
 
+std::string describeRevision(const Blackboard &blackboard)
+{
+    return dump({{"vm", blackboard.settings.vm},
+                 {"zone", blackboard.settings.zone},
+                 {"revision", blackboard.config.revision},
+                 {"preset", blackboard.config.presetInForce}});
+}
+
 std::string describeHistory(const Blackboard &blackboard)
 {
     return dump({{"revision", blackboard.config.revision}, {"history", Json::array()}});
--- a/lacewing/peerconnection.cpp
+++ b/lacewing/peerconnection.cpp
@@ -14,12 +14,13 @@
 
 #include "codec.h"
 #include "peerframe.h"
+#include "sizes.h"
 
 namespace lacewing {
 
 namespace {
 
-constexpr std::size_t readSize = 16 * 1024;
+constexpr std::size_t readSize = 16 * kibibyte;
 
 } // namespace
 
