--- a/lacewing/eviction.cpp
+++ b/lacewing/eviction.cpp
@@ -18,10 +18,11 @@
 
 constexpr int freeingRank = -1; ///< emptied for this very purpose
 
-bool mayUnload(const OwnedEndpoint &owned, const AdapterSlot &slot)
+bool mayUnload(const Blackboard &blackboard, const OwnedEndpoint &owned, const AdapterSlot &slot)
 {
     const bool foreign = slot.adopted && owned.foreignRuns;
-    return slot.phase == SlotPhase::Resident && slot.serving == 0 && !foreign;
+    const bool pinned = slot.serving > 0 || foreign;
+    return slot.phase == SlotPhase::Resident && !(pinned && blackboard.settings.rules.pinWhileServing);
 }
 
 /// 0: nothing queued, 1: only patient offers queued, 2: urgent offers queued.
@@ -82,7 +83,7 @@
     std::tuple<int, double, TimePoint> least;
     for (const auto &[adapter, slot] : owned.slots) {
         const int rank = queueRank(owned, adapter);
-        if (!mayUnload(owned, slot) || rank > worstRank) {
+        if (!mayUnload(blackboard, owned, slot) || rank > worstRank) {
             continue;
         }
         const std::tuple key {slot.freeing ? freeingRank : rank, worthOf(blackboard, adapter, now), slot.lastUsed};
