--- a/lacewing/callersession.cpp
+++ b/lacewing/callersession.cpp
@@ -10,14 +10,15 @@
 #include <boost/asio/write.hpp>
 
 #include "callerface.h"
+#include "sizes.h"
 
 namespace lacewing {
 
 namespace {
 
-constexpr std::size_t bufferLimit = 64 * 1024;
+constexpr std::size_t bufferLimit = 64 * kibibyte;
 constexpr Duration drainTime = milliseconds(500);
-constexpr std::size_t drainLimit = 4 * 1024 * 1024;
+constexpr std::size_t drainLimit = 4 * mebibyte;
 
 } // namespace
 
