--- a/lacewing/testing/requestfixture.cpp
+++ b/lacewing/testing/requestfixture.cpp
@@ -11,6 +11,17 @@
     this->blackboard.settings.zone = "z";
     this->blackboard.settings.keySecret = "test secret";
     this->blackboard.membership.listed["vm-2"].zone = "z"; // the owner is alive as far as this VM knows
+    this->ownEndpoints();
+    AdapterInfo adapter;
+    adapter.member = "tala";
+    adapter.baseModel = "base";
+    adapter.versions[1] = {};
+    adapter.assignedVersion = 1;
+    this->blackboard.config.adapters["menu"] = adapter;
+}
+
+void RequestFixture::ownEndpoints()
+{
     for (const std::string name : {"e1", "e2"}) {
         wire::EndpointSpec endpoint;
         endpoint.name = name;
@@ -23,12 +34,6 @@
         claim.offset = 5;
         this->blackboard.claims.current[claim.resource] = claim;
     }
-    AdapterInfo adapter;
-    adapter.member = "tala";
-    adapter.baseModel = "base";
-    adapter.versions[1] = {};
-    adapter.assignedVersion = 1;
-    this->blackboard.config.adapters["menu"] = adapter;
 }
 
 void RequestFixture::send(const Event &event)
--- a/lacewing/testing/requestfixture.h
+++ b/lacewing/testing/requestfixture.h
@@ -26,6 +26,9 @@
 
     RequestFixture();
 
+    /// Gives both endpoints to the other VM.
+    void ownEndpoints();
+
     /// Steps the core and keeps its actions.
     /// @param event what happened
     void send(const Event &event);
