--- a/lacewing/admission.cpp
+++ b/lacewing/admission.cpp
@@ -67,13 +67,14 @@
 {
     const auto listed = blackboard.membership.listed.find(endpoint);
     const bool gone = listed != blackboard.membership.listed.end() && !listed->second.present;
-    return gone || isLeaving(blackboard, endpoint);
+    return blackboard.settings.rules.leavingCheck && (gone || isLeaving(blackboard, endpoint));
 }
 
 ResultCode closedReason(const Blackboard &blackboard, const OwnedEndpoint &owned, const EndpointName &name)
 {
     const bool configured = blackboard.config.endpoints.contains(name);
-    if (blackboard.stopping || owned.leaving || !configured || endpointLeaving(blackboard, name)) {
+    const bool refuses = owned.leaving && blackboard.settings.rules.leavingCheck;
+    if (blackboard.stopping || refuses || !configured || endpointLeaving(blackboard, name)) {
         return ResultCode::EndpointLeaving;
     }
     return owned.healthy ? ResultCode::Ok : ResultCode::EndpointUnhealthy;
--- a/lacewing/enginerun.cpp
+++ b/lacewing/enginerun.cpp
@@ -9,6 +9,7 @@
 #include "enginerun.h"
 
 #include <array>
+#include <limits>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -16,13 +17,14 @@
 
 #include "callerrequest.h"
 #include "relaycredit.h"
+#include "sizes.h"
 
 namespace lacewing {
 
 namespace {
 
-constexpr std::size_t readSize = 8 * 1024;
-constexpr std::size_t longestRefusal = 16 * 1024;
+constexpr std::size_t readSize = 8 * kibibyte;
+constexpr std::size_t longestRefusal = 16 * kibibyte;
 constexpr std::uint32_t longestHead = 64 * 1024;
 constexpr int firstErrorStatus = 300;
 constexpr Duration drainTimeout = milliseconds(1000);
@@ -174,7 +176,7 @@
     bool written = co_await this->sendRequest();
     Parser parser;
     parser.header_limit(longestHead);
-    parser.body_limit(boost::none);
+    parser.body_limit(std::numeric_limits<std::uint64_t>::max()); // Boost 1.74 takes none for the limit 0
     if (this->head.method == "HEAD") {
         parser.skip(true);
     }
--- a/lacewing/requestattempt.cpp
+++ b/lacewing/requestattempt.cpp
@@ -131,8 +131,14 @@
     request.lastCode = verdict.code;
     request.retrySpends = verdict.spendsBudget;
     request.suggested = result.tryEndpoint;
-    exclude(request);
-    if (verdict.mayHaveRun) {
+    // A preempted run says nothing against its endpoint, which still holds the adapter.
+    const bool preempted = verdict.code == ResultCode::Preempted;
+    if (!preempted) {
+        exclude(request);
+    }
+    if (verdict.mayHaveRun && preempted) {
+        request.unplacedSince = now;
+    } else if (verdict.mayHaveRun) {
         request.breaks += 1;
         request.unplacedSince = now;
     } else {
@@ -237,6 +243,9 @@
         return;
     }
     const Verdict verdict = judgeResult(*request, result, blackboard.settings.rules);
+    if (result.outcome == AttemptOutcome::NotRun) {
+        noteRefused(blackboard, request->endpoint, static_cast<ResultCode>(result.code), now);
+    }
     request->mayHaveRun = request->mayHaveRun || verdict.mayHaveRun;
     if (verdict.retry) {
         prepareRetry(blackboard, *request, result, verdict, now, actions);
