Policy bench: affinity with one load at a time, Retry-After compared, resumed work first

Cause: the affinity baseline drowned in loads that overlap, which made it easy to beat; it is now also measured with one load at a time. Work that was preempted resumes before other patient work and is preempted last: at 130 % it had missed its deadline after having run in part.

--- a/bench/corepolicy.cpp
+++ b/bench/corepolicy.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr double reportSeconds = 1.0;
+constexpr int refusedLoads = 10; ///< one in so many
+constexpr double retryAfterSeconds = 2.0;
 constexpr std::int64_t startSeconds = 1000; ///< of simulated time on the core's clock
 const char *const vmName = "vm-1";
 
@@ -78,7 +80,8 @@
     return preset;
 }
 
-CorePolicy::CorePolicy(const TraceSettings &settings, const wire::PresetSpec &preset)
+CorePolicy::CorePolicy(const TraceSettings &settings, const wire::PresetSpec &preset, StoreRefusals storeRefusals)
+    : refusals(storeRefusals)
 {
     this->blackboard.settings.vm = vmName;
     this->blackboard.settings.zone = "zone-a";
@@ -173,8 +176,29 @@
 
 void CorePolicy::loadEnded(Simulation &simulation, int engine, int adapter)
 {
-    this->send(simulation,
-               OrderEnded {engineName(engine), adapterVersion(adapter), OrderKind::Load, ResultCode::Ok, Duration(0)});
+    OrderEnded ended {engineName(engine), adapterVersion(adapter), OrderKind::Load, ResultCode::Ok, Duration(0)};
+    const bool refused = this->refusals != StoreRefusals::Never && ++this->loadsEnded % refusedLoads == 0;
+    if (refused && this->refusals == StoreRefusals::Sleep) {
+        this->sleeping[{engine, adapter}] = simulation.now() + retryAfterSeconds;
+        return;
+    }
+    if (refused) {
+        simulation.unload(engine, adapter); // it never arrived
+        ended.code = ResultCode::LoadFailed;
+        ended.retryAfter = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(retryAfterSeconds));
+    }
+    this->send(simulation, ended);
+}
+
+void CorePolicy::loadAgain(Simulation &simulation)
+{
+    std::erase_if(this->sleeping, [&simulation](const auto &entry) {
+        const bool due = entry.second <= simulation.now();
+        if (due) {
+            simulation.load(entry.first.first, entry.first.second);
+        }
+        return due;
+    });
 }
 
 void CorePolicy::requestExpired(Simulation &simulation, int request)
@@ -202,6 +226,7 @@
 
 void CorePolicy::ticked(Simulation &simulation)
 {
+    this->loadAgain(simulation);
     if (simulation.now() >= this->nextReport) {
         this->nextReport = simulation.now() + reportSeconds;
         this->report(simulation);
--- a/bench/corepolicy.h
+++ b/bench/corepolicy.h
@@ -13,10 +13,17 @@
 
 namespace lacewing::bench {
 
+/// What a load does that the store refuses with Retry-After: every tenth, if not Never.
+enum class StoreRefusals {
+    Never,
+    Deadline, ///< the refusal is passed on and the core keeps the deadline
+    Sleep, ///< the loader waits and tries again itself, holding the store's grant meanwhile
+};
+
 class CorePolicy : public SimPolicy
 {
 public:
-    CorePolicy(const TraceSettings &settings, const wire::PresetSpec &preset);
+    CorePolicy(const TraceSettings &settings, const wire::PresetSpec &preset, StoreRefusals storeRefusals);
 
     void requestArrived(Simulation &simulation, int request) override;
     void runEnded(Simulation &simulation, int engine, int request, int position, bool complete) override;
@@ -28,12 +35,16 @@
     void send(Simulation &simulation, const Event &event);
     void carryOut(Simulation &simulation, const Action &action);
     void report(Simulation &simulation);
+    void loadAgain(Simulation &simulation);
 
     Blackboard blackboard;
     std::deque<Event> events;
     bool busy = false;
     std::unordered_map<int, AttemptId> runs; ///< attempt that runs, by request
     std::map<AttemptId, int> inProgress; ///< request by attempt
+    StoreRefusals refusals;
+    int loadsEnded = 0;
+    std::map<std::pair<int, int>, double> sleeping; ///< loads to try again at a time, by engine and adapter
     double nextReport = 0;
 };
 
--- a/bench/plainpolicy.cpp
+++ b/bench/plainpolicy.cpp
@@ -20,8 +20,8 @@
 
 } // namespace
 
-PlainPolicy::PlainPolicy(const TraceSettings &settings, bool affinity)
-    : engines(static_cast<std::size_t>(settings.engines)), byAffinity(affinity)
+PlainPolicy::PlainPolicy(const TraceSettings &settings, bool affinity, bool oneLoad)
+    : engines(static_cast<std::size_t>(settings.engines)), byAffinity(affinity), oneLoadAtATime(oneLoad)
 {
 }
 
@@ -83,6 +83,14 @@
         }
         target.lastUsed[adapter] = simulation.now();
         target.loading.insert(adapter);
+        this->order(simulation, engine, adapter);
+    }
+}
+
+void PlainPolicy::order(Simulation &simulation, int engine, int adapter)
+{
+    this->waitingLoads.emplace_back(engine, adapter);
+    if (!this->oneLoadAtATime || this->waitingLoads.size() == 1) {
         simulation.load(engine, adapter);
     }
 }
@@ -120,6 +128,10 @@
 void PlainPolicy::loadEnded(Simulation &simulation, int engine, int adapter)
 {
     this->engines.at(static_cast<std::size_t>(engine)).loading.erase(adapter);
+    std::erase(this->waitingLoads, std::pair(engine, adapter));
+    if (this->oneLoadAtATime && !this->waitingLoads.empty()) {
+        simulation.load(this->waitingLoads.front().first, this->waitingLoads.front().second);
+    }
     this->serve(simulation, engine);
 }
 
--- a/bench/policybench.cpp
+++ b/bench/policybench.cpp
@@ -1,4 +1,4 @@
-// scripts/bench policy [--deployment tala|ratapohja] [--seeds N] [--json] [--plot FILE]
+// scripts/bench policy [--deployment tala|ratapohja] [--seed N] [--seeds N] [--json] [--plot FILE]
 //
 // Runs our core, the naive policy and rendezvous affinity on the same traces at several offered loads and
 // prints, per load, the median over the seeds and their range.
@@ -92,15 +92,16 @@
     return figures;
 }
 
-Figures runPolicy(const std::string &policy, const std::string &deployment, const TraceSettings &settings)
+Figures runPolicy(const std::string &policy, const std::string &deployment, const TraceSettings &settings,
+                  StoreRefusals refusals = StoreRefusals::Never)
 {
     const std::vector<TraceRequest> trace = makeTrace(settings);
     Simulation simulation(settings, trace);
     std::unique_ptr<SimPolicy> chosen;
     if (policy == "ours") {
-        chosen = std::make_unique<CorePolicy>(settings, deploymentPreset(deployment));
+        chosen = std::make_unique<CorePolicy>(settings, deploymentPreset(deployment), refusals);
     } else {
-        chosen = std::make_unique<PlainPolicy>(settings, policy == "affinity");
+        chosen = std::make_unique<PlainPolicy>(settings, policy != "naive", policy == "affinity-serial");
     }
     return measure(settings, trace, simulation.run(*chosen));
 }
@@ -130,6 +131,7 @@
     nlohmann::json summary;
     for (const Field &field : fields) {
         std::vector<double> values;
+        values.reserve(runs.size());
         for (const Figures &figures : runs) {
             values.push_back(figures.*field.value);
         }
@@ -146,7 +148,7 @@
 
 void printRow(double load, const std::string &policy, const nlohmann::json &summary)
 {
-    std::printf("%4.0f %%  %-12s", load * 100, policy.c_str());
+    std::printf("%4.0f %%  %-17s", load * 100, policy.c_str());
     for (const Field &field : fields) {
         std::printf(" %9.3f", medianOf(summary, field.name));
     }
@@ -157,18 +159,34 @@
 
 void printHead()
 {
-    std::printf("%-7s%-12s  ustall95 mean-stal ustall-mn  uqueue95 uqueue-mn     batch   goodput    missed   loads/s "
+    std::printf("%-7s%-17s  ustall95 mean-stal ustall-mn  uqueue95 uqueue-mn     batch   goodput    missed   loads/s "
                 "preempted u-refused evict-srv\n",
                 "load", "policy");
 }
 
-nlohmann::json runLoad(double load, const std::string &deployment, TraceSettings settings, int seeds, bool table)
+/// The paper's rule, a Retry-After kept as a deadline, against a loader that sleeps.
+void compareRefusals(const std::string &deployment, TraceSettings settings, int seeds)
+{
+    printHead();
+    for (const auto &[name, refusals] :
+         {std::pair {"deadline", StoreRefusals::Deadline}, std::pair {"sleep", StoreRefusals::Sleep}}) {
+        std::vector<Figures> runs;
+        for (int seed = 1; seed <= seeds; ++seed) {
+            settings.seed = static_cast<std::uint64_t>(seed);
+            runs.push_back(runPolicy("ours", deployment, settings, refusals));
+        }
+        printRow(settings.load, name, summarise(runs));
+    }
+}
+
+nlohmann::json runLoad(double load, const std::string &deployment, TraceSettings settings, int first, int seeds,
+                       bool table)
 {
     nlohmann::json row = {{"load", load}};
     settings.load = load;
     std::vector<double> bounds;
     std::vector<double> urgentBounds;
-    for (int seed = 1; seed <= seeds; ++seed) {
+    for (int seed = first; seed < first + seeds; ++seed) {
         settings.seed = static_cast<std::uint64_t>(seed);
         bounds.push_back(boundMeanStall(settings, makeTrace(settings)));
         TraceSettings urgentOnly = settings;
@@ -177,9 +195,9 @@
     }
     row["bound_mean_stall"] = quantile(bounds, 0.5);
     row["bound_mean_stall_urgent_only"] = quantile(urgentBounds, 0.5);
-    for (const std::string policy : {"ours", "ours-urgent-only", "affinity", "naive"}) {
+    for (const std::string policy : {"ours", "ours-urgent-only", "affinity-serial", "affinity", "naive"}) {
         std::vector<Figures> runs;
-        for (int seed = 1; seed <= seeds; ++seed) {
+        for (int seed = first; seed < first + seeds; ++seed) {
             TraceSettings run = settings;
             run.seed = static_cast<std::uint64_t>(seed);
             run.patientWork = policy != "ours-urgent-only";
@@ -205,7 +223,9 @@
     TraceSettings settings;
     auto add = options.add_options();
     add("deployment", "tala or ratapohja", cxxopts::value<std::string>()->default_value("tala"));
-    add("seeds", "how many seeds, from 1", cxxopts::value<int>()->default_value("3"));
+    add("seed", "first seed", cxxopts::value<int>()->default_value("1"));
+    add("retry-after", "compare ways to treat a store that refuses every tenth load for two seconds");
+    add("seeds", "how many seeds", cxxopts::value<int>()->default_value("3"));
     add("loads", "offered loads", cxxopts::value<std::vector<double>>()->default_value("0.4,0.6,0.9,1.1,1.3"));
     add("slots", "adapter slots an engine", cxxopts::value<int>()->default_value("6"));
     add("json", "print JSON instead of the table");
@@ -213,13 +233,18 @@
     const auto given = options.parse(argc, argv);
     settings.slots = given["slots"].as<int>();
     const bool table = given.count("json") == 0;
+    if (given.count("retry-after") > 0) {
+        settings.load = given["loads"].as<std::vector<double>>().front();
+        compareRefusals(given["deployment"].as<std::string>(), settings, given["seeds"].as<int>());
+        return 0;
+    }
     if (table) {
         printHead();
     }
     nlohmann::json report;
     const auto deployment = given["deployment"].as<std::string>();
     for (const double load : given["loads"].as<std::vector<double>>()) {
-        report.push_back(runLoad(load, deployment, settings, given["seeds"].as<int>(), table));
+        report.push_back(runLoad(load, deployment, settings, given["seed"].as<int>(), given["seeds"].as<int>(), table));
     }
     if (!table) {
         std::printf("%s\n", report.dump(2).c_str());
--- a/bench/policyplot.cpp
+++ b/bench/policyplot.cpp
@@ -73,6 +73,7 @@
     addLine(svg, report, "ours", "green", margin + 15);
     addLine(svg, report, "affinity", "orange", margin + 31);
     addLine(svg, report, "naive", "red", margin + 47);
+    addLine(svg, report, "affinity-serial", "blue", margin + 63);
     svg << "</svg>\n";
     return svg.str();
 }
--- a/lacewing/dispatch.cpp
+++ b/lacewing/dispatch.cpp
@@ -1,11 +1,12 @@
 // Urgent offers take any free place; patient offers only those outside the reserve, and only when no
 // startable urgent offer is left. If urgent offers wait and no place is free, as many patient runs as are
-// needed are stopped, the youngest first, since they lose least. Runs that may not be repeated are never
-// stopped: a broken one could not be sent again. A stopped run keeps its place until RunEnded.
+// needed are stopped, the youngest first, and those that were stopped before last. Runs that may not be repeated are
+// never stopped: a broken one could not be sent again. A stopped run keeps its place until RunEnded.
 
 #include "dispatch.h"
 
 #include <algorithm>
+#include <tuple>
 
 #include "blackboard.h"
 #include "offerqueue.h"
@@ -86,8 +87,10 @@
         if (!may) {
             continue;
         }
-        const bool younger = youngest == nullptr || run.started > youngest->started
-            || (run.started == youngest->started && youngest->offer.attempt < attempt);
+        const auto order = [](const RunningOffer &some) {
+            return std::tuple(some.offer.resumePosition == 0, some.started, some.offer.attempt);
+        };
+        const bool younger = youngest == nullptr || order(*youngest) < order(run);
         youngest = younger ? &run : youngest;
     }
     return youngest;
--- a/lacewing/offerqueue.cpp
+++ b/lacewing/offerqueue.cpp
@@ -1,8 +1,9 @@
 // Start-time fair queueing: an offer's tag is the later of the clock and the virtual finish of its member's
 // previous offer, and the lowest tag goes first. A burst of one member pushes only its own tags ahead.
 // Against deficit round robin: no rounds to keep, and the order within one adapter stays that of arrival.
-// Only the heads of the queues of resident adapters are compared, so a start costs as many steps as the
-// endpoint has slots, not as it has offers.
+// An offer that resumes was charged when it first came; it goes to the front, so that what it has cost so far
+// is not lost to its deadline. Only the heads of the queues of resident adapters are compared, so a start costs as many
+// steps as the endpoint has slots, not as it has offers.
 
 #include "offerqueue.h"
 
@@ -58,8 +59,11 @@
     FairClock &clock = clockOf(endpoint, wanted.requestClass);
     pruneClock(clock);
     std::int64_t &finish = clock.finish[wanted.member];
-    const QueueKey key {std::max(clock.now, finish), ++endpoint.arrivals};
-    finish = key.tag + std::max<std::int64_t>(leastCost, wanted.maxTokens - wanted.resumePosition);
+    const bool resumed = wanted.resumePosition > 0;
+    const QueueKey key {resumed ? clock.now : std::max(clock.now, finish), ++endpoint.arrivals};
+    if (!resumed) {
+        finish = key.tag + std::max<std::int64_t>(leastCost, wanted.maxTokens);
+    }
 
     const bool urgent = wanted.requestClass == RequestClass::Urgent;
     endpoint.urgentQueued += urgent ? 1 : 0;
