--- a/lacewing/engineevents.h
+++ b/lacewing/engineevents.h
@@ -10,6 +10,8 @@
 #include <string>
 #include <string_view>
 
+#include "sizes.h"
+
 namespace lacewing {
 
 enum class EngineEventKind {
@@ -32,7 +34,7 @@
     void push(std::string_view bytes, const std::function<void(const EngineEvent &)> &take);
 
     /// Longest line accepted: bounds the memory of a stream whose line never ends.
-    static constexpr std::size_t longestLine = 256 * 1024;
+    static constexpr std::size_t longestLine = 256 * kibibyte;
 
 private:
     void takeLine(std::string_view line, const std::function<void(const EngineEvent &)> &take);
