--- a/lacewing/loadplan.cpp
+++ b/lacewing/loadplan.cpp
@@ -194,6 +194,21 @@
     returnGrant(blackboard, name, adapter, wanted.number, false, now, actions);
 }
 
+/// Slots emptied for a grant that is used or gone take patient work again.
+void keepSlots(Blackboard &blackboard, const EndpointName &name, OwnedEndpoint &owned, TimePoint now, Actions &actions)
+{
+    const bool granted = std::any_of(owned.wanted.begin(), owned.wanted.end(),
+                                     [](const auto &entry) { return entry.second.phase == WantedPhase::Granted; });
+    bool changed = false;
+    for (auto &[adapter, slot] : owned.slots) {
+        changed = changed || (slot.freeing && !granted);
+        slot.freeing = slot.freeing && granted;
+    }
+    if (changed) {
+        dispatchEndpoint(blackboard, name, now, actions);
+    }
+}
+
 } // namespace
 
 void returnGrant(Blackboard &blackboard, const EndpointName &name, const AdapterVersion &adapter, std::int64_t number,
@@ -271,6 +286,7 @@
     for (const AdapterVersion &adapter : granted) {
         useGrant(blackboard, name, adapter, now, actions);
     }
+    keepSlots(blackboard, name, owned, now, actions);
 }
 
 } // namespace lacewing
--- a/lacewing/testing/loadtest.cpp
+++ b/lacewing/testing/loadtest.cpp
@@ -87,6 +87,23 @@
     cr_assert(only<OrderAdapter>(freed).at(0).kind == OrderKind::Unload);
 }
 
+Test(load, slotTakesPatientWorkAgainWhenTheUrgentOfferIsGone)
+{
+    PolicyFixture vm(1, 1, 4);
+    vm.addAdapters(2);
+    vm.makeResident("e1", 0);
+    const OfferArrived patient = vm.offer("e1", 0, RequestClass::Patient);
+    const OfferArrived urgent = vm.offer("e1", 1);
+    const OfferArrived next = vm.offer("e1", 0, RequestClass::Patient);
+    vm.send(patient);
+    vm.send(urgent);
+    vm.send(next);
+    vm.send(OfferCancelled {"vm-2", urgent.offer.attempt});
+    vm.endRun("e1", patient.offer.attempt, AttemptOutcome::Broken);
+    vm.wait(milliseconds(100));
+    cr_assert(vm.blackboard.owner.endpoints["e1"].running.contains(next.offer.attempt));
+}
+
 Test(load, retryAfterIsKeptToTheTick)
 {
     PolicyFixture vm(1, 1, 2);
