--- a/lacewing/claims.cpp
+++ b/lacewing/claims.cpp
@@ -5,7 +5,7 @@
 #include "claims.h"
 
 #include "blackboard.h"
-#include "ownerhooks.h"
+#include "queuecontroller.h"
 
 namespace lacewing {
 
--- a/lacewing/heartbeats.cpp
+++ b/lacewing/heartbeats.cpp
@@ -13,7 +13,7 @@
 #include "blackboard.h"
 #include "claims.h"
 #include "membership.h"
-#include "ownerhooks.h"
+#include "residency.h"
 #include "suspicions.h"
 
 namespace lacewing {
--- a/lacewing/operatorjson.cpp
+++ b/lacewing/operatorjson.cpp
@@ -4,11 +4,13 @@
 #include "operatorjson.h"
 
 #include <charconv>
+#include <span>
 
 #include <nlohmann/json.hpp>
 
 #include "blackboard.h"
 #include "changejson.h"
+#include "configreplay.h"
 
 namespace lacewing {
 
@@ -37,13 +39,38 @@
     return true;
 }
 
-bool readCount(std::string_view text, std::size_t &value)
+template<typename Number>
+bool readNumber(std::string_view text, Number &value)
 {
     const char *end = text.data() + text.size();
     const auto [rest, error] = std::from_chars(text.data(), end, value);
     return error == std::errc {} && rest == end;
 }
 
+Json writeChanges(std::span<const wire::ConfigChange> changes)
+{
+    Json list = Json::array();
+    for (const wire::ConfigChange &change : changes) {
+        list.push_back(writeChangeJson(change));
+    }
+    return list;
+}
+
+/// Calls take(name, value) for each part of a query until it returns false.
+template<typename Take>
+bool readQuery(std::string_view query, Take take)
+{
+    while (!query.empty()) {
+        const std::string_view part = query.substr(0, query.find('&'));
+        query.remove_prefix(part.size() < query.size() ? part.size() + 1 : part.size());
+        const std::size_t equals = part.find('=');
+        if (equals == std::string_view::npos || !take(part.substr(0, equals), part.substr(equals + 1))) {
+            return false;
+        }
+    }
+    return true;
+}
+
 Json describeAdapter(const AdapterName &name, const AdapterInfo &info)
 {
     Json versions = Json::array();
@@ -105,46 +132,40 @@
 
 std::string writeChange(const wire::ConfigRecord &change)
 {
-    Json changes = Json::array();
-    for (const wire::ConfigChange &one : change.changes) {
-        changes.push_back(writeChangeJson(one));
-    }
     return dump({{"based_on", change.basedOn},
                  {"author", change.author},
                  {"note", change.note},
-                 {"changes", std::move(changes)}});
+                 {"changes", writeChanges(change.changes)}});
 }
 
 bool readAdapterQuery(std::string_view query, AdapterQuery &adapterQuery)
 {
-    while (!query.empty()) {
-        const std::string_view part = query.substr(0, query.find('&'));
-        query.remove_prefix(part.size() < query.size() ? part.size() + 1 : part.size());
-        const std::size_t equals = part.find('=');
-        if (equals == std::string_view::npos) {
-            return false;
-        }
-        const std::string_view name = part.substr(0, equals);
-        const std::string_view value = part.substr(equals + 1);
+    const auto take = [&adapterQuery](std::string_view name, std::string_view value) {
         if (name == "name") {
             adapterQuery.name = value;
-            continue;
-        }
-        std::size_t number = 0;
-        if (!readCount(value, number)) {
-            return false;
+            return true;
         }
         if (name == "bucket") {
-            adapterQuery.bucket = number;
-        } else if (name == "buckets") {
-            adapterQuery.buckets = number;
-        } else if (name == "most" && number > 0 && number <= mostAdaptersPerPage) {
-            adapterQuery.most = number;
-        } else {
-            return false;
+            return readNumber(value, adapterQuery.bucket);
         }
-    }
-    return true;
+        if (name == "buckets") {
+            return readNumber(value, adapterQuery.buckets);
+        }
+        const bool good = name == "most" && readNumber(value, adapterQuery.most);
+        return good && adapterQuery.most > 0 && adapterQuery.most <= mostAdaptersPerPage;
+    };
+    return readQuery(query, take);
+}
+
+bool readRevisionQuery(std::string_view query, RevisionQuery &revisionQuery)
+{
+    const auto take = [&revisionQuery](std::string_view name, std::string_view value) {
+        if (name == "after" || name == "to") {
+            return readNumber(value, revisionQuery.after);
+        }
+        return name == "through" && readNumber(value, revisionQuery.through);
+    };
+    return readQuery(query, take);
 }
 
 std::string describeStatus(const Blackboard &blackboard, TimePoint now)
@@ -180,6 +201,14 @@
                  {"heard", std::move(heard)}});
 }
 
+std::string describeObstacle(const Blackboard &blackboard)
+{
+    if (blackboard.stopping) {
+        return "shutting down";
+    }
+    return blackboard.log.hasCaughtUp || blackboard.config.revision > 0 ? "" : "the configuration was not read yet";
+}
+
 std::string describeRevision(const Blackboard &blackboard)
 {
     return dump({{"vm", blackboard.settings.vm},
@@ -190,7 +219,41 @@
 
 std::string describeHistory(const Blackboard &blackboard)
 {
-    return dump({{"revision", blackboard.config.revision}, {"history", Json::array()}});
+    Json history = Json::array();
+    for (const wire::RevisionEntry &entry : blackboard.config.history) {
+        history.push_back({{"revision", entry.revision},
+                           {"offset", entry.offset},
+                           {"author", entry.author},
+                           {"note", entry.note},
+                           {"changes", entry.changes.size()}});
+    }
+    return dump({{"revision", blackboard.config.revision}, {"history", std::move(history)}});
+}
+
+std::string describeRevisions(const Blackboard &blackboard, const RevisionQuery &query)
+{
+    Json revisions = Json::array();
+    for (const wire::RevisionEntry &entry : blackboard.config.history) {
+        const bool wanted = entry.revision > query.after && entry.revision <= query.through;
+        if (!wanted || revisions.size() >= mostRevisionsDescribed) {
+            continue;
+        }
+        revisions.push_back({{"revision", entry.revision},
+                             {"author", entry.author},
+                             {"note", entry.note},
+                             {"kept", !entry.changes.empty()},
+                             {"changes", writeChanges(entry.changes)}});
+    }
+    return dump({{"revision", blackboard.config.revision}, {"revisions", std::move(revisions)}});
+}
+
+std::string describeRollback(const Blackboard &blackboard, std::int64_t revision)
+{
+    std::vector<wire::ConfigChange> changes;
+    if (rollbackChanges(blackboard.config, revision, changes) != ResultCode::Ok) {
+        return "";
+    }
+    return dump({{"revision", blackboard.config.revision}, {"changes", writeChanges(changes)}});
 }
 
 std::string describeMembers(const Blackboard &blackboard)
--- a/lacewing/keyhash.cpp
+++ b/lacewing/randomtext.cpp
@@ -1,12 +1,12 @@
-// OpenSSL's digest and random generator. Keys are random and long, so that no slow password hash is needed.
+// OpenSSL's random generator. Keys are random and long, so that no slow password hash is needed.
 
-#include "keyhash.h"
+#include "randomtext.h"
 
 #include <array>
 #include <cstddef>
 #include <span>
+#include <string_view>
 
-#include <openssl/evp.h>
 #include <openssl/rand.h>
 
 namespace lacewing {
@@ -38,14 +38,6 @@
 
 } // namespace
 
-std::string hashKey(std::string_view key)
-{
-    std::array<unsigned char, EVP_MAX_MD_SIZE> digest {};
-    unsigned int size = 0;
-    EVP_Digest(key.data(), key.size(), digest.data(), &size, EVP_sha256(), nullptr);
-    return toHex(std::span(digest).first(size));
-}
-
 std::string generateKey()
 {
     const std::string random = randomHex<keyBytes>();
