--- a/lacewing/loadplan.cpp
+++ b/lacewing/loadplan.cpp
@@ -6,6 +6,7 @@
 #include "loadplan.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "blackboard.h"
 #include "dispatch.h"
@@ -44,15 +45,24 @@
     return wanted.prefetch || enough || urgentWaiting(owned, adapter) > 0 ? wanted.since : wanted.since + gather;
 }
 
+/// Patient loads leave as large a share of the slots for urgent loads as of the places: a slot taken from
+/// patient runs later costs a load more.
+bool leavesSlotsForUrgent(const Blackboard &blackboard, const OwnedEndpoint &owned, const wire::EndpointSpec &spec)
+{
+    const double reserve = policyInForce(blackboard).urgentReserve;
+    const auto kept = static_cast<std::int32_t>(std::ceil(reserve * spec.adapterSlots));
+    return countFreeSlots(owned, spec.adapterSlots) > std::min(kept, spec.adapterSlots - 1);
+}
+
 bool slotCanBeHad(const Blackboard &blackboard, const OwnedEndpoint &owned, const wire::EndpointSpec &spec, bool urgent,
                   bool prefetch, TimePoint now)
 {
-    if (hasRoom(owned, spec.adapterSlots)) {
-        return true;
-    }
-    if (prefetch) {
+    if (!urgent && !prefetch && !leavesSlotsForUrgent(blackboard, owned, spec)) {
         return false;
     }
+    if (prefetch || hasRoom(owned, spec.adapterSlots)) {
+        return hasRoom(owned, spec.adapterSlots);
+    }
     return chooseVictim(blackboard, owned, urgent, now) || (urgent && !runsToPreemptForSlot(owned).empty());
 }
 
@@ -184,6 +194,21 @@
     returnGrant(blackboard, name, adapter, wanted.number, false, now, actions);
 }
 
+/// Slots emptied for a grant that is used or gone take patient work again.
+void keepSlots(Blackboard &blackboard, const EndpointName &name, OwnedEndpoint &owned, TimePoint now, Actions &actions)
+{
+    const bool granted = std::any_of(owned.wanted.begin(), owned.wanted.end(),
+                                     [](const auto &entry) { return entry.second.phase == WantedPhase::Granted; });
+    bool changed = false;
+    for (auto &[adapter, slot] : owned.slots) {
+        changed = changed || (slot.freeing && !granted);
+        slot.freeing = slot.freeing && granted;
+    }
+    if (changed) {
+        dispatchEndpoint(blackboard, name, now, actions);
+    }
+}
+
 } // namespace
 
 void returnGrant(Blackboard &blackboard, const EndpointName &name, const AdapterVersion &adapter, std::int64_t number,
@@ -261,6 +286,7 @@
     for (const AdapterVersion &adapter : granted) {
         useGrant(blackboard, name, adapter, now, actions);
     }
+    keepSlots(blackboard, name, owned, now, actions);
 }
 
 } // namespace lacewing
--- a/lacewing/testing/runtimetest.cpp
+++ b/lacewing/testing/runtimetest.cpp
@@ -99,7 +99,7 @@
 class TwoVms
 {
 public:
-    explicit TwoVms(bool remote, std::string tokenOfOwner = "token", CallerSettings limits = {})
+    explicit TwoVms(bool remote, const std::string &tokenOfOwner = "token", CallerSettings limits = {})
     {
         if (remote) {
             this->owner = std::make_unique<Runtime>(this->context, this->clock, this->state("b"),
