--- a/lacewing/checkpointcontroller.cpp
+++ b/lacewing/checkpointcontroller.cpp
@@ -18,14 +18,16 @@
 namespace {
 
 constexpr Duration shortestInterval = milliseconds(10'000);
-constexpr LogOffset firstCheckpointRecords = 64; ///< replayed before the first one is written early
+/// A VM that knows of no checkpoint writes one after this time: the log's retention is not known yet.
+constexpr Duration firstInterval = milliseconds(60'000);
+constexpr LogOffset firstRecords = 64; ///< or after this many records
 
 bool isDue(const Blackboard &blackboard, TimePoint now)
 {
     const LogState &log = blackboard.log;
     if (log.lastCheckpoint == noOffset) {
-        const bool old = now - blackboard.claims.started >= blackboard.settings.checkpointInterval;
-        const bool grown = blackboard.config.appliedOffset - log.oldestKept >= firstCheckpointRecords;
+        const bool old = now - blackboard.claims.started >= firstInterval;
+        const bool grown = blackboard.config.appliedOffset - log.oldestKept >= firstRecords;
         return blackboard.config.appliedOffset != noOffset && (old || grown);
     }
     const Duration age = now - log.lastCheckpointAt;
--- a/lacewing/configreplay.cpp
+++ b/lacewing/configreplay.cpp
@@ -8,6 +8,7 @@
 
 #include "codec.h"
 #include "configchange.h"
+#include "configedit.h"
 #include "configstate.h"
 
 namespace lacewing {
--- a/lacewing/testing/configurationtest.cpp
+++ b/lacewing/testing/configurationtest.cpp
@@ -36,6 +36,16 @@
     return lowest;
 }
 
+/// The newest checkpoint that any VM knows of: those who got its records from a peer do not see it.
+LogOffset newestCheckpoint(const JoinedVms &joined)
+{
+    LogOffset newest = noOffset;
+    for (const auto &[name, vm] : joined.vms) {
+        newest = std::max(newest, vm.blackboard.log.lastCheckpoint);
+    }
+    return newest;
+}
+
 /// Fills the log with accepted changes.
 void appendPresetChanges(JoinedVms &joined, int count)
 {
@@ -256,6 +266,22 @@
     cr_assert_eq(fencingOf(started, "e"), fencingOf(writer, "e"));
 }
 
+Test(configuration, aCheckpointIsThereBeforeRetentionReachesAQuietLog)
+{
+    JoinedVms joined = makeZone(2);
+    joined.submit("vm0", 1, 0, {addMember("tala")});
+    joined.advance(70 * second);
+    cr_assert_gt(newestCheckpoint(joined), 0);
+    joined.log.oldestKept = static_cast<LogOffset>(joined.log.records.size());
+    joined.advance(15 * second);
+    cr_assert_geq(newestCheckpoint(joined), joined.log.oldestKept, "written again, above what was dropped");
+    JoinedVms alone;
+    alone.log = joined.log;
+    alone.start("vm9", "y", 9);
+    alone.advance(3 * second);
+    cr_assert(alone.vms.at("vm9").blackboard.config.members.contains("tala"));
+}
+
 Test(configuration, recordsOfAGapAreNotAppliedBeforeIt)
 {
     Blackboard blackboard;
