Slopes bench: requests progress before they end

Cause: the entry VM counts an end without the answer's positions as broken, as it should, so the bench's requests were tried again for ever.

--- a/bench/slopecores.cpp
+++ b/bench/slopecores.cpp
@@ -98,6 +98,7 @@
     } else if (const auto *accept = std::get_if<AcceptOffer>(&action)) {
         pending.emplace_back(OfferAccepted {accept->attempt});
     } else if (const auto *run = std::get_if<StartRun>(&action); run != nullptr && this->finishRuns) {
+        pending.emplace_back(AttemptProgressed {run->offer.attempt, tokensOfRequest});
         RunEnded ended {run->endpoint, run->offer.attempt, {}};
         ended.result.outcome = AttemptOutcome::Completed;
         ended.result.position = tokensOfRequest;
--- a/bench/slopecores.h
+++ b/bench/slopecores.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <string>
 
+#include "action.h"
 #include "blackboard.h"
 #include "event.h"
 #include "slopefit.h"
