A new owner raises its fencing number before it believes load reports

Mended: the new owner orders a load of an adapter that is loaded already, which changes nothing but the number the endpoint has seen, and counts only reports made after the answer. Endpoints that check no numbers are not affected: they are taken over only once the former owner cannot act. The checker now also replays the claims plainly and refuses a run started under a claim that never held.

--- a/bench/faultchecker.cpp
+++ b/bench/faultchecker.cpp
@@ -63,6 +63,34 @@
     }
 }
 
+/// Replays the claims as plainly as can be: a claim holds if it names the one that holds. Whoever starts a run
+/// must hold a claim that held at some time, or two owners could each evict what the other one uses.
+void checkOwners(Checker &checker)
+{
+    std::map<EndpointName, LogOffset> current;
+    std::map<std::pair<EndpointName, LogOffset>, VmId> held;
+    for (const TraceEvent &event : checker.trace) {
+        if (event.kind != TraceKind::Claimed) {
+            continue;
+        }
+        const auto found = current.find(event.endpoint);
+        const LogOffset superseded = found == current.end() ? noOffset : found->second;
+        if (event.basedOn == superseded) {
+            current[event.endpoint] = event.number;
+            held[{event.endpoint, event.number}] = event.vm;
+        }
+    }
+    for (const TraceEvent &event : checker.trace) {
+        if (event.kind != TraceKind::RunStarted) {
+            continue;
+        }
+        const auto claim = held.find({event.endpoint, event.basedOn - 1});
+        if (claim == held.end() || claim->second != event.vm) {
+            checker.add(Property::NoEvictionWhileServing, event, "started under a claim that never held");
+        }
+    }
+}
+
 /// When each VM last died: the requests that it had then are excused from an answer.
 std::map<VmId, TimePoint> lastDeaths(const Checker &checker)
 {
@@ -321,6 +349,7 @@
     }
     checkVersions(checker);
     checkEvictions(checker);
+    checkOwners(checker);
     checkAnswers(checker);
     checkNotRun(checker);
     checkAtMostOnce(checker);
@@ -359,7 +388,7 @@
     static constexpr const char *names[]
         = {"arrived",  "finished",      "delivered",       "run-started",   "run-ended",
            "unloaded", "leaving-shown", "stop-requested",  "stop-finished", "vm-started",
-           "vm-died",  "config-seen",   "change-accepted", "fault"};
+           "vm-died",  "config-seen",   "change-accepted", "claimed",       "fault"};
     std::string line = std::to_string(toMilliseconds(event.at.time_since_epoch()) - 1000000);
     line += std::string(" ms ") + names[static_cast<std::size_t>(event.kind)];
     const auto add = [&line](const char *name, const std::string &value) {
--- a/bench/faultharness.cpp
+++ b/bench/faultharness.cpp
@@ -459,6 +459,7 @@
                 .request = start.offer.attempt.request,
                 .adapter = start.offer.adapter,
                 .number = start.offer.resumePosition,
+                .basedOn = start.fencing,
                 .repeatable = start.offer.repeatable});
     endpoint.runs[run.serial] = run;
     this->after(tokenTime, [this, name = start.endpoint, serial = run.serial] { this->nextToken(name, serial); });
--- a/bench/faultschedule.cpp
+++ b/bench/faultschedule.cpp
@@ -561,6 +561,25 @@
     return faults;
 }
 
+/// The whole log is there at the end, whatever retention hid from its readers.
+void traceClaims(const FakeLog &log, Trace &trace)
+{
+    const std::string prefix = endpointResource("");
+    for (const wire::StoredRecord &stored : log.records) {
+        const wire::ClaimRecord &claim = stored.record.claim;
+        if (!stored.record.__isset.claim || !claim.resource.starts_with(prefix)) {
+            continue;
+        }
+        TraceEvent event;
+        event.kind = TraceKind::Claimed;
+        event.vm = claim.vm;
+        event.endpoint = claim.resource.substr(prefix.size());
+        event.number = stored.offset;
+        event.basedOn = claim.supersedes;
+        trace.push_back(event);
+    }
+}
+
 void countOutcomes(RunReport &report, const FaultHarness &harness)
 {
     for (const TraceEvent &event : report.trace) {
@@ -641,6 +660,7 @@
     scenario.harness.at(loadStart, [&scenario] { keepChanging(scenario); });
     scenario.harness.runUntil(runEnd);
     report.trace = scenario.harness.trace();
+    traceClaims(scenario.harness.log, report.trace);
     report.violations = check(report.trace, {options.checkPlannedStops, true});
     countOutcomes(report, scenario.harness);
     return report;
--- a/bench/faulttrace.h
+++ b/bench/faulttrace.h
@@ -14,7 +14,7 @@
     Arrived, ///< a caller sent request, with its target, key and maxTokens in number
     Finished, ///< the caller was told outcome and code (in number)
     Delivered, ///< a piece at position number, made by source, was passed to the caller of request
-    RunStarted, ///< the endpoint began to execute the request for owner vm, on adapter
+    RunStarted, ///< the endpoint began to execute the request for owner vm, on adapter, under fencing number basedOn
     RunEnded, ///< the endpoint's execution ended
     Unloaded, ///< the endpoint dropped adapter while number runs used it
     LeavingShown, ///< vm read a VM list that shows the endpoint leaving
@@ -24,6 +24,7 @@
     VmDied,
     ConfigSeen, ///< vm has revision number, with a digest in text
     ChangeAccepted, ///< an operator was told that the change became revision number, based on basedOn
+    Claimed, ///< the log holds at offset number a claim of vm for endpoint that names basedOn as superseded
     Fault, ///< text says which
 };
 
--- a/lacewing/loadcontroller.cpp
+++ b/lacewing/loadcontroller.cpp
@@ -13,6 +13,7 @@
 #include "demand.h"
 #include "dispatch.h"
 #include "endpointhealth.h"
+#include "foreignruns.h"
 #include "grantorder.h"
 #include "loadplan.h"
 #include "residency.h"
@@ -132,8 +133,9 @@
         return;
     }
     OwnedEndpoint &owned = found->second;
+    const bool onlyRaised = noteOrderAnswered(owned, event, now);
     const auto slot = owned.slots.find(event.adapter);
-    if (slot == owned.slots.end()) {
+    if (slot == owned.slots.end() || onlyRaised) {
         return;
     }
     logOrder(event, actions);
@@ -210,17 +212,6 @@
     }
 }
 
-/// Runs of a former owner are over once the endpoint reports no more than those started here.
-void judgeForeignRuns(OwnedEndpoint &owned, const EndpointReported &event, TimePoint now)
-{
-    if (!owned.foreignRuns || now - owned.taken < reportLag) {
-        return;
-    }
-    const auto ours = std::count_if(owned.running.begin(), owned.running.end(),
-                                    [now](const auto &entry) { return now - entry.second.started > reportLag; });
-    owned.foreignRuns = event.running + event.waiting > ours;
-}
-
 void handle(Blackboard &blackboard, const EndpointReported &event, TimePoint now, Actions &actions)
 {
     const auto found = blackboard.owner.endpoints.find(event.endpoint);
@@ -234,7 +225,7 @@
     }
     owned.incarnation = event.incarnation;
     reconcile(blackboard, event, owned, now);
-    judgeForeignRuns(owned, event, now);
+    judgeForeignRuns(blackboard, event, owned, now, actions);
     dispatchEndpoint(blackboard, found->first, now, actions);
 }
 
--- a/lacewing/ownerstate.h
+++ b/lacewing/ownerstate.h
@@ -133,6 +133,9 @@
     TimePoint taken;
     TimePoint lastUnload; ///< load reports lag behind this
     bool foreignRuns = true; ///< runs of a former owner may still be in progress
+    bool fencingRaised = false; ///< the endpoint has answered an order of this owner
+    TimePoint fencingRaisedAt; ///< valid if fencingRaised
+    TimePoint raiseAgainAt; ///< no other try to raise the number before this
     bool healthy = true;
     bool leaving = false;
     std::int32_t failures = 0; ///< of the endpoint, in a row
