--- a/lacewing/testing/streamtest.cpp
+++ b/lacewing/testing/streamtest.cpp
@@ -158,7 +158,7 @@
 {
     EngineEventReader reader;
     std::vector<EngineEventKind> kinds;
-    const std::string piece(64 * 1024, 'x');
+    const std::string piece(std::size_t {64} * 1024, 'x');
     for (int count = 0; count < 8; ++count) {
         reader.push(piece, [&kinds](const EngineEvent &event) { kinds.push_back(event.kind); });
     }
