--- a/scripts/localcluster.py
+++ b/scripts/localcluster.py
@@ -79,7 +79,8 @@
 class LocalCluster:
     """Stand-ins and daemons of one local run."""
 
-    def __init__(self, build, vms=3, engines=3, engine_options=(), environment=None, zones=('zone-a',)):
+    def __init__(self, build, vms=3, engines=3, engine_options=(), environment=None, zones=('zone-a',),
+                 fencing=True):
         self.build = pathlib.Path(build)
         self.engine_options = list(engine_options)
         self.engine_count = engines
@@ -92,6 +93,7 @@
         self.platform = None
         self.weights = None
         self.zones = list(zones)
+        self.fencing = fencing
         self.vm_count = vms
 
     def __enter__(self):
@@ -130,8 +132,7 @@
         self.weights = self.standin('weights', 'weights')
         for number in range(1, self.engine_count + 1):
             name = f'engine-{number}'
-            # Every other engine checks fencing numbers, as in the two kinds of deployments.
-            checks = ['--checks-fencing'] if number % 2 == 1 else []
+            checks = self.fencing_option(number)
             self.engines[name] = self.standin(name, 'engine', '--weights', self.weights, *checks, *self.engine_options)
         for member, service in SERVICES.items():
             self.services[service] = self.standin(service, 'service', '--name', service)
@@ -145,6 +146,10 @@
         for daemon in self.daemons:
             self.wait_ready(daemon)
 
+    def fencing_option(self, number):
+        """Every other engine checks fencing numbers, as in the two kinds of deployments."""
+        return ['--checks-fencing'] if self.fencing and number % 2 == 1 else []
+
     def start_daemon(self, daemon):
         environment = {
             'LACEWING_VM': daemon.name,
@@ -229,7 +234,7 @@
                 self.ctl('adapter', 'create', adapter, '--member', member, '--base-model', BASE_MODEL,
                          '--source', f'weights/{adapter}/1')
         for number, (name, address) in enumerate(self.engines.items()):
-            checks = ['--checks-fencing'] if number % 2 == 0 else []
+            checks = self.fencing_option(number + 1)
             zone = self.zones[number % len(self.zones)]
             self.ctl('endpoint', 'add', name, '--zone', zone, '--address', address, '--base-model', BASE_MODEL, *checks,
                      *self.endpoint_options())
