One bound on the lag of load reports; an unused question of the stand-in's server goes

Exchange::connected() of the stand-ins was never called. Conclusion: the bound now stands once, in foreignruns.h.

--- a/lacewing/foreignruns.cpp
+++ b/lacewing/foreignruns.cpp
@@ -14,7 +14,6 @@
 
 namespace {
 
-constexpr Duration reportLag = milliseconds(2000); ///< longest a load report lags
 constexpr Duration raiseInterval = milliseconds(5000); ///< between tries to raise the number
 
 bool checksFencing(const Blackboard &blackboard, const EndpointName &endpoint)
--- a/lacewing/foreignruns.h
+++ b/lacewing/foreignruns.h
@@ -14,6 +14,9 @@
 struct Blackboard;
 struct OwnedEndpoint;
 
+/// Longest a load report lags behind the endpoint.
+constexpr Duration reportLag = milliseconds(2000);
+
 /// @param owned endpoint that an order of this owner was answered by
 /// @param event the answer
 /// @param now current time
--- a/lacewing/loadcontroller.cpp
+++ b/lacewing/loadcontroller.cpp
@@ -22,7 +22,6 @@
 
 namespace {
 
-constexpr Duration reportLag = milliseconds(2000); ///< longest a load report lags
 constexpr Duration orderTimeout = milliseconds(60000); ///< an order without an answer is taken as failed
 constexpr Duration firstBackOff = milliseconds(500);
 constexpr std::int32_t mostDoublings = 5;
--- a/standin/httpserver.cpp
+++ b/standin/httpserver.cpp
@@ -100,11 +100,6 @@
     this->socket.close(ignored);
 }
 
-bool Exchange::connected() const
-{
-    return this->socket.is_open();
-}
-
 awaitable<void> Exchange::waitForClient()
 {
     boost::system::error_code ignored;
--- a/standin/httpserver.h
+++ b/standin/httpserver.h
@@ -58,9 +58,6 @@
     /// Closes the connection without (the rest of) an answer.
     void breakConnection();
 
-    /// @return whether the client is still there, as far as can be seen without reading
-    bool connected() const;
-
     /// Waits until the client closes the connection or sends more.
     awaitable<void> waitForClient();
 
