--- a/lacewing/entrynode.cpp
+++ b/lacewing/entrynode.cpp
@@ -56,8 +56,7 @@
     GatewaySettings gateway;
     gateway.vm = settings.vm;
     gateway.zone = settings.zone;
-    gateway.retryShare = settings.retryShare;
-    gateway.retryBurst = settings.retryBurst / static_cast<double>(std::max<std::size_t>(1, settings.vmCount));
+    gateway.retryShare = settings.retryShare; // what may be saved up follows once the other VMs are known
     return gateway;
 }
 
@@ -164,6 +163,19 @@
     return this->dataPath;
 }
 
+void EntryNode::applySettings(const EntryNodeSettings &next)
+{
+    const EntryNodeSettings &old = this->settings;
+    const bool moved = next.vm != old.vm || next.zone != old.zone || next.callerAddress != old.callerAddress
+        || next.readyAddress != old.readyAddress || next.datagramAddress != old.datagramAddress;
+    this->settings.shutdownBound = next.shutdownBound;
+    this->settings.claim = next.claim;
+    this->settings.retryShare = next.retryShare;
+    this->settings.retryBurst = next.retryBurst;
+    this->shareRetryBudget();
+    logEvent("settings_reloaded", {{"needs_restart", moved ? "yes" : "no"}});
+}
+
 void EntryNode::after(Duration delay, const std::function<void()> &job)
 {
     const auto timer = std::make_shared<asio::steady_timer>(this->context);
@@ -465,6 +477,7 @@
 
 void EntryNode::heartbeat()
 {
+    this->shareRetryBudget();
     this->gossip.sendDemandToAll(this->dataPath.demand());
 }
 
@@ -543,6 +556,12 @@
     });
 }
 
+void EntryNode::shareRetryBudget()
+{
+    const double burst = burstShare(this->settings.retryBurst, this->gossip.vmsInUse());
+    this->dataPath.setRetryLimits(this->settings.retryShare, burst);
+}
+
 bool EntryNode::ready() const
 {
     const bool listed = this->dataPath.fleet().listed.time_since_epoch().count() > 0;
--- a/lacewing/entrynode.h
+++ b/lacewing/entrynode.h
@@ -40,7 +40,6 @@
     ZoneClaimSettings claim;
     double retryShare = 0.2; ///< of all VMs together
     double retryBurst = 50; ///< of all VMs together
-    std::size_t vmCount = 9; ///< VMs that share the retry budget at most
 };
 
 class EntryNode
@@ -54,6 +53,11 @@
 
     Gateway &gateway();
 
+    /// The settings were read again. Limits and times are taken over at once; names and addresses hold until the
+    /// next start, and a difference in them is logged.
+    /// @param next valid settings
+    void applySettings(const EntryNodeSettings &next);
+
     /// A configuration was read.
     void setConfig(std::shared_ptr<const RouteConfig> config);
     /// A version of an adapter was read.
@@ -70,13 +74,15 @@
     /// The operators' changes were read.
     /// @param offset up to which they were read
     void configRead(std::int64_t offset);
+    /// Asks the platform which VMs there are; done by itself now and then.
+    void meetVms();
     /// @param vm name of another VM
     /// @return whether it was heard lately
     bool heard(const VmId &vm) const;
     /// Whether the platform's store answered; noted when it changes.
     void storeAnswered(bool answered);
 
-    /// The settings are to be read again; set by whoever reads them.
+    /// The settings are to be read again (SIGHUP); set by whoever reads them.
     std::function<void()> onReload;
     /// Another VM has read the operators' changes up to this offset; set by whoever reads them.
     std::function<void(std::int64_t offset)> onMoreConfig;
@@ -97,7 +103,6 @@
     void sendNotice();
     void spread(const wire::PlacementNotice &notice);
     void announce();
-    void meetVms();
     void noteOwnDemand();
     wire::DemandReport demandFor(const ZoneName &ownerZone, const wire::DemandReport &all) const;
     bool hasOwner(const ZoneName &zone) const;
@@ -112,6 +117,7 @@
     void awaitSignal();
     void beginStop();
     void checkStop();
+    void shareRetryBudget();
     bool ready() const;
     std::string metricsText() const;
     void every(Duration interval, const std::function<void()> &job);
--- a/lacewing/gateway.cpp
+++ b/lacewing/gateway.cpp
@@ -23,9 +23,8 @@
       pool(ioContext),
       random(std::random_device {}())
 {
-    this->budgetSettings.retryShare = this->settings.retryShare;
-    this->budgetSettings.retryBurst = this->settings.retryBurst;
     this->budgetSettings.retryFloor = 0;
+    this->setRetryLimits(this->settings.retryShare, this->settings.retryBurst);
 }
 
 Gateway::~Gateway() = default;
@@ -150,6 +149,17 @@
     }
 }
 
+void Gateway::setRetryLimits(double share, double burst)
+{
+    this->budgetSettings.retryShare = share;
+    this->budgetSettings.retryBurst = burst;
+}
+
+double Gateway::retryBurst() const
+{
+    return this->budgetSettings.retryBurst;
+}
+
 void Gateway::dropEndpoint(const EndpointName &id)
 {
     this->pool.drop(id);
--- a/lacewing/gateway.h
+++ b/lacewing/gateway.h
@@ -43,7 +43,7 @@
     VmId vm;
     ZoneName zone;
     double retryShare = 0.2; ///< repeats as a share of requests, of each VM
-    double retryBurst = 5; ///< repeats of this VM that may be saved up for each service
+    double retryBurst = 1; ///< repeats of this VM that may be saved up for each service
     std::size_t mostConnections = 2000; ///< of callers
 };
 
@@ -87,6 +87,12 @@
     /// @param version named for it
     void setVersion(std::string_view weights, std::int32_t version);
 
+    /// @param share repeats as a share of requests
+    /// @param burst repeats of this VM that may be saved up for each service
+    void setRetryLimits(double share, double burst);
+    /// @return repeats of this VM that may be saved up for each service
+    double retryBurst() const;
+
     /// Drops connections to an endpoint that is gone.
     /// @param id endpoint
     void dropEndpoint(const EndpointName &id);
--- a/lacewing/retrybudget.cpp
+++ b/lacewing/retrybudget.cpp
@@ -34,6 +34,12 @@
 
 } // namespace
 
+double burstShare(double burstOfAll, std::size_t vms)
+{
+    constexpr double part = 0.5;
+    return std::max(1.0, part * burstOfAll / static_cast<double>(std::max<std::size_t>(1, vms)));
+}
+
 void noteFirstAttempt(RetryBudget &budget, const CoreSettings &settings, TimePoint now)
 {
     refill(budget, settings, now);
--- a/lacewing/retrybudget.h
+++ b/lacewing/retrybudget.h
@@ -6,6 +6,8 @@
 
 #pragma once
 
+#include <cstddef>
+
 #include "types.h"
 
 namespace lacewing {
@@ -18,6 +20,14 @@
     bool started = false;
 };
 
+/// What one VM may save up of a burst that all VMs share. Half of its part: a VM that starts has a full bucket, so
+/// the sum keeps within the burst also if every VM is restarted once while it is counted. At least one, since a bucket
+/// that never holds a whole token allows nothing.
+/// @param burstOfAll retries that all VMs together may have saved up
+/// @param vms that share it
+/// @return retries of one VM
+double burstShare(double burstOfAll, std::size_t vms);
+
 /// Counts a first attempt.
 /// @param budget changed
 /// @param settings share, floor and burst
--- a/lacewing/testing/entrynodetest.cpp
+++ b/lacewing/testing/entrynodetest.cpp
@@ -2,6 +2,8 @@
 
 #include "entrynode.h"
 
+#include <csignal>
+
 // After Boost, whose headers use names that Criterion defines as macros.
 #include <criterion/criterion.h>
 
@@ -143,3 +145,32 @@
     vms.one.configRead(7);
     cr_assert(vms.runUntil([&] { return told == 7; }));
 }
+
+Test(entrynode, theVmsShareOneRetryBurst)
+{
+    Pair vms;
+    // Whatever the number of VMs, what they may save up together keeps within the burst of all.
+    const auto sum = [&vms] { return vms.one.gateway().retryBurst() + vms.two.gateway().retryBurst(); };
+    const double all = settingsOf(vms.context, "vm").retryBurst;
+    cr_assert_leq(sum(), all);
+    // Both may start again once more with a full bucket each.
+    cr_assert(vms.runUntil([&] { return vms.one.heard("vm2") && vms.two.heard("vm1") && 2 * sum() <= all; }));
+    cr_assert_gt(2 * sum(), 0.9 * all);
+    for (int number = 3; number <= 80; ++number) {
+        const std::string port = std::to_string(10000 + number);
+        vms.platform.contacts.push_back({"vm" + std::to_string(number), "z", "127.0.0.1:" + port});
+    }
+    vms.one.meetVms();
+    cr_assert_leq(vms.one.gateway().retryBurst(), 1);
+}
+
+Test(entrynode, aHangupReadsTheSettingsAgainAndTheirLimitsHoldAtOnce)
+{
+    Pair vms;
+    EntryNodeSettings next = settingsOf(vms.context, "vm1");
+    next.retryBurst = 4 * next.retryBurst;
+    vms.one.onReload = [&] { vms.one.applySettings(next); };
+    const double before = vms.one.gateway().retryBurst();
+    std::raise(SIGHUP);
+    cr_assert(vms.runUntil([&] { return vms.one.gateway().retryBurst() > before; }));
+}
--- a/lacewing/vmgossip.cpp
+++ b/lacewing/vmgossip.cpp
@@ -3,6 +3,8 @@
 
 #include "vmgossip.h"
 
+#include <algorithm>
+
 #include "clock.h"
 #include "codec.h"
 #include "eventlog.h"
@@ -204,6 +206,15 @@
         && this->clock.now() - found->second.heard < vmLifetime;
 }
 
+std::size_t VmGossip::vmsInUse() const
+{
+    const TimePoint now = this->clock.now();
+    const auto inUse = [now](const auto &entry) {
+        return !entry.second.leaving && now - entry.second.heard < forgetAfter;
+    };
+    return 1 + static_cast<std::size_t>(std::count_if(this->known.begin(), this->known.end(), inUse));
+}
+
 const std::map<VmId, KnownVm> &VmGossip::vms() const
 {
     return this->known;
--- a/lacewing/vmgossip.h
+++ b/lacewing/vmgossip.h
@@ -62,6 +62,9 @@
     /// @return whether the VM was heard lately
     bool alive(const VmId &vm) const;
     const std::map<VmId, KnownVm> &vms() const;
+    /// @return VMs that may be taking requests, this one included; those that can't be heard count, since they may
+    /// be cut off from this one only
+    std::size_t vmsInUse() const;
 
     /// Passes changes of the platform's list on to the VMs of this zone.
     void sendListToZone(const wire::ListChange &change);
