Placement is planned at most every 15 ms, from sums by weights

The trace shows one order every 17 to 35 ms while 18 of 20 endpoints were free. Ruled out: the weight store (it was asked for 2,500 adapters, 48 may be in transit) and fenced orders (1). Now one plan takes in all that came meanwhile, holdings are summed by weights once, the adapter to unload is looked for once for each endpoint, and weights wanted for two reasons are placed once. Test: placementownertest, 70 reports made up to 70 plans before.

--- a/lacewing/adapterplan.cpp
+++ b/lacewing/adapterplan.cpp
@@ -1,12 +1,18 @@
 // Each call plans from the state alone and gives an endpoint one order at most: orders name the number of
 // orders that the endpoint has accepted, so the next one waits for the answer to the last. That also makes an
 // order harmless that is carried out late: by then the number differs.
+//
+// What all endpoints hold is summed up by weights once for each plan, and what an endpoint could unload is looked for
+// once: with 20 endpoints and 300 weights that callers wait for, a plan took 3 ms when each want asked each endpoint
+// again.
 
 #include "adapterplan.h"
 
 #include <algorithm>
 #include <cmath>
 #include <set>
+#include <string_view>
+#include <unordered_map>
 
 #include "adapterhome.h"
 
@@ -42,6 +48,8 @@
         std::size_t coming = 0;
         for (const auto &[id, endpoint] : placement.endpoints) {
             coming += endpoint.coming.size();
+            this->sumUp(endpoint);
+            this->freeEndpoints += this->free(id, endpoint) ? 1 : 0;
         }
         const auto most = std::max(1.0, std::ceil(comingPerEndpoint * static_cast<double>(placement.endpoints.size())));
         this->loadsLeft = static_cast<std::ptrdiff_t>(most) - static_cast<std::ptrdiff_t>(coming);
@@ -61,6 +69,35 @@
         double urgency = 0; ///< callers who wait, or less than 1
     };
 
+    /// Where some weights are, over all endpoints.
+    struct Spread {
+        std::size_t copies = 0; ///< endpoints that hold them or to which they are coming
+        bool coming = false;
+        std::int32_t newest = -1; ///< version on an endpoint that is ready
+        std::int32_t oldest = -1; ///< version on any endpoint
+    };
+
+    void sumUp(const PlacedEndpoint &endpoint)
+    {
+        for (const auto &[weights, held] : endpoint.held) {
+            Spread &spread = this->spreads[weights];
+            spread.copies += 1;
+            spread.newest = endpoint.ready ? std::max(spread.newest, held.version) : spread.newest;
+            spread.oldest = spread.oldest < 0 ? held.version : std::min(spread.oldest, held.version);
+        }
+        for (const auto &[weights, coming] : endpoint.coming) {
+            Spread &spread = this->spreads[weights];
+            spread.copies += endpoint.held.contains(weights) ? 0 : 1;
+            spread.coming = true;
+        }
+    }
+
+    Spread spreadOf(std::string_view weights) const
+    {
+        const auto found = this->spreads.find(weights);
+        return found == this->spreads.end() ? Spread {} : found->second;
+    }
+
     bool free(const EndpointName &id, const PlacedEndpoint &endpoint) const
     {
         return endpoint.ready && !endpoint.orderOpen && !endpoint.busy && this->now >= endpoint.notBefore
@@ -69,6 +106,7 @@
 
     void add(PlacementOrder order)
     {
+        this->freeEndpoints -= 1;
         this->ordered.insert(order.endpoint);
         this->orders.push_back(std::move(order));
     }
@@ -104,32 +142,18 @@
 
     std::size_t copies(const std::string &weights) const
     {
-        std::size_t count = 0;
-        for (const auto &[id, endpoint] : this->state.endpoints) {
-            count += endpoint.held.contains(weights) || endpoint.coming.contains(weights) ? 1 : 0;
-        }
-        return count;
+        return this->spreadOf(weights).copies;
     }
 
     bool heldNewest(const std::string &weights, std::int32_t version) const
     {
-        for (const auto &[id, endpoint] : this->state.endpoints) {
-            const auto held = endpoint.held.find(weights);
-            if (endpoint.ready && held != endpoint.held.end() && held->second.version >= version) {
-                return true;
-            }
-        }
-        return false;
+        const std::int32_t newest = this->spreadOf(weights).newest;
+        return newest >= 0 && newest >= version;
     }
 
     bool isComing(const std::string &weights) const
     {
-        for (const auto &[id, endpoint] : this->state.endpoints) {
-            if (endpoint.coming.contains(weights)) {
-                return true;
-            }
-        }
-        return false;
+        return this->spreadOf(weights).coming;
     }
 
     /// An idle copy of an old version is replaced where it is; one in use is left to its runs, and the new
@@ -137,6 +161,10 @@
     void planVersions()
     {
         for (const auto &[weights, named] : this->state.versions) {
+            const std::int32_t oldest = this->spreadOf(weights).oldest;
+            if (oldest < 0 || oldest >= named.version) {
+                continue;
+            }
             for (const auto &[id, endpoint] : this->state.endpoints) {
                 const auto held = endpoint.held.find(weights);
                 if (held == endpoint.held.end() || held->second.version >= named.version) {
@@ -167,7 +195,7 @@
         std::stable_sort(this->wants.begin(), this->wants.end(),
                          [](const Want &one, const Want &other) { return one.urgency > other.urgency; });
         for (const Want &want : this->wants) {
-            if (this->loadsLeft <= 0) {
+            if (this->loadsLeft <= 0 || this->freeEndpoints <= 0) {
                 return;
             }
             this->place(want);
@@ -222,6 +250,18 @@
         return victim;
     }
 
+    /// @param forCopy only an adapter that was idle for some while
+    /// @return the adapter to unload, empty if there is none
+    const std::string &victimAt(const EndpointName &id, const PlacedEndpoint &endpoint, bool forCopy)
+    {
+        auto &known = forCopy ? this->victimsForCopies : this->victims;
+        const auto [found, isNew] = known.try_emplace(id);
+        if (isNew) {
+            found->second = this->victimOf(endpoint, forCopy ? idleForCopy : Duration {0}).weights;
+        }
+        return found->second;
+    }
+
     /// Endpoints in the order in which they are homes of the weights.
     std::vector<std::pair<std::uint64_t, EndpointName>> homesOf(const std::string &weights) const
     {
@@ -251,6 +291,9 @@
 
     void place(const Want &want)
     {
+        if (this->placed.contains(want.weights)) { // wanted for two reasons
+            return;
+        }
         const std::int32_t version = newestVersion(this->state.versions, want.weights);
         const PlacedEndpoint *best = nullptr;
         EndpointName bestId;
@@ -268,7 +311,7 @@
             std::string victim;
             const bool replaces = endpoint.held.contains(want.weights);
             if (!replaces && adaptersPlaced(endpoint) >= adapterPlaces(engine->second, endpoint)) {
-                victim = this->victimOf(endpoint, want.urgency < 0.9 ? idleForCopy : Duration {0}).weights;
+                victim = this->victimAt(id, endpoint, want.urgency < 0.9);
                 if (victim.empty()) {
                     continue;
                 }
@@ -289,6 +332,7 @@
             return;
         }
         this->loadsLeft -= 1;
+        this->placed.insert(want.weights);
         if (!bestVictim.empty()) {
             this->add(makeOrder(PlacementAction::Unload, bestId, *best, bestVictim, 0));
             return;
@@ -299,8 +343,13 @@
     const PlacementState &state;
     TimePoint now;
     std::ptrdiff_t loadsLeft = 0;
+    std::ptrdiff_t freeEndpoints = 0;
+    std::unordered_map<std::string_view, Spread> spreads; ///< keys belong to the state
+    std::unordered_map<EndpointName, std::string> victims;
+    std::unordered_map<EndpointName, std::string> victimsForCopies;
     std::vector<Want> wants;
     std::set<EndpointName> ordered;
+    std::set<std::string> placed; ///< weights that an order of this plan is for
     std::vector<PlacementOrder> orders;
 };
 
--- a/lacewing/entrynode.cpp
+++ b/lacewing/entrynode.cpp
@@ -632,6 +632,7 @@
     line("requests_open", static_cast<std::int64_t>(this->dataPath.openRequests()));
     line("orders_total", this->owner.ordersSent);
     line("load_checks_total", this->owner.loadChecks);
+    line("plans_total", this->owner.plansMade);
     line("reports_read_total", this->owner.reportsRead);
     line("endpoints", static_cast<std::int64_t>(this->dataPath.fleet().endpoints.size()));
     line("config_version", this->dataPath.config() ? this->dataPath.config()->version : 0);
--- a/lacewing/placementowner.cpp
+++ b/lacewing/placementowner.cpp
@@ -20,6 +20,9 @@
 /// 25 ms, any other in a quarter of a second.
 constexpr Duration fastLoad = milliseconds(26);
 constexpr Duration checkInterval = milliseconds(25);
+/// Between two plans: all reports and answers that come meanwhile go into one. Planning at each of them, an owner on
+/// 0.12 of a core gave 60 orders a second for 300 adapters that callers waited for.
+constexpr Duration planPause = milliseconds(15);
 /// Between reports while a model is being loaded, which takes more than half a second.
 constexpr Duration pollInterval = milliseconds(150);
 /// After a failed report or a refused order, before the next try.
@@ -56,6 +59,7 @@
     this->fencingNumber = fencing;
     this->state.endpoints.clear();
     this->reportOpen.clear();
+    this->planRequested = false;
     this->modelLoadsRefilled = this->now();
     this->state.modelLoads = 1;
     logEvent("placement_owner", {{"zone", this->zone}, {"fencing", std::to_string(fencing)}, {"owner", "yes"}});
@@ -118,13 +122,13 @@
         }
     }
     this->zones = std::max<std::size_t>(1, engineZones.size());
-    this->plan();
+    this->requestPlan();
 }
 
 void PlacementOwner::noteDemand(const VmId &vm, const ZoneName &vmZone, const wire::DemandReport &report)
 {
     this->demands[vm] = {vmZone, report, this->now()};
-    this->plan();
+    this->requestPlan();
 }
 
 void PlacementOwner::forgetVm(const VmId &vm)
@@ -181,18 +185,32 @@
     this->modelLoadsRefilled = time;
 }
 
-void PlacementOwner::plan()
+void PlacementOwner::requestPlan()
 {
-    if (!this->isActive || this->planning) {
+    if (!this->isActive || this->planRequested) {
         return;
     }
-    this->planning = true;
+    this->planRequested = true;
+    const auto timer = std::make_shared<asio::steady_timer>(this->context);
+    const std::int64_t setIn = this->term;
+    timer->expires_after(std::max(Duration {0}, this->planned + planPause - this->now()));
+    timer->async_wait([this, timer, setIn](const NetError &error) {
+        if (!error && this->term == setIn) {
+            this->plan();
+        }
+    });
+}
+
+void PlacementOwner::plan()
+{
+    this->planRequested = false;
+    this->planned = this->now();
+    this->plansMade += 1;
     this->mergeDemand();
     this->refillModelLoads();
-    for (const PlacementOrder &order : planOrders(this->state, this->now())) {
+    for (const PlacementOrder &order : planOrders(this->state, this->planned)) {
         this->send(order);
     }
-    this->planning = false;
 }
 
 void PlacementOwner::send(const PlacementOrder &order)
@@ -257,7 +275,7 @@
         endpoint.ready = false; // until its report is read
         this->readReport(order.endpoint);
     }
-    this->plan();
+    this->requestPlan();
 }
 
 void PlacementOwner::onLoadAccepted(const PlacementOrder &order)
@@ -348,7 +366,7 @@
         if (again || reply == OrderReply::NoAnswer) { // one that is carried out late finds the adapter held
             checked.orderOpen = false;
             this->scheduleCheck(order, checkInterval);
-            this->plan();
+            this->requestPlan();
             return;
         }
         this->onReply(order, reply);
@@ -433,7 +451,7 @@
     if (changed && this->onChanged) {
         this->onChanged(id);
     }
-    this->plan();
+    this->requestPlan();
 }
 
 wire::PlacementNotice PlacementOwner::notice() const
--- a/lacewing/placementowner.h
+++ b/lacewing/placementowner.h
@@ -62,6 +62,7 @@
     /// Loads and unloads ordered since the start, for the metrics page.
     std::int64_t ordersSent = 0;
     std::int64_t loadChecks = 0;
+    std::int64_t plansMade = 0;
     std::int64_t reportsRead = 0;
 
 private:
@@ -72,6 +73,7 @@
     };
 
     void addHoldings(wire::PlacementNotice &notice, const EndpointName &id, const PlacedEndpoint &endpoint) const;
+    void requestPlan();
     void plan();
     void send(const PlacementOrder &order);
     void onReply(const PlacementOrder &order, OrderReply reply);
@@ -99,7 +101,8 @@
     Duration loadTime {milliseconds(200)}; ///< of adapters from the weight store, measured
     std::int64_t term = 0; ///< rises with begin() and end(), so that late answers are recognised
     bool isActive = false;
-    bool planning = false;
+    bool planRequested = false;
+    TimePoint planned; ///< when the last plan was made
     double modelLoadRate = 1; ///< a second
     TimePoint modelLoadsRefilled;
     std::size_t zones = 1;
