--- a/lacewing/relay.cpp
+++ b/lacewing/relay.cpp
@@ -237,6 +237,7 @@
               {"weights", this->weights},
               {"version", std::to_string(choice.version)},
               {"running", std::to_string(estimateRunning(target))},
+              {"tokens", std::to_string(this->info.promptTokens)},
               {"send", std::to_string(this->history.sends)},
               {"config", std::to_string(this->config->version)},
               {"age_ms", inMilliseconds(this->age())}});
@@ -331,8 +332,9 @@
     const TimePoint now = this->gateway.now();
     if (this->firstPiece.count() == 0) {
         this->firstPiece = now - this->arrived;
-    } else {
-        this->longestGap = std::max(this->longestGap, now - this->lastPiece);
+    } else if (now - this->lastPiece > this->longestGap) {
+        this->longestGap = now - this->lastPiece;
+        this->longestGapAt = now - this->arrived;
     }
     this->lastPiece = now;
 }
@@ -357,6 +359,7 @@
                   {"wait_ms", inMilliseconds(this->sentAt - this->arrived)},
                   {"first_ms", inMilliseconds(this->firstPiece)},
                   {"gap_ms", inMilliseconds(this->longestGap)},
+                  {"gap_at_ms", inMilliseconds(this->longestGapAt)},
                   {"age_ms", inMilliseconds(this->age())}});
         const auto used = this->link;
         this->link.reset();
--- a/lacewing/relay.h
+++ b/lacewing/relay.h
@@ -88,6 +88,7 @@
     TimePoint lastPiece; ///< when the last bytes of the answer came
     Duration firstPiece {0}; ///< from the arrival to the first bytes of the answer's body
     Duration longestGap {0}; ///< between two of them
+    Duration longestGapAt {0}; ///< age of the request when it ended
     std::vector<EndpointName> tried;
     AttemptHistory history;
     std::shared_ptr<EndpointLink> link;
