--- a/lacewing/entrynode.cpp
+++ b/lacewing/entrynode.cpp
@@ -28,7 +28,7 @@
 /// A request that has waited this long is taken to the next zone's owner as well.
 constexpr std::int32_t askNextZoneMilliseconds = 700;
 /// VMs are listed this often: those that are alive make themselves known by their heartbeats.
-constexpr Duration listVmsInterval = milliseconds(20000);
+constexpr Duration listVmsInterval = milliseconds(60000);
 constexpr Duration listVmsRetry = milliseconds(1000);
 /// The balancer asks once a second and takes a VM out after two misses; a third second for its last connections.
 constexpr Duration outOfRotation = milliseconds(3000);
@@ -36,8 +36,9 @@
 /// read: half of the shortest time in which a leaving endpoint must get nothing new. One reader for each zone takes
 /// a tenth of the store calls that 71 readers take.
 constexpr Duration readInterval = milliseconds(900);
-/// Between reads by the other VMs, which mend what datagrams have lost.
-constexpr Duration mendInterval = milliseconds(8000);
+/// Between reads by the other VMs. What a lost datagram left out is mended sooner: the owner's notices name the change
+/// that it has passed on last, and a VM that has not seen it reads by itself.
+constexpr Duration mendInterval = milliseconds(30000);
 /// A read by the zone's owner counts for the others this long.
 constexpr Duration readValidity = milliseconds(1400);
 /// A change of the list is passed on again after these delays, in case a datagram is lost.
@@ -113,9 +114,8 @@
     };
     this->gossip.onPrompt
         = [this](const wire::PromptSent &prompt) { this->dataPath.notePrompt(prompt.endpoint, prompt.tokens); };
-    this->dataPath.onPrompt = [this](const FleetEndpoint &endpoint, std::int32_t tokens) {
-        this->gossip.sendPrompt(endpoint.entry.id, endpoint.entry.zone, tokens);
-    };
+    this->dataPath.onPrompt
+        = [this](const EndpointName &endpoint, std::int32_t tokens) { this->gossip.sendPromptToAll(endpoint, tokens); };
     this->owner.onChanged = [this](const wire::PlacementNotice &notice) { this->spread(notice); };
     this->owner.mayOrder = [this] { return this->mayOrderNow(); };
     this->owner.onFenced = [this] {
@@ -269,6 +269,7 @@
              {{"offset", std::to_string(change.offset)},
               {"listed", std::to_string(change.listed.size())},
               {"removed", std::to_string(change.removed.size())}});
+    this->changeSeen = change.offset;
     this->gossip.sendListToZone(change);
     for (const Duration delay : repeatDelays) {
         this->after(delay, [this, change] { this->gossip.sendListToZone(change); });
@@ -277,6 +278,7 @@
 
 void EntryNode::receiveList(const wire::ListChange &change)
 {
+    this->changeSeen = std::max(this->changeSeen, change.offset);
     if (change.offset <= this->dataPath.fleet().listOffset) {
         return;
     }
@@ -312,8 +314,9 @@
         return readInterval;
     }
     const auto found = this->owners.find(this->settings.zone);
+    const bool upToDate = std::max(this->changeSeen, this->dataPath.fleet().listOffset) >= this->changePassed;
     const bool covered = found != this->owners.end() && this->clock.now() - found->second.listRead < readValidity;
-    return covered ? mendInterval : readInterval;
+    return covered && upToDate ? mendInterval : readInterval;
 }
 
 bool EntryNode::heard(const VmId &vm) const
@@ -534,6 +537,7 @@
     if (listed.time_since_epoch().count() > 0) {
         notice.listAgeMilliseconds = toMilliseconds(this->clock.now() - listed);
     }
+    notice.listChange = this->changeSeen;
     this->spread(notice);
 }
 
@@ -576,6 +580,9 @@
     if (notice.zone == this->settings.zone && noteOwner(this->claim, notice.fencing, now)) {
         this->stopOwning("superseded");
     }
+    if (notice.zone == this->settings.zone) {
+        this->changePassed = notice.listChange;
+    }
     this->applyNotice(notice);
 }
 
--- a/lacewing/entrynode.h
+++ b/lacewing/entrynode.h
@@ -145,6 +145,8 @@
     asio::signal_set signals;
     TimePoint storeFailed;
     wire::ListChange listChange; ///< read by this VM and not passed on yet
+    std::int64_t changeSeen = 0; ///< offset of the last change of the list that was passed on to or by this VM
+    std::int64_t changePassed = 0; ///< the same of the zone's owner, as its notices say
     bool storeUp = true;
     bool asking = false; ///< the store was asked about the claim and has not answered yet
     StallWatch stallWatch;
--- a/lacewing/gateway.h
+++ b/lacewing/gateway.h
@@ -120,7 +120,7 @@
     void notePrompt(const EndpointName &id, std::int32_t tokens);
 
     /// Called when this VM sends a prompt to an endpoint.
-    std::function<void(const FleetEndpoint &, std::int32_t tokens)> onPrompt;
+    std::function<void(const EndpointName &, std::int32_t tokens)> onPrompt;
     /// Called when a request begins to wait for weights that no endpoint holds.
     std::function<void()> onWanted;
 
--- a/lacewing/lacewing.thrift
+++ b/lacewing/lacewing.thrift
@@ -279,7 +279,8 @@
   2: i64 fencing,                      // of the owner; a lower one is out of date
   3: list<EndpointHoldings> endpoints,
   4: i64 listAgeMilliseconds = -1,     // since the sender last read the platform's list of endpoints; -1: never
-  5: bool yields = false               // the sender gives the zone up: another VM is to claim it
+  5: bool yields = false,              // the sender gives the zone up: another VM is to claim it
+  6: i64 listChange = 0                // offset of the last change of the list that the sender has passed on
 }
 
 /** An endpoint as the platform lists it, without what it holds. */
--- a/lacewing/relay.cpp
+++ b/lacewing/relay.cpp
@@ -213,7 +213,7 @@
     if (!this->weights.empty()) {
         addPrompt(target.prompts, this->info.promptTokens, now);
         if (this->gateway.onPrompt) {
-            this->gateway.onPrompt(target, this->info.promptTokens);
+            this->gateway.onPrompt(choice.endpoint, this->info.promptTokens);
         }
     }
     this->history.sends += 1;
--- a/lacewing/testing/entrynodetest.cpp
+++ b/lacewing/testing/entrynodetest.cpp
@@ -153,6 +153,36 @@
     cr_assert(vms.runUntil([&] { return vms.two.listInterval() == vms.one.listInterval(); }));
 }
 
+Test(entrynode, aVmThatMissedAPassedChangeReadsTheListSoon)
+{
+    Pair vms;
+    cr_assert(vms.runUntil([&] {
+        vms.one.listRead(1);
+        vms.two.listRead(1);
+        return vms.two.listInterval() > vms.one.listInterval();
+    }));
+    const Duration often = vms.one.listInterval();
+    vms.one.putEndpoint(makeEntry(false));
+    vms.one.listRead(5);
+    const auto passed = std::chrono::steady_clock::now() + std::chrono::milliseconds(600); // with all repeats
+    vms.runUntil([&] { return std::chrono::steady_clock::now() > passed; });
+    EntryNode late(vms.context, settingsOf(vms.context, "vm3"), RequestFormat {}, vms.platform.port("vm3"));
+    cr_assert_not(late.start());
+    late.listRead(4); // as of before the change, which went out before this VM was there
+    const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(1500);
+    vms.runUntil([&] {
+        vms.one.listRead(5);
+        return std::chrono::steady_clock::now() > end;
+    });
+    cr_assert(late.heard("vm1"));
+    cr_assert_eq(late.listInterval(), often);
+    late.listRead(5);
+    cr_assert(vms.runUntil([&] {
+        vms.one.listRead(5);
+        return late.listInterval() > often;
+    }));
+}
+
 Test(entrynode, aVmThatIsBehindWithTheConfigurationIsToldSo)
 {
     Pair vms;
--- a/lacewing/vmgossip.cpp
+++ b/lacewing/vmgossip.cpp
@@ -17,7 +17,7 @@
 
 /// A VM that was not heard, nor named by the platform, for this long is written to no more; it makes itself known when
 /// it is back.
-constexpr Duration forgetAfter = milliseconds(30000);
+constexpr Duration forgetAfter = milliseconds(90000);
 
 bool isForgotten(const KnownVm &vm, TimePoint now)
 {
@@ -177,20 +177,14 @@
     this->sendToAlive(encode(datagram));
 }
 
-void VmGossip::sendPrompt(const EndpointName &endpoint, const ZoneName &endpointZone, std::int32_t tokens)
+void VmGossip::sendPromptToAll(const EndpointName &endpoint, std::int32_t tokens)
 {
     wire::VmDatagram datagram = this->begin();
     wire::PromptSent prompt;
     prompt.endpoint = endpoint;
     prompt.tokens = tokens;
     datagram.__set_prompt(prompt);
-    const std::string bytes = encode(datagram);
-    for (const auto &[name, vm] : this->known) {
-        const bool concerned = vm.zone == endpointZone || vm.zone == this->self.zone;
-        if (concerned && this->clock.now() - vm.heard < vmLifetime) {
-            this->sendTo(vm, bytes);
-        }
-    }
+    this->sendToAlive(encode(datagram));
 }
 
 void VmGossip::sendListToZone(const wire::ListChange &change)
--- a/lacewing/vmgossip.h
+++ b/lacewing/vmgossip.h
@@ -62,9 +62,7 @@
     void sendHeartbeat();
     void sendPlacementToAll(const wire::PlacementNotice &notice);
 
-    /// Tells of a prompt to the VMs of this zone and of the endpoint's, which send most of the others there: told to all,
-    /// it was half of the datagrams that a VM received.
-    void sendPrompt(const EndpointName &endpoint, const ZoneName &endpointZone, std::int32_t tokens);
+    void sendPromptToAll(const EndpointName &endpoint, std::int32_t tokens);
 
     /// @return whether the VM was heard lately
     bool alive(const VmId &vm) const;
