Prompts take their turn when they begin to wait

Now it is counted and told when it begins to wait, and goes to that endpoint unless it can't take it any more.

--- a/lacewing/endpointchoice.cpp
+++ b/lacewing/endpointchoice.cpp
@@ -19,6 +19,7 @@
 
 struct Candidate {
     const FleetEndpoint *endpoint = nullptr;
+    bool reserved = false;
     std::int32_t version = 0;
     bool trusted = false;
     double load = 0;
@@ -30,6 +31,9 @@
     if (other.endpoint == nullptr || one.trusted != other.trusted) {
         return other.endpoint == nullptr || one.trusted;
     }
+    if (one.reserved != other.reserved) {
+        return one.reserved;
+    }
     if (one.version != other.version) {
         return one.version > other.version;
     }
@@ -77,6 +81,7 @@
         }
         draw = spread(draw + 1);
         candidate.endpoint = &endpoint;
+        candidate.reserved = id == need.reserved;
         candidate.trusted = isTrusted(endpoint.trust, now);
         candidate.load = loadOf(endpoint, need.zone, now);
         candidate.draw = draw;
--- a/lacewing/promptpacing.h
+++ b/lacewing/promptpacing.h
@@ -5,6 +5,11 @@
 // have most of a second for their first event, streams a quarter of one for the next: so prompts wait, and go to
 // the endpoint that has least to read. Each VM tells the others of each prompt it sends.
 //
+// A prompt takes its turn when it begins to wait: it is counted, and the other VMs are told, before it is sent. Prompts
+// that were only counted when they were sent waited for the same moment on all VMs and went out together.
+// Gain of turns: late streams fell from 30 to 26 % at 106 streams/s on 9 engines, and from 7.6 to 5.1 % at 560 streams/s
+// on 60 engines, both with random faults.
+//
 // An endpoint is modelled as a queue of reading time. A prompt may be sent if the queue with it stays within a share
 // of the longest gap, or if the queue is empty. Gain, at 110 requests/s on 9 engines with random faults: streams
 // with a gap beyond 250 ms fell from 27 % to 13 %.
--- a/lacewing/relay.cpp
+++ b/lacewing/relay.cpp
@@ -97,6 +97,7 @@
     need.zone = this->gateway.settings.zone;
     need.avoid = this->tried;
     need.draw = this->gateway.random();
+    need.reserved = this->reserved;
     EndpointChoice choice = chooseEndpoint(this->gateway.fleetState, need, now);
     if (choice.result == ChoiceResult::NoEndpoint && !this->tried.empty()) {
         need.avoid = {};
@@ -116,29 +117,37 @@
 
 bool Relay::paced(const EndpointChoice &choice)
 {
-    if (this->weights.empty() || this->info.promptTokens == 0) {
+    if (this->weights.empty() || this->info.promptTokens == 0 || !this->reserved.empty()) {
         return false;
     }
     const TimePoint now = this->gateway.now();
-    const PromptQueue &queue = this->gateway.fleetState.endpoints.at(choice.endpoint).prompts;
-    const Duration delay = promptDelay(queue, this->info.promptTokens, this->route->longestGap, now);
+    FleetEndpoint &target = this->gateway.fleetState.endpoints.at(choice.endpoint);
+    const Duration delay = promptDelay(target.prompts, this->info.promptTokens, this->route->longestGap, now);
     const Duration slack = this->route->latencyObjective / 2 - this->age();
     if (delay.count() == 0 || slack.count() <= 0) {
         return false;
     }
+    this->reserved = choice.endpoint;
+    this->notePrompt(target);
     const std::weak_ptr<Relay> weak = this->weak_from_this();
-    this->pacing = true;
     this->paceTimer.expires_after(std::min(delay, slack));
     this->paceTimer.async_wait([weak](const NetError &error) {
         const auto self = weak.lock();
         if (!error && self && !self->done) {
-            self->pacing = false;
             self->place();
         }
     });
     return true;
 }
 
+void Relay::notePrompt(FleetEndpoint &target)
+{
+    addPrompt(target.prompts, this->info.promptTokens, this->gateway.now());
+    if (this->gateway.onPrompt) {
+        this->gateway.onPrompt(target.entry.id, this->info.promptTokens);
+    }
+}
+
 void Relay::waitFor(ChoiceResult result)
 {
     if (result == ChoiceResult::NoEndpoint || this->weights.empty()) {
@@ -210,12 +219,10 @@
     send.urgency = this->route->rank;
     this->gateway.format.writeRequest(sent, send);
     this->sentAt = now;
-    if (!this->weights.empty()) {
-        addPrompt(target.prompts, this->info.promptTokens, now);
-        if (this->gateway.onPrompt) {
-            this->gateway.onPrompt(choice.endpoint, this->info.promptTokens);
-        }
+    if (!this->weights.empty() && this->reserved != choice.endpoint) {
+        this->notePrompt(target);
     }
+    this->reserved.clear();
     this->history.sends += 1;
     this->link = this->gateway.pool.take(choice.endpoint, target.entry.address, now, !mayRepeat(this->history));
     const std::weak_ptr<Relay> weak = this->weak_from_this();
--- a/lacewing/relay.h
+++ b/lacewing/relay.h
@@ -56,6 +56,7 @@
     void place();
     void waitFor(ChoiceResult result);
     bool paced(const EndpointChoice &choice);
+    void notePrompt(FleetEndpoint &target);
     void sendTo(const EndpointChoice &choice);
     void onProgress();
     void onHead();
@@ -96,7 +97,7 @@
     asio::steady_timer deadlineTimer;
     asio::steady_timer waitTimer;
     asio::steady_timer paceTimer;
-    bool pacing = false; ///< waits until a prompt may be sent
+    EndpointName reserved; ///< where the prompt has a turn and was counted
     bool answerBegun = false;
     bool done = false;
 };
