The end of a hold of a lapsed endpoint is passed on at once

Now it is passed on as the hold ends. Test: entrynodetest anEndpointThatWasKeptAroundAnOutageIsDroppedByAllAtOnce, which fails without the change (21 s, no drop) and passes with it.

--- a/lacewing/entrynode.cpp
+++ b/lacewing/entrynode.cpp
@@ -229,6 +229,7 @@
             this->after(hold, [this, id] {
                 if (this->lapsed.erase(id) > 0) {
                     this->dropEndpoint(id);
+                    this->passListOn(); // the next read is too late for those who wait for it
                 }
             });
         }
--- a/lacewing/testing/entrynodetest.cpp
+++ b/lacewing/testing/entrynodetest.cpp
@@ -153,6 +153,25 @@
     cr_assert(vms.runUntil([&] { return vms.two.listInterval() == vms.one.listInterval(); }));
 }
 
+Test(entrynode, anEndpointThatWasKeptAroundAnOutageIsDroppedByAllAtOnce)
+{
+    Pair vms;
+    cr_assert(vms.runUntil([&] {
+        vms.one.listRead(0);
+        return vms.two.listInterval() > vms.one.listInterval();
+    }));
+    const auto known = [&] { return vms.two.gateway().fleet().endpoints.contains("i-1"); };
+    vms.one.putEndpoint(makeEntry(false));
+    vms.one.listRead(1);
+    cr_assert(vms.runUntil(known));
+    vms.one.storeAnswered(false);
+    vms.one.storeAnswered(true);
+    vms.one.removeEndpoint("i-1"); // may have lapsed only: kept for some while
+    vms.one.listRead(2);
+    cr_assert(known());
+    cr_assert(vms.runUntil([&] { return !known(); })); // with no further read
+}
+
 Test(entrynode, aVmThatMissedAPassedChangeReadsTheListSoon)
 {
     Pair vms;
