--- a/lacewing/placementnews.cpp
+++ b/lacewing/placementnews.cpp
@@ -103,8 +103,7 @@
         if (!found->second.ready) {
             return false;
         }
-        wire::EndpointHoldings holdings
-            = change.all ? inFull(id, found->second) : outline(id, found->second);
+        wire::EndpointHoldings holdings = change.all ? inFull(id, found->second) : outline(id, found->second);
         if (!change.all) {
             for (const auto &[weights, version] : change.gained) {
                 holdings.gained.push_back(heldWeights(weights, version));
--- a/lacewing/promptpacing.h
+++ b/lacewing/promptpacing.h
@@ -7,8 +7,8 @@
 //
 // A prompt takes its turn when it begins to wait: it is counted, and the other VMs are told, before it is sent. Prompts
 // that were only counted when they were sent waited for the same moment on all VMs and went out together.
-// Gain of turns: late streams fell from 30 to 26 % at 106 streams/s on 9 engines, and from 7.6 to 5.1 % at 560 streams/s
-// on 60 engines, both with random faults.
+// Gain of turns: late streams fell from 30 to 26 % at 106 streams/s on 9 engines, and from 7.6 to 5.1 % at 560
+// streams/s on 60 engines, both with random faults.
 //
 // An endpoint is modelled as a queue of reading time. A prompt may be sent if the queue with it stays within a share
 // of the longest gap, or if the queue is empty. Gain, at 110 requests/s on 9 engines with random faults: streams
