VMs list each other after their own announcement is stored

Cause: announcement and list were asked at the same moment. Now a VM lists when its own announcement has been answered: of any two, the one stored last finds the other. Test: entrynodetest vmsThatStartTogetherFindEachOther fails without the change (10 s) and passes with it.

--- a/lacewing/entrynode.cpp
+++ b/lacewing/entrynode.cpp
@@ -220,8 +220,10 @@
         if (!stored && !this->stopping) {
             this->after(listVmsRetry, [this] { this->announce(); });
         }
+        // Only now: of two VMs that start together, the one that is stored last finds the other on the list. Listing
+        // before that, both could miss each other until the next listing, and each took the zone for its own.
+        this->meetVms();
     });
-    this->meetVms();
 }
 
 void EntryNode::meetVms()
--- a/lacewing/testing/entrynodetest.cpp
+++ b/lacewing/testing/entrynodetest.cpp
@@ -17,6 +17,7 @@
     std::vector<VmContact> contacts;
     std::vector<VmId> claims;
     std::set<VmId> cutOff;
+    asio::io_context *storedLater = nullptr; ///< announcements are stored after what follows them was asked
 
     PlatformPort port(const VmId &vm)
     {
@@ -40,8 +41,15 @@
         made.report = [](const EndpointName &, const std::string &,
                          const std::function<void(std::optional<EndpointReport>)> &done) { done(EndpointReport {}); };
         made.announce = [this](const VmContact &contact, const std::function<void(bool)> &done) {
-            this->contacts.push_back(contact);
-            done(true);
+            const auto store = [this, contact, done] {
+                this->contacts.push_back(contact);
+                done(true);
+            };
+            if (this->storedLater != nullptr) {
+                asio::post(*this->storedLater, store);
+            } else {
+                store();
+            }
         };
         made.withdraw = [](const VmId &) {};
         made.listVms
@@ -128,6 +136,23 @@
     cr_assert(vms.runUntil([&] { return !known(); }));
 }
 
+Test(entrynode, vmsThatStartTogetherFindEachOther)
+{
+    asio::io_context context;
+    FakePlatform platform;
+    platform.storedLater = &context;
+    EntryNode one(context, settingsOf(context, "vm1"), RequestFormat {}, platform.port("vm1"));
+    EntryNode two(context, settingsOf(context, "vm2"), RequestFormat {}, platform.port("vm2"));
+    cr_assert_not(one.start());
+    cr_assert_not(two.start());
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+    while (!(one.heard("vm2") && two.heard("vm1")) && std::chrono::steady_clock::now() < end) {
+        context.run_one_for(std::chrono::milliseconds(100));
+    }
+    cr_assert(one.heard("vm2"));
+    cr_assert(two.heard("vm1"));
+}
+
 Test(entrynode, aChangeOlderThanTheOwnReadIsLeftOut)
 {
     Pair vms;
