A question about the claim that the store does not answer confirms nothing

Found on the last read: an unanswered question moved the time of the last confirmation on by half a second, only to space the questions. Where endpoints don't check fencing numbers, that time is what the claim's lifetime is counted from, so an owner refused by the store could have gone on ordering without end. Deployments whose endpoints check fencing count from it nowhere.

--- a/lacewing/entrynodeplacement.cpp
+++ b/lacewing/entrynodeplacement.cpp
@@ -87,7 +87,7 @@
     this->port.newestClaim(this->claim.fencing, [this, sentAt](std::optional<std::int64_t> newest) {
         this->asking = false;
         if (!newest) {
-            this->claim.confirmed += confirmInterval; // asked again after a while
+            noteClaimUnanswered(this->claim, this->clock.now());
         } else if (noteNewest(this->claim, *newest, sentAt, this->clock.now())) {
             this->stopOwning("superseded");
         }
--- a/lacewing/testing/zoneclaimtest.cpp
+++ b/lacewing/testing/zoneclaimtest.cpp
@@ -254,6 +254,19 @@
     cr_assert_not(mayOrder(claim, settings, late));
 }
 
+Test(zoneclaim, aQuestionThatIsNotAnsweredConfirmsNothing)
+{
+    ZoneClaimSettings settings;
+    settings.endpointsCheckFencing = false;
+    ZoneClaim claim = ownerOf(5, settings, start);
+    for (TimePoint now = start; now < start + settings.lifetime; now += claimRetry) {
+        noteClaimUnanswered(claim, now);
+        cr_assert_not(shouldConfirm(claim, settings, wholeZone, now));
+        cr_assert(shouldConfirm(claim, settings, wholeZone, now + claimRetry));
+    }
+    cr_assert_not(mayOrder(claim, settings, start + settings.turnDelay + settings.lifetime));
+}
+
 Test(zoneclaim, aHigherFencingNumberEndsOwnershipForGood)
 {
     const ZoneClaimSettings settings;
--- a/lacewing/zoneclaim.cpp
+++ b/lacewing/zoneclaim.cpp
@@ -99,7 +99,7 @@
         return false;
     }
     const bool doubted = claim.doubted.time_since_epoch().count() > 0;
-    const bool due = now - claim.confirmed >= confirmInterval;
+    const bool due = now >= claim.retryFrom && now - claim.confirmed >= confirmInterval;
     return due && (doubted || isIsolated(view) || !settings.endpointsCheckFencing);
 }
 
--- a/lacewing/zoneclaim.h
+++ b/lacewing/zoneclaim.h
@@ -74,7 +74,7 @@
     std::int64_t newest = 0; ///< fencing number of the newest claim known of; the next claim supersedes it
     TimePoint newestHeard; ///< when the VM that holds the newest claim was last heard, or its claim became known
     bool ownerLeft = false; ///< it has said that it stops
-    TimePoint retryFrom; ///< no claim before
+    TimePoint retryFrom; ///< the store is not asked before
     TimePoint usableFrom; ///< no order before
     TimePoint confirmed; ///< when the store was last asked and named no newer claim
     TimePoint gained; ///< when the claim that is held was made
@@ -122,7 +122,7 @@
 bool noteClaimAnswer(ZoneClaim &claim, const ZoneClaimSettings &settings, bool gained, std::int64_t newest,
                      TimePoint now);
 
-/// The store has not answered a claim, or refused to.
+/// The store has not answered a claim or a question about it, or refused to.
 /// @param claim changed
 /// @param now time
 void noteClaimUnanswered(ZoneClaim &claim, TimePoint now);
