--- a/lacewing/adapterplan.cpp
+++ b/lacewing/adapterplan.cpp
@@ -62,8 +62,22 @@
     struct Want {
         std::string weights;
         double urgency = 0; ///< callers who wait, or less than 1
+        std::int32_t rank = 0;
+        TimePoint since {Duration::max()};
     };
 
+    static bool goesBefore(const Want &one, const Want &other)
+    {
+        const bool awaited = one.urgency >= 1;
+        if (awaited != (other.urgency >= 1)) {
+            return awaited;
+        }
+        if (one.urgency != other.urgency) {
+            return one.urgency > other.urgency;
+        }
+        return one.since > other.since;
+    }
+
     /// Where some weights are, over all endpoints.
     struct Spread {
         std::size_t copies = 0; ///< endpoints that hold them or to which they are coming
@@ -167,7 +181,7 @@
                 }
                 const bool newestHere = this->heldNewest(weights, named.version);
                 if (!newestHere && !this->isComing(weights)) {
-                    this->wants.push_back({weights, 0.9 + held->second.running});
+                    this->wants.push_back({.weights = weights, .urgency = 0.9 + held->second.running});
                 }
                 if (newestHere && held->second.running == 0 && this->free(id, endpoint)) {
                     this->add(makeOrder(PlacementAction::Unload, id, endpoint, weights, 0));
@@ -181,14 +195,13 @@
         for (const auto &[weights, wanted] : this->state.wanted) {
             const std::int32_t version = newestVersion(this->state.versions, weights);
             if (wanted.waiting > 0 && !this->heldNewest(weights, version) && !this->isComing(weights)) {
-                this->wants.push_back({weights, static_cast<double>(wanted.waiting)});
+                this->wants.push_back({weights, static_cast<double>(wanted.waiting), wanted.rank, wanted.since});
             } else if (wanted.remote >= remoteStreamsForCopy && this->copies(weights) == 0) {
-                this->wants.push_back({weights, 0.5});
+                this->wants.push_back({.weights = weights, .urgency = 0.5});
             }
         }
         this->wantCopies();
-        std::stable_sort(this->wants.begin(), this->wants.end(),
-                         [](const Want &one, const Want &other) { return one.urgency > other.urgency; });
+        std::stable_sort(this->wants.begin(), this->wants.end(), goesBefore);
         for (const Want &want : this->wants) {
             if (this->loadsLeft <= 0 || this->freeEndpoints <= 0) {
                 return;
@@ -218,7 +231,7 @@
             const double waiting = wanted == this->state.wanted.end() ? 0 : wanted->second.waiting;
             const double load = use.running + waiting;
             if (load > copyLoadShare * use.slots && !this->isComing(weights)) {
-                this->wants.push_back({weights, std::max(0.4, load - urgentCopyShare * use.slots)});
+                this->wants.push_back({.weights = weights, .urgency = std::max(0.4, load - urgentCopyShare * use.slots)});
             }
         }
     }
@@ -315,7 +328,7 @@
                 continue;
             }
             double cost = stepCost + static_cast<double>(endpoint.running) / endpoint.slots;
-            cost -= endpoint.heldBefore.contains(want.weights) ? homeStep : 0;
+            cost += findRemembered(endpoint.heldBefore, want.weights, version) == nullptr ? fetchCost : 0;
             if (best == nullptr || cost < bestCost) {
                 best = &endpoint;
                 bestId = id;
--- a/lacewing/adapterplan.h
+++ b/lacewing/adapterplan.h
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "adapterversions.h"
+#include "heldbefore.h"
 #include "routeconfig.h"
 #include "types.h"
 
@@ -40,8 +41,9 @@
 /// busiest ran 127 requests in 32 slots while the median ran 10.
 constexpr double homeStep = 0.25;
 constexpr int homeSteps = 2;
-/// Adapters that are remembered as held before by an endpoint; the first deployments' keep 107 to 180.
-constexpr std::size_t mostRemembered = 128;
+/// Load, as a share of slots, for which an endpoint that has to fetch an adapter from the weight store counts as busier
+/// than one that remembers it: any other difference is less than a fetch of a quarter of a second.
+constexpr double fetchCost = 1.0;
 /// Loads of models that may begin at once, and share of the allowed rate that one zone's owner uses of what
 /// falls to it: owners count apart, and a load that a former owner began counts too.
 constexpr double modelLoadShare = 0.8;
@@ -68,7 +70,7 @@
     std::int64_t orders = 0; ///< accepted by it so far; the next order names this number
     std::map<std::string, PlacedAdapter> held; ///< models and MODEL/ADAPTER
     std::map<std::string, ComingAdapter> coming;
-    std::map<std::string, TimePoint> heldBefore; ///< unloaded at that time; loads again fast
+    HeldBefore heldBefore; ///< loads again fast
     TimePoint notBefore; ///< no order before this time
     std::int32_t running = 0;
 };
@@ -76,7 +78,8 @@
 struct WantedWeights {
     std::int32_t waiting = 0; ///< requests that wait for it
     std::int32_t remote = 0; ///< streams of this zone that run on it in another zone
-    TimePoint since;
+    TimePoint since; ///< when the oldest of them began to wait
+    std::int32_t rank = 0; ///< of the most urgent of them; 0 is the most urgent
 };
 
 struct PlacementState {
@@ -127,12 +130,6 @@
 /// @return the measure now
 Duration followLoadTime(Duration loadTime, Duration took);
 
-/// Remembers that an adapter was unloaded.
-/// @param endpoint changed
-/// @param weights MODEL/ADAPTER
-/// @param now time
-void rememberUnloaded(PlacedEndpoint &endpoint, const std::string &weights, TimePoint now);
-
 /// @param order any order
 /// @return MODEL or MODEL/ADAPTER
 std::string weightsOf(const PlacementOrder &order);
@@ -142,6 +139,10 @@
 /// @return adapters that it has room for, with the models that it holds
 std::size_t adapterPlaces(const EngineSpec &engine, const PlacedEndpoint &endpoint);
 
+/// @param state of the zone's endpoints
+/// @return places for adapters at endpoints that are ready, which no request uses or waits for
+std::int32_t idlePlaces(const PlacementState &state);
+
 /// @param endpoint any endpoint
 /// @return adapters that take a place there, held or coming
 std::size_t adaptersPlaced(const PlacedEndpoint &endpoint);
--- a/lacewing/adapterplanstate.cpp
+++ b/lacewing/adapterplanstate.cpp
@@ -36,21 +36,6 @@
     return std::min(took, loadTime + (took - loadTime) / share);
 }
 
-void rememberUnloaded(PlacedEndpoint &endpoint, const std::string &weights, TimePoint now)
-{
-    endpoint.heldBefore[weights] = now;
-    if (endpoint.heldBefore.size() <= mostRemembered) {
-        return;
-    }
-    auto oldest = endpoint.heldBefore.begin();
-    for (auto entry = endpoint.heldBefore.begin(); entry != endpoint.heldBefore.end(); ++entry) {
-        if (entry->second < oldest->second) {
-            oldest = entry;
-        }
-    }
-    endpoint.heldBefore.erase(oldest);
-}
-
 std::string weightsOf(const PlacementOrder &order)
 {
     return order.adapter.empty() ? order.model : order.model + "/" + order.adapter;
@@ -73,6 +58,28 @@
     return std::min(slots, static_cast<std::size_t>(std::max(0.0, left / largest)));
 }
 
+std::int32_t idlePlaces(const PlacementState &state)
+{
+    std::int32_t idle = 0;
+    for (const auto &[id, endpoint] : state.endpoints) {
+        const auto engine = state.engines.find(endpoint.service);
+        if (!endpoint.ready || engine == state.engines.end()) {
+            continue;
+        }
+        auto free = static_cast<std::int32_t>(adapterPlaces(engine->second, endpoint));
+        for (const auto &[weights, held] : endpoint.held) {
+            const auto wanted = state.wanted.find(weights);
+            const bool awaited = wanted != state.wanted.end() && wanted->second.waiting > 0;
+            free -= isAdapter(weights) && (held.running > 0 || awaited) ? 1 : 0;
+        }
+        for (const auto &[weights, coming] : endpoint.coming) {
+            free -= isAdapter(weights) && !endpoint.held.contains(weights) ? 1 : 0;
+        }
+        idle += std::max(0, free);
+    }
+    return idle;
+}
+
 std::size_t adaptersPlaced(const PlacedEndpoint &endpoint)
 {
     std::size_t count = 0;
--- a/lacewing/entrynode.h
+++ b/lacewing/entrynode.h
@@ -25,6 +25,7 @@
 #include "stallwatch.h"
 #include "statusserver.h"
 #include "vmgossip.h"
+#include "wantedzone.h"
 #include "zoneclaim.h"
 
 namespace lacewing {
@@ -99,6 +100,7 @@
         std::int64_t fencing = 0;
         TimePoint heard;
         TimePoint listRead; ///< when it last read the platform's list
+        std::int32_t idlePlaces = -1; ///< for adapters in the zone; -1: not known
     };
 
     void checkClaim();
@@ -117,7 +119,8 @@
     void noteOwnDemand();
     wire::DemandReport demandFor(const ZoneName &ownerZone, const wire::DemandReport &all) const;
     bool hasOwner(const ZoneName &zone) const;
-    ZoneName homeZone(const std::string &weights, std::int32_t step) const;
+    std::vector<ZoneOffer> zoneOffers(const std::string &weights) const;
+    void chooseZones(const wire::DemandReport &all);
     void receivePlacement(const VmId &vm, const wire::PlacementNotice &notice);
     void applyNotice(const wire::PlacementNotice &notice);
     void dropEndpoint(const EndpointName &id);
@@ -145,6 +148,7 @@
     StatusServer metricsServer;
     ZoneClaim claim;
     std::map<ZoneName, ZoneOwner> owners;
+    std::map<std::string, AskedZone> askedZones; ///< for the adapters that requests of this VM wait for
     std::map<EndpointName, TimePoint> lapsed; ///< taken off the list around an outage of the store
     asio::signal_set signals;
     TimePoint storeFailed;
--- a/lacewing/entrynodeplacement.cpp
+++ b/lacewing/entrynodeplacement.cpp
@@ -14,8 +14,6 @@
 
 /// An owner that was not heard for this long is asked for nothing.
 constexpr Duration ownerLifetime = milliseconds(1700);
-/// A request that has waited this long is taken to the next zone's owner as well.
-constexpr std::int32_t askNextZoneMilliseconds = 700;
 
 } // namespace
 
@@ -133,24 +131,44 @@
     return found != this->owners.end() && this->clock.now() - found->second.heard < ownerLifetime;
 }
 
-ZoneName EntryNode::homeZone(const std::string &weights, std::int32_t step) const
+std::vector<ZoneOffer> EntryNode::zoneOffers(const std::string &weights) const
 {
     const std::string model = modelOf(weights);
-    std::vector<std::pair<std::uint64_t, ZoneName>> homes;
+    const std::int32_t oldest = newestVersion(this->dataPath.versions(), weights);
+    std::map<ZoneName, ZoneOffer> zones;
     for (const auto &[id, endpoint] : this->dataPath.fleet().endpoints) {
         const EndpointEntry &entry = endpoint.entry;
-        if (!entry.leaving && entry.held.contains(model) && this->hasOwner(entry.zone)) {
-            homes.emplace_back(homeRank(weights, id), entry.zone);
+        if (entry.leaving || !entry.held.contains(model) || !this->hasOwner(entry.zone)) {
+            continue;
         }
+        ZoneOffer &offer = zones[entry.zone];
+        offer.rank = std::max(offer.rank, homeRank(weights, id));
+        if (const RememberedAdapter *before = findRemembered(endpoint.heldBefore, weights, oldest)) {
+            offer.unloaded = std::max(offer.unloaded, before->unloaded);
+        }
+    }
+    std::vector<ZoneOffer> offers;
+    for (auto &[zone, offer] : zones) {
+        offer.zone = zone;
+        const auto known = this->owners.find(zone);
+        const bool own = zone == this->settings.zone && this->owner.active();
+        offer.idlePlaces = own ? this->owner.idlePlaces() : known == this->owners.end() ? -1 : known->second.idlePlaces;
+        offers.push_back(offer);
     }
-    std::sort(homes.rbegin(), homes.rend());
-    std::vector<ZoneName> zones;
-    for (const auto &[rank, zone] : homes) {
-        if (std::find(zones.begin(), zones.end(), zone) == zones.end()) {
-            zones.push_back(zone);
+    return offers;
+}
+
+void EntryNode::chooseZones(const wire::DemandReport &all)
+{
+    std::map<std::string, AskedZone> next;
+    for (const wire::WantedWeights &want : all.wanted) {
+        const auto found = this->askedZones.find(want.name);
+        const auto before = found == this->askedZones.end() ? std::nullopt : std::optional(found->second);
+        if (const auto zone = zoneToAsk(this->zoneOffers(want.name), before, this->clock.now())) {
+            next[want.name] = *zone;
         }
     }
-    return zones.empty() ? ZoneName() : zones[static_cast<std::size_t>(step) % zones.size()];
+    this->askedZones = std::move(next);
 }
 
 wire::DemandReport EntryNode::demandFor(const ZoneName &ownerZone, const wire::DemandReport &all) const
@@ -164,8 +182,8 @@
         }
     }
     for (const wire::WantedWeights &want : all.wanted) {
-        const std::int32_t step = want.oldestMilliseconds / askNextZoneMilliseconds;
-        if (this->homeZone(want.name, step) == ownerZone) {
+        const auto zone = this->askedZones.find(want.name);
+        if (zone != this->askedZones.end() && zone->second.zone == ownerZone) {
             report.wanted.push_back(want);
         }
     }
@@ -180,6 +198,7 @@
         return;
     }
     this->demandEmpty = empty;
+    this->chooseZones(all);
     const TimePoint now = this->clock.now();
     for (const auto &[zone, zoneOwner] : this->owners) {
         if (now - zoneOwner.heard < ownerLifetime && zoneOwner.vm != this->settings.vm) {
@@ -245,7 +264,8 @@
     }
     const TimePoint now = this->clock.now();
     const bool hasRead = notice.listAgeMilliseconds >= 0;
-    known = {vm, notice.fencing, now, hasRead ? now - milliseconds(notice.listAgeMilliseconds) : known.listRead};
+    known = {vm, notice.fencing, now, hasRead ? now - milliseconds(notice.listAgeMilliseconds) : known.listRead,
+             notice.idlePlaces};
     if (notice.zone == this->settings.zone && noteOwner(this->claim, notice.fencing, now)) {
         this->stopOwning("superseded");
     }
@@ -257,7 +277,8 @@
 
 void EntryNode::applyNotice(const wire::PlacementNotice &notice)
 {
-    this->dataPath.changeFleet([&notice](Fleet &fleet) {
+    const TimePoint now = this->clock.now();
+    this->dataPath.changeFleet([&notice, now](Fleet &fleet) {
         for (const wire::EndpointHoldings &holdings : notice.endpoints) {
             if (!isIncarnation(fleet, holdings.endpoint, holdings.born)) {
                 continue; // unknown, ended, or not read from the list yet
@@ -268,14 +289,14 @@
                 for (const wire::HeldWeights &one : holdings.gained) {
                     gained[one.name] = one.version;
                 }
-                putChange(fleet, holdings.endpoint, holdings.orders, gained, holdings.lost);
+                putChange(fleet, holdings.endpoint, holdings.orders, gained, holdings.lost, now);
                 continue;
             }
             HeldVersions held;
             for (const wire::HeldWeights &one : holdings.held) {
                 held[one.name] = one.version;
             }
-            putHoldings(fleet, holdings.endpoint, holdings.orders, std::move(held), holdings.running);
+            putHoldings(fleet, holdings.endpoint, holdings.orders, std::move(held), holdings.running, now);
         }
     });
 }
--- a/lacewing/fleet.cpp
+++ b/lacewing/fleet.cpp
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 
+#include "weightsname.h"
+
 namespace lacewing {
 
 namespace {
@@ -18,6 +20,19 @@
     fleet.byService[entry.service].push_back(entry.id);
 }
 
+/// The endpoint no longer holds some weights.
+void loseHeld(FleetEndpoint &endpoint, const std::string &weights, TimePoint now)
+{
+    const auto held = endpoint.entry.held.find(weights);
+    if (held == endpoint.entry.held.end()) {
+        return;
+    }
+    if (isAdapter(weights)) {
+        rememberUnloaded(endpoint.heldBefore, weights, {held->second, now}, mostRemembered);
+    }
+    endpoint.entry.held.erase(held);
+}
+
 } // namespace
 
 ListedAs putEndpoint(Fleet &fleet, const EndpointEntry &entry, TimePoint now)
@@ -65,7 +80,8 @@
     fleet.endpoints.erase(found);
 }
 
-void putHoldings(Fleet &fleet, const EndpointName &id, std::int64_t orders, HeldVersions held, std::int32_t running)
+void putHoldings(Fleet &fleet, const EndpointName &id, std::int64_t orders, HeldVersions held, std::int32_t running,
+                 TimePoint now)
 {
     const auto found = fleet.endpoints.find(id);
     if (found == fleet.endpoints.end()) {
@@ -73,26 +89,34 @@
     }
     putRunning(fleet, id, running);
     FleetEndpoint &known = found->second;
-    if (orders >= known.entry.orders) {
-        known.entry.orders = orders;
-        known.entry.held = std::move(held);
+    if (orders < known.entry.orders) {
+        return;
+    }
+    known.entry.orders = orders;
+    const HeldVersions before = known.entry.held;
+    for (const auto &[weights, version] : before) {
+        if (!held.contains(weights)) {
+            loseHeld(known, weights, now);
+        }
     }
+    known.entry.held = std::move(held);
 }
 
 void putChange(Fleet &fleet, const EndpointName &id, std::int64_t orders, const HeldVersions &gained,
-               const std::vector<std::string> &lost)
+               const std::vector<std::string> &lost, TimePoint now)
 {
     const auto found = fleet.endpoints.find(id);
     if (found == fleet.endpoints.end() || orders < found->second.entry.orders) {
         return;
     }
-    EndpointEntry &entry = found->second.entry;
-    entry.orders = orders;
+    FleetEndpoint &known = found->second;
+    known.entry.orders = orders;
     for (const std::string &weights : lost) {
-        entry.held.erase(weights);
+        loseHeld(known, weights, now);
     }
     for (const auto &[weights, version] : gained) {
-        entry.held[weights] = version;
+        known.entry.held[weights] = version;
+        known.heldBefore.erase(weights);
     }
 }
 
--- a/lacewing/fleet.h
+++ b/lacewing/fleet.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "endpointtrust.h"
+#include "heldbefore.h"
 #include "promptpacing.h"
 #include "types.h"
 
@@ -38,6 +39,7 @@
 struct FleetEndpoint {
     EndpointEntry entry; ///< held and orders are of the freshest source
     EndpointTrust trust;
+    HeldBefore heldBefore; ///< as the placement owner's news tell
     PromptQueue prompts; ///< of all VMs, as far as they said so
     std::int32_t ownRunning = 0; ///< requests of this VM in progress there
     std::int32_t allRunning = 0; ///< of all VMs, when the owner last said so
@@ -77,7 +79,9 @@
 /// @param orders accepted by the endpoint when the owner last looked
 /// @param held what it holds then
 /// @param running requests of all VMs in progress there
-void putHoldings(Fleet &fleet, const EndpointName &id, std::int64_t orders, HeldVersions held, std::int32_t running);
+/// @param now time
+void putHoldings(Fleet &fleet, const EndpointName &id, std::int64_t orders, HeldVersions held, std::int32_t running,
+                 TimePoint now);
 
 /// @param fleet all endpoints
 /// @param id of an endpoint
@@ -91,8 +95,9 @@
 /// @param orders accepted by the endpoint when the owner last looked
 /// @param gained what it holds now
 /// @param lost what it holds no more
+/// @param now time
 void putChange(Fleet &fleet, const EndpointName &id, std::int64_t orders, const HeldVersions &gained,
-               const std::vector<std::string> &lost);
+               const std::vector<std::string> &lost, TimePoint now);
 
 /// Takes in how busy an endpoint is, as the placement owner says.
 /// @param fleet changed; unknown endpoints are left out
--- a/lacewing/gateway.cpp
+++ b/lacewing/gateway.cpp
@@ -209,6 +209,7 @@
         if (!weights.empty()) {
             wire::WantedWeights &one = wanted[weights];
             one.name = weights;
+            one.rank = one.waiting == 0 ? relay->rank() : std::min(one.rank, relay->rank());
             one.waiting += 1;
             const auto age = static_cast<std::int32_t>(toMilliseconds(relay->age()));
             one.oldestMilliseconds = std::max(one.oldestMilliseconds, age);
--- a/lacewing/lacewing.thrift
+++ b/lacewing/lacewing.thrift
@@ -281,7 +281,8 @@
   3: list<EndpointHoldings> endpoints,
   4: i64 listAgeMilliseconds = -1,     // since the sender last read the platform's list of endpoints; -1: never
   5: bool yields = false,              // the sender gives the zone up: another VM is to claim it
-  6: i64 listChange = 0                // offset of the last change of the list that the sender has passed on
+  6: i64 listChange = 0,               // offset of the last change of the list that the sender has passed on
+  7: i32 idlePlaces = -1               // places for adapters in the zone that no request uses or waits for; -1: not known
 }
 
 /** An endpoint as the platform lists it, without what it holds. */
@@ -307,7 +308,12 @@
 struct EndpointUse { 1: string endpoint, 2: i32 running = 0, 3: list<string> names, 4: list<i32> counts }
 
 /** Requests of one VM that wait for weights that no endpoint holds. */
-struct WantedWeights { 1: string name, 2: i32 waiting = 0, 3: i32 oldestMilliseconds = 0 }
+struct WantedWeights {
+  1: string name,
+  2: i32 waiting = 0,
+  3: i32 oldestMilliseconds = 0,       // age of the oldest of them
+  4: i32 rank = 0                      // of the most urgent of them; 0 is the most urgent
+}
 
 /** What one VM runs and waits for; sent to the placement owners, and to all VMs as a heartbeat. */
 struct DemandReport { 1: list<EndpointUse> uses, 2: list<WantedWeights> wanted }
--- a/lacewing/placementowner.cpp
+++ b/lacewing/placementowner.cpp
@@ -112,6 +112,7 @@
         PlacedEndpoint &endpoint = this->state.endpoints[id];
         if (isNew) { // an incarnation that is not known holds what its first report says, and nothing of before
             endpoint = PlacedEndpoint {};
+            endpoint.heldBefore = known.heldBefore;
             this->reportOpen[id] = false;
         }
         endpoint.born = known.entry.born;
@@ -173,7 +174,11 @@
             }
         }
         for (const wire::WantedWeights &want : demand.report.wanted) {
-            wanted[want.name].waiting += want.waiting;
+            WantedWeights &one = wanted[want.name];
+            const TimePoint since = demand.heard - milliseconds(want.oldestMilliseconds);
+            one.rank = one.waiting == 0 ? want.rank : std::min(one.rank, want.rank);
+            one.since = one.waiting == 0 ? since : std::min(one.since, since);
+            one.waiting += want.waiting;
         }
     }
     this->state.wanted = std::move(wanted);
@@ -241,6 +246,12 @@
     });
 }
 
+std::size_t PlacementOwner::mostRememberedBy(const PlacedEndpoint &endpoint) const
+{
+    const auto engine = this->state.engines.find(endpoint.service);
+    return engine == this->state.engines.end() ? 0 : rememberedPerPlace * adapterPlaces(engine->second, endpoint);
+}
+
 PlacedEndpoint *PlacementOwner::incarnation(const EndpointName &id, std::int64_t born)
 {
     const auto found = this->state.endpoints.find(id);
@@ -264,8 +275,11 @@
         this->onLoaded(order);
     } else if (reply == OrderReply::Done && order.action == PlacementAction::Unload) {
         endpoint.orders = order.expectedOrders + 1;
-        endpoint.held.erase(weights);
-        rememberUnloaded(endpoint, weights, time);
+        const auto held = endpoint.held.find(weights);
+        if (held != endpoint.held.end()) {
+            rememberUnloaded(endpoint.heldBefore, weights, {held->second.version, time}, this->mostRememberedBy(endpoint));
+            endpoint.held.erase(held);
+        }
         this->news.noteLost(order.endpoint, weights);
     } else if (reply == OrderReply::Fenced) {
         logEvent("order_fenced", {{"endpoint", order.endpoint}, {"fencing", std::to_string(this->fencingNumber)}});
@@ -296,7 +310,7 @@
         endpoint.busy = true;
         this->schedulePoll(order.endpoint, pollInterval);
     } else {
-        const bool heldBefore = endpoint.heldBefore.contains(weightsOf(order));
+        const bool heldBefore = findRemembered(endpoint.heldBefore, weightsOf(order), order.version) != nullptr;
         this->scheduleCheck(order, heldBefore ? fastLoad : firstCheckAfter(this->loadTime));
     }
 }
@@ -312,7 +326,7 @@
                  {{"endpoint", order.endpoint},
                   {"weights", weights},
                   {"took_ms", std::to_string(toMilliseconds(time - coming->second.since))}});
-        if (!endpoint.heldBefore.contains(weights)) {
+        if (findRemembered(endpoint.heldBefore, weights, order.version) == nullptr) {
             this->noteLoadTime(time - coming->second.since);
         }
         endpoint.coming.erase(coming);
@@ -327,6 +341,11 @@
     this->loadTime = followLoadTime(this->loadTime, took);
 }
 
+std::int32_t PlacementOwner::idlePlaces() const
+{
+    return lacewing::idlePlaces(this->state);
+}
+
 wire::PlacementNotice PlacementOwner::nextNotice()
 {
     return this->notice(this->news.next(this->state.endpoints));
@@ -338,6 +357,7 @@
     notice.zone = this->zone;
     notice.fencing = this->fencingNumber;
     notice.endpoints = std::move(endpoints);
+    notice.idlePlaces = this->idlePlaces();
     return notice;
 }
 
--- a/lacewing/placementowner.h
+++ b/lacewing/placementowner.h
@@ -56,6 +56,9 @@
     /// @param vm that is gone
     void forgetVm(const VmId &vm);
 
+    /// @return places for adapters in the zone that no request uses or waits for
+    std::int32_t idlePlaces() const;
+
     /// @return how busy all endpoints are, and what some of them hold: others with each call
     wire::PlacementNotice nextNotice();
 
@@ -95,6 +98,7 @@
     void mergeDemand();
     void refillModelLoads();
     bool allowed() const;
+    std::size_t mostRememberedBy(const PlacedEndpoint &endpoint) const;
     PlacedEndpoint *incarnation(const EndpointName &id, std::int64_t born);
     TimePoint now() const;
 
--- a/lacewing/relay.cpp
+++ b/lacewing/relay.cpp
@@ -186,9 +186,12 @@
 
 bool Relay::before(const Relay &other) const
 {
-    const std::int32_t rank = this->route == nullptr ? 0 : this->route->rank;
-    const std::int32_t otherRank = other.route == nullptr ? 0 : other.route->rank;
-    return rank != otherRank ? rank < otherRank : this->arrived < other.arrived;
+    return this->rank() != other.rank() ? this->rank() < other.rank() : this->arrived < other.arrived;
+}
+
+std::int32_t Relay::rank() const
+{
+    return this->route == nullptr ? 0 : this->route->rank;
 }
 
 void Relay::onWaitLimit()
--- a/lacewing/relay.h
+++ b/lacewing/relay.h
@@ -47,6 +47,8 @@
     /// @param other a request that waits too
     /// @return whether this one goes first: the more urgent route, then the earlier arrival
     bool before(const Relay &other) const;
+    /// @return urgency of its route; 0 is the most urgent
+    std::int32_t rank() const;
     /// @return time since it arrived
     Duration age() const;
 
--- a/lacewing/testing/adapterplantest.cpp
+++ b/lacewing/testing/adapterplantest.cpp
@@ -63,7 +63,7 @@
         if (order.action == PlacementAction::Unload) {
             cr_assert_eq(endpoint.held.at(weightsOf(order)).running, 0, "an adapter in use is unloaded");
             endpoint.held.erase(weightsOf(order));
-            rememberUnloaded(endpoint, weightsOf(order), this->now);
+            rememberUnloaded(endpoint.heldBefore, weightsOf(order), {1, this->now}, rememberedPerPlace * places);
         }
         cr_assert(adaptersPlaced(endpoint) <= places, "more is loaded than there are places");
     }
--- a/lacewing/testing/endpointchoicetest.cpp
+++ b/lacewing/testing/endpointchoicetest.cpp
@@ -40,7 +40,7 @@
     putEndpoint(fleet, makeEntry("e1", "a", {{"m", 1}, {"m/x", 1}}), start);
     putEndpoint(fleet, makeEntry("e2", "a", {{"m", 1}, {"m/x", 1}}), start);
     putEndpoint(fleet, makeEntry("e3", "a", {{"m", 1}}), start);
-    putHoldings(fleet, "e1", 0, {{"m", 1}, {"m/x", 1}}, 10);
+    putHoldings(fleet, "e1", 0, {{"m", 1}, {"m/x", 1}}, 10, start);
     const EndpointChoice choice = chooseEndpoint(fleet, need("m/x"), start);
     cr_assert_eq(choice.result, ChoiceResult::Chosen);
     cr_assert_eq(choice.endpoint, "e2");
@@ -61,9 +61,9 @@
     Fleet fleet;
     putEndpoint(fleet, makeEntry("near", "a"), start);
     putEndpoint(fleet, makeEntry("far", "b"), start);
-    putHoldings(fleet, "near", 0, {}, 7);
+    putHoldings(fleet, "near", 0, {}, 7, start);
     cr_assert_eq(chooseEndpoint(fleet, need(), start).endpoint, "near");
-    putHoldings(fleet, "near", 0, {}, 9);
+    putHoldings(fleet, "near", 0, {}, 9, start);
     cr_assert_eq(chooseEndpoint(fleet, need(), start).endpoint, "far");
 }
 
@@ -83,7 +83,7 @@
     Fleet fleet;
     putEndpoint(fleet, makeEntry("old", "a", {{"m/x", 1}}), start);
     putEndpoint(fleet, makeEntry("new", "b", {{"m/x", 2}}), start);
-    putHoldings(fleet, "new", 0, {{"m/x", 2}}, 20);
+    putHoldings(fleet, "new", 0, {{"m/x", 2}}, 20, start);
     cr_assert_eq(chooseEndpoint(fleet, need("m/x"), start).endpoint, "new");
     removeEndpoint(fleet, "new");
     cr_assert_eq(chooseEndpoint(fleet, need("m/x"), start).endpoint, "old");
@@ -98,7 +98,7 @@
     EndpointEntry entry = makeEntry("e1", "a", {{"m", 1}});
     entry.orders = 3;
     putEndpoint(fleet, entry, start);
-    putHoldings(fleet, "e1", 5, {{"m", 1}, {"m/x", 1}}, 0);
+    putHoldings(fleet, "e1", 5, {{"m", 1}, {"m/x", 1}}, 0, start);
     putEndpoint(fleet, entry, start); // the list is behind
     cr_assert_eq(chooseEndpoint(fleet, need("m/x"), start).result, ChoiceResult::Chosen);
     entry.orders = 6;
--- a/lacewing/testing/placementnewstest.cpp
+++ b/lacewing/testing/placementnewstest.cpp
@@ -23,9 +23,9 @@
             held[one.name] = one.version;
         }
         if (holdings.heldOmitted) {
-            putChange(fleet, holdings.endpoint, holdings.orders, held, holdings.lost);
+            putChange(fleet, holdings.endpoint, holdings.orders, held, holdings.lost, TimePoint {});
         } else {
-            putHoldings(fleet, holdings.endpoint, holdings.orders, held, holdings.running);
+            putHoldings(fleet, holdings.endpoint, holdings.orders, held, holdings.running, TimePoint {});
         }
     }
 }
