--- a/lacewing/adapterplan.cpp
+++ b/lacewing/adapterplan.cpp
@@ -72,6 +72,9 @@
         if (awaited != (other.urgency >= 1)) {
             return awaited;
         }
+        if (one.rank != other.rank) {
+            return one.rank < other.rank;
+        }
         if (one.urgency != other.urgency) {
             return one.urgency > other.urgency;
         }
@@ -270,6 +273,16 @@
         return found->second;
     }
 
+    double placesTaken(const PlacedEndpoint &endpoint) const
+    {
+        double taken = 0;
+        for (const auto &[weights, held] : endpoint.held) {
+            taken += isAdapter(weights) && held.running > 0 ? 1 : 0;
+        }
+        return taken + static_cast<double>(endpoint.coming.size());
+    }
+    static constexpr double placesStep = 0.0;
+
     /// Endpoints in the order in which they are homes of the weights.
     std::vector<std::pair<std::uint64_t, EndpointName>> homesOf(const std::string &weights) const
     {
@@ -327,7 +340,7 @@
             if (endpoint.running >= endpoint.slots) {
                 continue;
             }
-            double cost = stepCost + static_cast<double>(endpoint.running) / endpoint.slots;
+            double cost = stepCost * placesStep + this->placesTaken(endpoint) / std::max<double>(1, static_cast<double>(adapterPlaces(engine->second, endpoint)));
             cost += findRemembered(endpoint.heldBefore, want.weights, version) == nullptr ? fetchCost : 0;
             if (best == nullptr || cost < bestCost) {
                 best = &endpoint;
