--- a/lacewing/adapterplan.cpp
+++ b/lacewing/adapterplan.cpp
@@ -310,12 +310,40 @@
         return !replaces || (held->second.running == 0 && held->second.version < version);
     }
 
+    /// Whether an endpoint that remembers the weights can't take them now, but is worth waiting for.
+    bool waitsForRemembered(const Want &want, std::int32_t version) const
+    {
+        if (this->now - want.since > waitForRemembered) {
+            return false;
+        }
+        bool any = false;
+        for (const auto &[id, endpoint] : this->state.endpoints) {
+            if (!endpoint.ready || findRemembered(endpoint.heldBefore, want.weights, version) == nullptr) {
+                continue;
+            }
+            if (this->free(id, endpoint)) {
+                const auto engine = this->state.engines.find(endpoint.service);
+                const bool room = engine != this->state.engines.end()
+                    && (adaptersPlaced(endpoint) < adapterPlaces(engine->second, endpoint)
+                        || !this->victimOf(endpoint, Duration {0}).weights.empty());
+                if (room) {
+                    return false;
+                }
+            }
+            any = true;
+        }
+        return any;
+    }
+
     void place(const Want &want)
     {
         if (this->placed.contains(want.weights)) { // wanted for two reasons
             return;
         }
         const std::int32_t version = newestVersion(this->state.versions, want.weights);
+        if (this->waitsForRemembered(want, version)) {
+            return;
+        }
         const PlacedEndpoint *best = nullptr;
         EndpointName bestId;
         std::string bestVictim;
--- a/lacewing/adapterplan.h
+++ b/lacewing/adapterplan.h
@@ -44,6 +44,8 @@
 /// Load, as a share of slots, for which an endpoint that has to fetch an adapter from the weight store counts as busier
 /// than one that remembers it: any other difference is less than a fetch of a quarter of a second.
 constexpr double fetchCost = 1.0;
+/// How long a caller waits for a place at an endpoint that remembers the adapter before it is fetched elsewhere.
+constexpr Duration waitForRemembered = milliseconds(300);
 /// Loads of models that may begin at once, and share of the allowed rate that one zone's owner uses of what
 /// falls to it: owners count apart, and a load that a former owner began counts too.
 constexpr double modelLoadShare = 0.8;
