--- a/lacewing/endpointchoice.cpp
+++ b/lacewing/endpointchoice.cpp
@@ -43,9 +43,9 @@
     return one.draw < other.draw;
 }
 
-double loadOf(const FleetEndpoint &endpoint, const ZoneName &zone, TimePoint now)
+double loadOf(const FleetEndpoint &endpoint, const ZoneName &zone)
 {
-    const double backlog = std::chrono::duration<double>(promptBacklog(endpoint.prompts, now)).count()
+    const double backlog = std::chrono::duration<double>(promptBacklog(endpoint.prompts)).count()
         / std::chrono::duration<double>(backlogOfFullEndpoint).count();
     const double slots = std::max(1, endpoint.entry.slots);
     const double handicap = endpoint.entry.zone == zone ? 0 : remoteHandicap;
@@ -83,7 +83,7 @@
         candidate.endpoint = &endpoint;
         candidate.reserved = id == need.reserved;
         candidate.trusted = isTrusted(endpoint.trust, now);
-        candidate.load = loadOf(endpoint, need.zone, now);
+        candidate.load = loadOf(endpoint, need.zone);
         candidate.draw = draw;
         if (isBetter(candidate, best)) {
             best = candidate;
--- a/lacewing/entrynode.cpp
+++ b/lacewing/entrynode.cpp
@@ -100,9 +100,8 @@
         }
     };
     this->gossip.onPrompt
-        = [this](const wire::PromptSent &prompt) { this->dataPath.notePrompt(prompt.endpoint, prompt.tokens); };
-    this->dataPath.onPrompt
-        = [this](const EndpointName &endpoint, std::int32_t tokens) { this->gossip.sendPromptToAll(endpoint, tokens); };
+        = [this](const wire::PromptSent &prompt) { this->dataPath.notePrompt(prompt); };
+    this->dataPath.onPrompt = [this](const wire::PromptSent &prompt) { this->gossip.sendPromptToAll(prompt); };
     this->owner.onChanged = [this](const wire::PlacementNotice &notice) { this->spread(notice); };
     this->owner.mayOrder = [this] { return this->mayOrderNow(); };
     this->owner.onFenced = [this] {
--- a/lacewing/gateway.cpp
+++ b/lacewing/gateway.cpp
@@ -122,11 +122,35 @@
     }
 }
 
-void Gateway::notePrompt(const EndpointName &id, std::int32_t tokens)
+void Gateway::notePrompt(const wire::PromptSent &prompt)
 {
-    const auto found = this->fleetState.endpoints.find(id);
-    if (found != this->fleetState.endpoints.end()) {
-        addPrompt(found->second.prompts, tokens, this->now());
+    const auto found = this->fleetState.endpoints.find(prompt.endpoint);
+    if (found == this->fleetState.endpoints.end()) {
+        return;
+    }
+    PromptQueue &queue = found->second.prompts;
+    if (!prompt.ended) {
+        addPrompt(queue, {prompt.ticket, prompt.tokens, this->now()});
+        return;
+    }
+    if (prompt.readMicroseconds > 0) {
+        learnReading(queue, prompt.tokens, Duration {prompt.readMicroseconds});
+    }
+    if (removePrompt(queue, prompt.ticket)) {
+        this->wakePaced(prompt.endpoint);
+    }
+}
+
+void Gateway::wakePaced(const EndpointName &id)
+{
+    std::vector<std::shared_ptr<Relay>> paced;
+    for (const auto &relay : this->relays) {
+        if (relay->pacedAt() == id) {
+            paced.push_back(relay);
+        }
+    }
+    for (const auto &relay : paced) {
+        relay->lookForTurn();
     }
 }
 
--- a/lacewing/gateway.h
+++ b/lacewing/gateway.h
@@ -115,13 +115,11 @@
     const AdapterVersions &versions() const;
     const GatewayCounters &counters() const;
 
-    /// Another VM has sent a prompt to an endpoint.
-    /// @param id endpoint
-    /// @param tokens of the prompt
-    void notePrompt(const EndpointName &id, std::int32_t tokens);
+    /// A prompt of any VM joins the queue of an endpoint, or has been read there.
+    void notePrompt(const wire::PromptSent &prompt);
 
-    /// Called when this VM sends a prompt to an endpoint.
-    std::function<void(const EndpointName &, std::int32_t tokens)> onPrompt;
+    /// Called with each prompt of this VM that does so.
+    std::function<void(const wire::PromptSent &)> onPrompt;
     /// Called when a request begins to wait for weights that no endpoint holds.
     std::function<void()> onWanted;
 
@@ -132,6 +130,7 @@
     void addCaller(Tcp::socket socket);
     void onRequest(const std::shared_ptr<CallerConnection> &caller, HttpRequestHead head, std::string body);
     void wakeWaiting();
+    void wakePaced(const EndpointName &id);
     TimePoint now() const;
     RetryBudget &budgetOf(const ServiceName &service);
 
--- a/lacewing/lacewing.thrift
+++ b/lacewing/lacewing.thrift
@@ -318,8 +318,14 @@
 /** What one VM runs and waits for; sent to the placement owners, and to all VMs as a heartbeat. */
 struct DemandReport { 1: list<EndpointUse> uses, 2: list<WantedWeights> wanted }
 
-/** A prompt that the sender has just sent to an endpoint. */
-struct PromptSent { 1: string endpoint, 2: i32 tokens }
+/** A prompt of the sender joins the queue of an endpoint, or has been read there. */
+struct PromptSent {
+  1: string endpoint,
+  2: i32 tokens,
+  3: i64 ticket = 0,                   // names the prompt among all VMs
+  4: bool ended = false,               // it leaves the queue
+  5: i32 readMicroseconds = 0          // that it took, if it found the endpoint idle; 0: not known
+}
 
 /** One datagram. Exactly one of the optional bodies is set. */
 struct VmDatagram {
--- a/lacewing/promptpacing.h
+++ b/lacewing/promptpacing.h
@@ -1,56 +1,74 @@
-// When a prompt may be sent to an endpoint without making the streams there pause.
+// When a prompt may be sent to an endpoint without making the streams there pause for too long.
 //
-// Load pattern: prompts that arrive in clumps. An engine reads prompts between the tokens of the streams that it
-// runs, so prompts that come close together stretch the gap between two events of every stream there. Requests
-// have most of a second for their first event, streams a quarter of one for the next: so prompts wait, and go to
-// the endpoint that has least to read. Each VM tells the others of each prompt it sends.
+// Load pattern: prompts that arrive in clumps. An engine reads prompts between the tokens of the streams that it runs, so
+// what is unread at an engine stretches the gap between two events of every stream there. Requests have most of a second
+// for their first event, streams a fraction of one for the next. So prompts wait with us in one queue for each endpoint,
+// which all VMs follow: each tells the others when a prompt of its own joins the queue and when it was read (its first
+// event came, or it ended without one).
 //
-// A prompt takes its turn when it begins to wait: it is counted, and the other VMs are told, before it is sent. Prompts
-// that were only counted when they were sent waited for the same moment on all VMs and went out together.
-// Gain of turns: late streams fell from 30 to 26 % at 106 streams/s on 9 engines, and from 7.6 to 5.1 % at 560
-// streams/s on 60 engines, both with random faults.
-//
-// An endpoint is modelled as a queue of reading time. A prompt may be sent if the queue with it stays within a share
-// of the longest gap, or if the queue is empty. Gain, at 110 requests/s on 9 engines with random faults: streams
-// with a gap beyond 250 ms fell from 27 % to 13 %.
+// A prompt has its turn when it and all before it in the queue are read within one gap, or when nothing is before it. How
+// fast an endpoint reads is learned from the first events of prompts that found it idle.
 
 #pragma once
 
 #include <cstdint>
+#include <vector>
 
 #include "types.h"
 
 namespace lacewing {
 
-/// Prompt tokens read a millisecond until it is measured: that of the engines of the first deployments.
-constexpr double assumedTokensPerMillisecond = 38.7;
-/// Share of an endpoint's time that may go into prompts for some while: the rest makes tokens. An event of a stream
-/// takes as long as its tokens and the prompts that are read between them, so queue and share together bound what is
-/// read within one gap: 0.4 of the gap at once and 0.6 of it in the course of the gap, in terms of the queue.
-constexpr double promptShare = 0.6;
-/// Share of the longest gap that the queue may hold.
-constexpr double gapShare = 0.4;
+/// Prompt tokens read a millisecond until an endpoint was seen to read: a slow one is overrun less than a fast one waits.
+constexpr double assumedTokensPerMillisecond = 19.0;
+/// Share of the longest gap that the unread prompts may take: the rest makes tokens.
+constexpr double gapShare = 0.85;
+/// A prompt that is still unread after this long was lost with its notice; callers leave a silent answer by then.
+constexpr Duration lostPromptAfter = milliseconds(4000);
+/// Shorter prompts say little of the reading rate: the time of a step and of the way are as long.
+constexpr std::int32_t leastTokensToLearn = 800;
+
+/// A prompt that waits for its turn, or is being read.
+struct QueuedPrompt {
+    std::int64_t ticket = 0; ///< names it among all VMs
+    std::int32_t tokens = 0;
+    TimePoint since;
+};
 
-/// Reading time that an endpoint has before it.
+/// The prompts of all VMs at one endpoint, in the order in which they joined.
 struct PromptQueue {
-    TimePoint busyUntil;
+    std::vector<QueuedPrompt> prompts;
+    double tokensPerMillisecond = assumedTokensPerMillisecond; ///< reading rate, as learned
 };
 
+/// Joins the queue; those that must have been lost leave it.
 /// @param queue changed
-/// @param tokens of a prompt that is being sent
-/// @param now time
-void addPrompt(PromptQueue &queue, std::int32_t tokens, TimePoint now);
+/// @param prompt at its end
+void addPrompt(PromptQueue &queue, const QueuedPrompt &prompt);
+
+/// @param queue changed
+/// @param ticket of a prompt that was read, or won't be
+/// @return whether it was in the queue
+bool removePrompt(PromptQueue &queue, std::int64_t ticket);
 
 /// @param queue of an endpoint
-/// @param now time
-/// @return reading time before it
-Duration promptBacklog(const PromptQueue &queue, TimePoint now);
+/// @param ticket of a prompt
+/// @return tokens before it in the queue; all if it is not in it
+std::int64_t tokensAhead(const PromptQueue &queue, std::int64_t ticket);
 
 /// @param queue of an endpoint
-/// @param tokens of the prompt
+/// @return reading time of all prompts in it
+Duration promptBacklog(const PromptQueue &queue);
+
+/// @param queue of an endpoint
+/// @param prompt that is in the queue or would join it
 /// @param longestGap between two events of a stream that is on time; 0: prompts are not paced
-/// @param now time
-/// @return how long to wait before the prompt is sent; 0: send it now
-Duration promptDelay(const PromptQueue &queue, std::int32_t tokens, Duration longestGap, TimePoint now);
+/// @return whether it may be sent now
+bool hasTurn(const PromptQueue &queue, const QueuedPrompt &prompt, Duration longestGap);
+
+/// Learns from a prompt that found the endpoint idle.
+/// @param queue changed
+/// @param tokens of the prompt
+/// @param took from its sending to its first event
+void learnReading(PromptQueue &queue, std::int32_t tokens, Duration took);
 
 } // namespace lacewing
--- a/lacewing/relay.cpp
+++ b/lacewing/relay.cpp
@@ -24,6 +24,12 @@
 /// Told to callers of a VM that is stopping or starting: another one takes them at once.
 constexpr Duration elsewhereRetryAfter = milliseconds(50);
 
+/// How old a request gets while its prompt waits for its turn; then it is sent out of turn.
+Duration turnLimit(Duration latencyObjective)
+{
+    return latencyObjective / 2;
+}
+
 } // namespace
 
 Relay::Relay(Gateway &owner, std::shared_ptr<CallerConnection> connection, HttpRequestHead requestHead,
@@ -92,54 +98,105 @@
     need.zone = this->gateway.settings.zone;
     need.avoid = this->tried;
     need.draw = this->gateway.random();
-    need.reserved = this->reserved;
+    need.reserved = this->paced;
     EndpointChoice choice = chooseEndpoint(this->gateway.fleetState, need, now);
     if (choice.result == ChoiceResult::NoEndpoint && !this->tried.empty()) {
         need.avoid = {};
         choice = chooseEndpoint(this->gateway.fleetState, need, now);
     }
     if (choice.result != ChoiceResult::Chosen) {
+        this->paced.clear();
+        this->leaveQueue();
         this->waitFor(choice.result);
         return;
     }
     this->waiting.clear();
     this->waitTimer.cancel();
-    if (this->paced(choice)) {
+    if (this->awaitTurn(choice)) {
         return;
     }
     this->sendTo(choice);
 }
 
-bool Relay::paced(const EndpointChoice &choice)
+bool Relay::awaitTurn(const EndpointChoice &choice)
 {
-    if (this->weights.empty() || this->info.promptTokens == 0 || !this->reserved.empty()) {
+    if (this->weights.empty() || this->info.promptTokens == 0) {
         return false;
     }
-    const TimePoint now = this->gateway.now();
-    FleetEndpoint &target = this->gateway.fleetState.endpoints.at(choice.endpoint);
-    const Duration delay = promptDelay(target.prompts, this->info.promptTokens, this->route->longestGap, now);
-    const Duration slack = this->route->latencyObjective / 2 - this->age();
-    if (delay.count() == 0 || slack.count() <= 0) {
+    this->joinQueue(choice.endpoint);
+    const PromptQueue &queue = this->gateway.fleetState.endpoints.at(choice.endpoint).prompts;
+    const Duration left = turnLimit(this->route->latencyObjective) - this->age();
+    if (left.count() <= 0 || hasTurn(queue, this->queuedPrompt(), this->route->longestGap)) {
+        this->paced.clear();
+        this->foundIdle = tokensAhead(queue, this->ticket) == 0;
         return false;
     }
-    this->reserved = choice.endpoint;
-    this->notePrompt(target);
+    if (!this->paced.empty()) {
+        this->paced = choice.endpoint;
+        return true; // its time limit runs
+    }
+    this->paced = choice.endpoint;
     const std::weak_ptr<Relay> weak = this->weak_from_this();
-    this->paceTimer.expires_after(std::min(delay, slack));
+    this->paceTimer.expires_after(left);
     this->paceTimer.async_wait([weak](const NetError &error) {
         const auto self = weak.lock();
-        if (!error && self && !self->done) {
+        if (!error && self && !self->done && !self->paced.empty()) {
             self->place();
         }
     });
     return true;
 }
 
-void Relay::notePrompt(FleetEndpoint &target)
+void Relay::lookForTurn()
+{
+    if (!this->done && !this->paced.empty()) {
+        this->place();
+    }
+}
+
+const EndpointName &Relay::pacedAt() const
+{
+    return this->paced;
+}
+
+QueuedPrompt Relay::queuedPrompt() const
 {
-    addPrompt(target.prompts, this->info.promptTokens, this->gateway.now());
+    return {this->ticket, this->info.promptTokens, this->arrived};
+}
+
+void Relay::joinQueue(const EndpointName &target)
+{
+    if (this->queued == target) {
+        return;
+    }
+    this->leaveQueue();
+    this->queued = target;
+    this->ticket = static_cast<std::int64_t>(this->gateway.random());
+    this->tellPrompt(false, Duration {0});
+}
+
+void Relay::leaveQueue()
+{
+    if (this->queued.empty()) {
+        return;
+    }
+    const bool read = this->firstPiece.count() > 0;
+    const Duration took = this->arrived + this->firstPiece - this->sentAt;
+    this->tellPrompt(true, read && this->foundIdle ? took : Duration {0});
+    this->queued.clear();
+}
+
+void Relay::tellPrompt(bool read, Duration took)
+{
+    wire::PromptSent prompt;
+    prompt.endpoint = this->queued;
+    prompt.tokens = this->info.promptTokens;
+    prompt.ticket = this->ticket;
+    prompt.ended = read;
+    prompt.readMicroseconds = static_cast<std::int32_t>(took.count());
+    this->gateway.notePrompt(prompt);
     if (this->gateway.onPrompt) {
-        this->gateway.onPrompt(target.entry.id, this->info.promptTokens);
+        this->gateway.onPrompt(prompt);
     }
 }
 
@@ -218,10 +275,6 @@
     send.urgency = this->route->rank;
     this->gateway.format.writeRequest(sent, send);
     this->sentAt = now;
-    if (!this->weights.empty() && this->reserved != choice.endpoint) {
-        this->notePrompt(target);
-    }
-    this->reserved.clear();
     this->history.sends += 1;
     this->link = this->gateway.pool.take(choice.endpoint, target.entry.address, now, !mayRepeat(this->history));
     const std::weak_ptr<Relay> weak = this->weak_from_this();
@@ -267,6 +320,7 @@
 
 void Relay::releaseEndpoint()
 {
+    this->leaveQueue();
     if (this->endpoint.empty()) {
         return;
     }
@@ -288,6 +342,7 @@
 {
     this->done = true;
     this->waiting.clear();
+    this->paced.clear();
     this->deadlineTimer.cancel();
     this->waitTimer.cancel();
     this->paceTimer.cancel();
--- a/lacewing/relay.h
+++ b/lacewing/relay.h
@@ -42,6 +42,11 @@
     /// @param retryAfter when the caller should come back; 0: not said
     void answerOwn(ResultCode wanted, Duration retryAfter);
 
+    /// Prompts before its own were read: it looks whether it has its turn.
+    void lookForTurn();
+    /// @return endpoint at which its prompt waits for its turn, empty if it doesn't wait
+    const EndpointName &pacedAt() const;
+
     /// @return weights that it waits for, empty if it doesn't wait
     const std::string &waitingFor() const;
     /// @param other a request that waits too
@@ -55,8 +60,11 @@
 private:
     void place();
     void waitFor(ChoiceResult result);
-    bool paced(const EndpointChoice &choice);
-    void notePrompt(FleetEndpoint &target);
+    bool awaitTurn(const EndpointChoice &choice);
+    void joinQueue(const EndpointName &target);
+    void leaveQueue();
+    void tellPrompt(bool read, Duration took);
+    QueuedPrompt queuedPrompt() const;
     void sendTo(const EndpointChoice &choice);
     void onProgress();
     void onHead();
@@ -99,7 +107,10 @@
     asio::steady_timer deadlineTimer;
     asio::steady_timer waitTimer;
     asio::steady_timer paceTimer;
-    EndpointName reserved; ///< where the prompt has a turn and was counted
+    EndpointName paced; ///< where the prompt waits for its turn
+    EndpointName queued; ///< where the prompt is in the queue, waiting or being read
+    std::int64_t ticket = 0; ///< of the prompt in that queue
+    bool foundIdle = false; ///< nothing was unread at the endpoint when the prompt was sent
     bool answerBegun = false;
     bool done = false;
 };
--- a/lacewing/relayanswer.cpp
+++ b/lacewing/relayanswer.cpp
@@ -107,6 +107,7 @@
     const TimePoint now = this->gateway.now();
     if (this->firstPiece.count() == 0) {
         this->firstPiece = now - this->arrived;
+        this->leaveQueue();
     } else if (now - this->lastPiece > this->longestGap) {
         this->longestGap = now - this->lastPiece;
         this->longestGapAt = now - this->arrived;
--- a/lacewing/vmgossip.cpp
+++ b/lacewing/vmgossip.cpp
@@ -177,12 +177,9 @@
     this->sendToAlive(encode(datagram));
 }
 
-void VmGossip::sendPromptToAll(const EndpointName &endpoint, std::int32_t tokens)
+void VmGossip::sendPromptToAll(const wire::PromptSent &prompt)
 {
     wire::VmDatagram datagram = this->begin();
-    wire::PromptSent prompt;
-    prompt.endpoint = endpoint;
-    prompt.tokens = tokens;
     datagram.__set_prompt(prompt);
     this->sendToAlive(encode(datagram));
 }
--- a/lacewing/vmgossip.h
+++ b/lacewing/vmgossip.h
@@ -62,7 +62,7 @@
     void sendHeartbeat();
     void sendPlacementToAll(const wire::PlacementNotice &notice);
 
-    void sendPromptToAll(const EndpointName &endpoint, std::int32_t tokens);
+    void sendPromptToAll(const wire::PromptSent &prompt);
 
     /// @return whether the VM was heard lately
     bool alive(const VmId &vm) const;
