--- a/lacewing/gateway.cpp
+++ b/lacewing/gateway.cpp
@@ -137,7 +137,8 @@
         learnReading(queue, prompt.tokens, Duration {prompt.readMicroseconds});
     }
     if (removePrompt(queue, prompt.ticket)) {
-        this->wakePaced(prompt.endpoint);
+        // Later: the request that left the queue may be on its way to another endpoint at this moment.
+        asio::post(this->context, [this, id = prompt.endpoint] { this->wakePaced(id); });
     }
 }
 
--- a/lacewing/relay.cpp
+++ b/lacewing/relay.cpp
@@ -127,6 +127,7 @@
     const PromptQueue &queue = this->gateway.fleetState.endpoints.at(choice.endpoint).prompts;
     const Duration left = turnLimit(this->route->latencyObjective) - this->age();
     if (left.count() <= 0 || hasTurn(queue, this->queuedPrompt(), this->route->longestGap)) {
+        this->turnWait = this->paced.empty() ? Duration {0} : this->gateway.now() - this->turnSince;
         this->paced.clear();
         this->foundIdle = tokensAhead(queue, this->ticket) == 0;
         return false;
@@ -136,6 +137,7 @@
         return true; // its time limit runs
     }
     this->paced = choice.endpoint;
+    this->turnSince = this->gateway.now();
     const std::weak_ptr<Relay> weak = this->weak_from_this();
     this->paceTimer.expires_after(left);
     this->paceTimer.async_wait([weak](const NetError &error) {
@@ -297,6 +299,8 @@
               {"version", std::to_string(choice.version)},
               {"running", std::to_string(estimateRunning(target))},
               {"tokens", std::to_string(this->info.promptTokens)},
+              {"ahead", std::to_string(tokensAhead(target.prompts, this->ticket))},
+              {"turn_ms", inMilliseconds(this->turnWait)},
               {"send", std::to_string(this->history.sends)},
               {"config", std::to_string(this->config->version)},
               {"age_ms", inMilliseconds(this->age())}});
--- a/lacewing/relay.h
+++ b/lacewing/relay.h
@@ -110,6 +110,8 @@
     EndpointName paced; ///< where the prompt waits for its turn
     EndpointName queued; ///< where the prompt is in the queue, waiting or being read
     std::int64_t ticket = 0; ///< of the prompt in that queue
+    TimePoint turnSince; ///< when it began to wait for its turn
+    Duration turnWait {0}; ///< how long it waited
     bool foundIdle = false; ///< nothing was unread at the endpoint when the prompt was sent
     bool answerBegun = false;
     bool done = false;
