--- a/lacewing/adapterplan.cpp
+++ b/lacewing/adapterplan.cpp
@@ -281,7 +281,7 @@
         }
         return taken + static_cast<double>(endpoint.coming.size());
     }
-    static constexpr double placesStep = 0.0;
+
 
     /// Endpoints in the order in which they are homes of the weights.
     std::vector<std::pair<std::uint64_t, EndpointName>> homesOf(const std::string &weights) const
@@ -348,11 +348,8 @@
         EndpointName bestId;
         std::string bestVictim;
         double bestCost = 0;
-        int step = 0;
         for (const auto &[rank, id] : this->homesOf(want.weights)) {
             const PlacedEndpoint &endpoint = this->state.endpoints.at(id);
-            const double stepCost = homeStep * step;
-            step = std::min(step + 1, homeSteps);
             const auto engine = this->state.engines.find(endpoint.service);
             if (engine == this->state.engines.end() || !this->canTake(want, id, endpoint, version)) {
                 continue;
@@ -368,7 +365,7 @@
             if (endpoint.running >= endpoint.slots) {
                 continue;
             }
-            double cost = stepCost * placesStep + this->placesTaken(endpoint) / std::max<double>(1, static_cast<double>(adapterPlaces(engine->second, endpoint)));
+            double cost = this->placesTaken(endpoint) / std::max<double>(1, static_cast<double>(adapterPlaces(engine->second, endpoint)));
             cost += findRemembered(endpoint.heldBefore, want.weights, version) == nullptr ? fetchCost : 0;
             if (best == nullptr || cost < bestCost) {
                 best = &endpoint;
--- a/lacewing/promptpacing.h
+++ b/lacewing/promptpacing.h
@@ -23,7 +23,7 @@
 /// Share of the longest gap that the unread prompts may take: the rest makes tokens.
 constexpr double gapShare = 0.85;
 /// A prompt that is still unread after this long was lost with its notice; callers leave a silent answer by then.
-constexpr Duration lostPromptAfter = milliseconds(4000);
+constexpr Duration lostPromptAfter = milliseconds(1000);
 /// Shorter prompts say little of the reading rate: the time of a step and of the way are as long.
 constexpr std::int32_t leastTokensToLearn = 800;
 
--- a/lacewing/relay.cpp
+++ b/lacewing/relay.cpp
@@ -1,5 +1,4 @@
-// A request that waits for weights waits for at most waitShare of the time it has, so that a refusal still
-// leaves the caller time to come back; the refusal is true, as nothing was sent.
+// How long a request waits is decided in waitlimits, whether its prompt has its turn in promptpacing.
 //
 // What follows an endpoint's answer is in relayanswer.cpp, how a request ends otherwise in relayend.cpp.
 
@@ -10,26 +9,17 @@
 #include "callerconnection.h"
 #include "eventlog.h"
 #include "gateway.h"
+#include "waitlimits.h"
 
 namespace lacewing {
 
 namespace {
 
-/// Longest wait for weights, as a share of the time left and in all: a load takes a quarter of a second, and
-/// ten in a row at a placement owner that was just replaced take under four seconds.
-constexpr double waitShare = 0.5;
-constexpr Duration longestWait = milliseconds(4000);
 /// Before the deadline a request is answered by us, so that the answer reaches the caller in time.
 constexpr Duration answerMargin = milliseconds(20);
 /// Told to callers of a VM that is stopping or starting: another one takes them at once.
 constexpr Duration elsewhereRetryAfter = milliseconds(50);
 
-/// How old a request gets while its prompt waits for its turn; then it is sent out of turn.
-Duration turnLimit(Duration latencyObjective)
-{
-    return latencyObjective / 2;
-}
-
 } // namespace
 
 Relay::Relay(Gateway &owner, std::shared_ptr<CallerConnection> connection, HttpRequestHead requestHead,
@@ -125,7 +115,7 @@
     }
     this->joinQueue(choice.endpoint);
     const PromptQueue &queue = this->gateway.fleetState.endpoints.at(choice.endpoint).prompts;
-    const Duration left = turnLimit(this->route->latencyObjective) - this->age();
+    const Duration left = turnAgeLimit(this->route->latencyObjective) - this->age();
     if (left.count() <= 0 || hasTurn(queue, this->queuedPrompt(), this->route->longestGap)) {
         this->turnWait = this->paced.empty() ? Duration {0} : this->gateway.now() - this->turnSince;
         this->paced.clear();
@@ -217,7 +207,7 @@
     if (this->route->silencePatience.count() > 0) {
         left = std::min(left, this->route->silencePatience - this->age());
     }
-    const Duration limit = std::min(std::chrono::duration_cast<Duration>(left * waitShare), longestWait);
+    const Duration limit = adapterWaitLimit(left, this->route->latencyObjective);
     logEvent("request_waits",
              {{"id", this->info.id},
               {"weights", this->weights},
