--- a/lacewing/testing/adapterplantest.cpp
+++ b/lacewing/testing/adapterplantest.cpp
@@ -290,7 +290,7 @@
     Zone zone(4);
     constexpr int storm = 30;
     for (int number = 0; number < storm; ++number) {
-        want(zone, "m/a" + std::to_string(100 + number), 2, milliseconds(20 * number));
+        want(zone, "m/a" + std::to_string(100 + number), 2, milliseconds(20) * number);
     }
     want(zone, "m/z-urgent", 0, milliseconds(300));
     const auto orders = zone.settle();
--- a/lacewing/testing/promptpacingtest.cpp
+++ b/lacewing/testing/promptpacingtest.cpp
@@ -45,7 +45,7 @@
     /// @return tickets of the prompts whose first event comes with the end of this step
     std::vector<std::int64_t> endStep()
     {
-        const std::vector<std::int64_t> begun = std::exchange(this->read, {});
+        std::vector<std::int64_t> begun = std::exchange(this->read, {});
         std::erase_if(this->unread, [this](const QueuedPrompt &prompt) {
             if (prompt.tokens == 0) {
                 this->read.push_back(prompt.ticket);
