--- a/lacewing/testing/pathtest.py
+++ b/lacewing/testing/pathtest.py
@@ -176,7 +176,9 @@
 def main():
     build = pathlib.Path(sys.argv[1])
     tests = {name: test for name, test in globals().items() if name.startswith('test_')}
-    wanted = sys.argv[2:] or list(tests)
+    left_out = {name[1:] for name in sys.argv[2:] if name.startswith('-')}  # run on their own
+    named = [name for name in sys.argv[2:] if not name.startswith('-')]
+    wanted = named or [name for name in tests if name not in left_out]
     failed = 0
     for name in wanted:
         start = time.monotonic()
