--- a/lacewing/entrynode.cpp
+++ b/lacewing/entrynode.cpp
@@ -323,6 +323,10 @@
     line("plans_total", this->owner.plansMade);
     line("reports_read_total", this->owner.reportsRead);
     line("endpoints", static_cast<std::int64_t>(this->dataPath.fleet().endpoints.size()));
+    const TimePoint listCurrent = this->dataPath.fleet().listCurrent;
+    if (listCurrent.time_since_epoch().count() > 0) {
+        line("list_age_milliseconds", toMilliseconds(this->clock.now() - listCurrent));
+    }
     line("config_version", this->dataPath.config() ? this->dataPath.config()->version : 0);
     line("placement_owner", this->owner.active() ? 1 : 0);
     line("records_unreadable_total", this->unreadable);
--- a/lacewing/entrynode.h
+++ b/lacewing/entrynode.h
@@ -47,6 +47,12 @@
     double retryBurst = 50; ///< of all VMs together
 };
 
+/// How this VM came to know a change of the platform's list.
+enum class ListNews {
+    Read, ///< by a read of its own
+    PassedOn, ///< by the VM of its zone that reads for the others
+};
+
 class EntryNode
 {
 public:
@@ -124,6 +130,7 @@
     void receivePlacement(const VmId &vm, const wire::PlacementNotice &notice);
     void applyNotice(const wire::PlacementNotice &notice);
     void dropEndpoint(const EndpointName &id);
+    void takeIn(const EndpointEntry &entry, ListNews news);
     void noteListed(const EndpointEntry &entry);
     void passListOn();
     void receiveList(const wire::ListChange &change);
--- a/lacewing/entrynodelist.cpp
+++ b/lacewing/entrynodelist.cpp
@@ -26,9 +26,19 @@
 /// A change of the list is passed on again after these delays, in case a datagram is lost.
 constexpr std::array<Duration, 2> repeatDelays {milliseconds(100), milliseconds(300)};
 
+std::string_view nameOf(ListNews news)
+{
+    return news == ListNews::Read ? "read" : "passed_on";
+}
+
 } // namespace
 
 void EntryNode::putEndpoint(const EndpointEntry &entry)
+{
+    this->takeIn(entry, ListNews::Read);
+}
+
+void EntryNode::takeIn(const EndpointEntry &entry, ListNews news)
 {
     if (isOutdated(this->dataPath.fleet(), entry)) {
         logEvent("entry_outdated", {{"endpoint", entry.id}, {"born", std::to_string(entry.born)}});
@@ -36,6 +46,11 @@
     }
     this->lapsed.erase(entry.id);
     this->noteListed(entry);
+    const bool knownToLeave = isLeaving(this->dataPath.fleet(), entry.id, entry.born);
+    if (entry.leaving && !knownToLeave) {
+        logEvent("endpoint_leaving",
+                 {{"endpoint", entry.id}, {"born", std::to_string(entry.born)}, {"news", std::string(nameOf(news))}});
+    }
     this->dataPath.changeFleet([this, &entry](Fleet &fleet) {
         const ListedAs listed = lacewing::putEndpoint(fleet, entry, this->clock.now());
         if (listed == ListedAs::Restarted) {
@@ -58,7 +73,8 @@
         return;
     }
     const Duration hold = lapseHold(this->storeFailed, now);
-    logEvent("endpoint_unlisted", {{"endpoint", id}, {"hold_ms", std::to_string(toMilliseconds(hold))}});
+    logEvent("endpoint_unlisted",
+             {{"endpoint", id}, {"hold_ms", std::to_string(toMilliseconds(hold))}, {"news", "read"}});
     if (hold.count() > 0 && !known->second.entry.leaving) {
         if (this->lapsed.emplace(id, now).second) {
             this->after(hold, [this, id] {
@@ -133,9 +149,10 @@
         for (const std::string &model : listed.models) {
             entry.held[model] = 1;
         }
-        this->putEndpoint(entry);
+        this->takeIn(entry, ListNews::PassedOn);
     }
     for (const EndpointName &id : change.removed) {
+        logEvent("endpoint_unlisted", {{"endpoint", id}, {"hold_ms", "0"}, {"news", "passed_on"}});
         this->dropEndpoint(id);
     }
 }
@@ -162,6 +179,8 @@
 {
     this->dataPath.changeFleet([this, offset](Fleet &fleet) {
         fleet.listed = this->clock.now();
+        fleet.listCurrent = fleet.listed;
+        fleet.listSource.clear();
         fleet.listOffset = offset;
     });
     this->passListOn();
--- a/lacewing/entrynodeplacement.cpp
+++ b/lacewing/entrynodeplacement.cpp
@@ -271,6 +271,12 @@
     }
     if (notice.zone == this->settings.zone) {
         this->changePassed = notice.listChange;
+        this->dataPath.changeFleet([&known](Fleet &fleet) {
+            if (known.listRead > fleet.listCurrent) {
+                fleet.listCurrent = known.listRead;
+                fleet.listSource = known.vm;
+            }
+        });
     }
     this->applyNotice(notice);
 }
--- a/lacewing/fleet.cpp
+++ b/lacewing/fleet.cpp
@@ -76,6 +76,11 @@
     return found != fleet.endpoints.end() && found->second.entry.born == born;
 }
 
+bool isLeaving(const Fleet &fleet, const EndpointName &id, std::int64_t born)
+{
+    return isIncarnation(fleet, id, born) && fleet.endpoints.at(id).entry.leaving;
+}
+
 void removeEndpoint(Fleet &fleet, const EndpointName &id)
 {
     const auto found = fleet.endpoints.find(id);
--- a/lacewing/fleet.h
+++ b/lacewing/fleet.h
@@ -51,6 +51,8 @@
     std::unordered_map<EndpointName, FleetEndpoint> endpoints;
     std::unordered_map<ServiceName, std::vector<EndpointName>> byService;
     TimePoint listed; ///< when the platform's list was last read
+    TimePoint listCurrent; ///< changes of the list up to this time are believed to be known
+    VmId listSource; ///< the VM whose read says so; empty: this one
     std::int64_t listOffset = 0; ///< how far it was read
 };
 
@@ -67,6 +69,12 @@
 /// @return whether it is of an incarnation that has ended
 bool isOutdated(const Fleet &fleet, const EndpointEntry &entry);
 
+/// @param fleet all endpoints
+/// @param id of an endpoint
+/// @param born start of an incarnation
+/// @return whether that incarnation is known to leave
+bool isLeaving(const Fleet &fleet, const EndpointName &id, std::int64_t born);
+
 /// Takes in an entry of the platform's list.
 /// @param fleet changed
 /// @param entry new or changed entry
