Whoever relies on another VM's reads of the list provably has all that they brought

Callers' requests reached endpoints up to 3.2 s after those had left, where 2 s are allowed, and could have for 30 s. One VM of a zone reads the platform's list and passes changes on; the others took "read just now" for "I know what it says". The successor of a killed owner told nobody what it had read just before; a VM that had missed a change counted as up to date once a later one came, or as soon as a notice about adapters overwrote the offset of the last change with 0.

Cause: recency was told without completeness. Now each change and each notice names the offset from which on the sender's changes are complete, and a VM relies on the read only if it knows the list up to there; else it reads for itself. A removal that is withheld until its entry is known to be gone made the offset untrue, so it is passed on at once, and each VM decides by its own calls whether it keeps the endpoint. The successor's offset starts at what it knows, so nothing has to be told again. An owner also tells each read at once: its zone heard of it up to 0.5 s later.

Wire fields are added, none changes its place.

--- a/lacewing/entrynode.cpp
+++ b/lacewing/entrynode.cpp
@@ -93,7 +93,7 @@
         this->owner.noteDemand(vm, zone, report);
     };
     this->gossip.onLeaving = [this](const VmId &vm, const ZoneName &zone) { this->onOwnerLeaving(vm, zone); };
-    this->gossip.onList = [this](const wire::ListChange &change) { this->receiveList(change); };
+    this->gossip.onList = [this](const VmId &vm, const wire::ListChange &change) { this->receiveList(vm, change); };
     this->gossip.onConfigOffset = [this](std::int64_t offset) {
         if (this->onMoreConfig) {
             this->onMoreConfig(offset);
@@ -253,7 +253,7 @@
 
 bool EntryNode::ready() const
 {
-    const bool listed = this->dataPath.fleet().listed.time_since_epoch().count() > 0;
+    const bool listed = this->dataPath.fleet().list.offset != noOffset;
     return !this->stopping && this->dataPath.config() && listed;
 }
 
@@ -323,9 +323,9 @@
     line("plans_total", this->owner.plansMade);
     line("reports_read_total", this->owner.reportsRead);
     line("endpoints", static_cast<std::int64_t>(this->dataPath.fleet().endpoints.size()));
-    const TimePoint listCurrent = this->dataPath.fleet().listCurrent;
-    if (listCurrent.time_since_epoch().count() > 0) {
-        line("list_age_milliseconds", toMilliseconds(this->clock.now() - listCurrent));
+    const ListKnowledge &list = this->dataPath.fleet().list;
+    if (list.offset != noOffset) {
+        line("list_age_milliseconds", toMilliseconds(this->clock.now() - list.current));
     }
     line("config_version", this->dataPath.config() ? this->dataPath.config()->version : 0);
     line("placement_owner", this->owner.active() ? 1 : 0);
--- a/lacewing/entrynode.h
+++ b/lacewing/entrynode.h
@@ -105,7 +105,6 @@
         VmId vm;
         std::int64_t fencing = 0;
         TimePoint heard;
-        TimePoint listRead; ///< when it last read the platform's list
         std::int32_t idlePlaces = -1; ///< for adapters in the zone; -1: not known
     };
 
@@ -131,9 +130,14 @@
     void applyNotice(const wire::PlacementNotice &notice);
     void dropEndpoint(const EndpointName &id);
     void takeIn(const EndpointEntry &entry, ListNews news);
+    void takeOff(const EndpointName &id, ListNews news);
     void noteListed(const EndpointEntry &entry);
     void passListOn();
-    void receiveList(const wire::ListChange &change);
+    void sendList(wire::ListChange change, const ListStatement &statement);
+    void takeInChange(const wire::ListChange &change, bool complete);
+    void receiveList(const VmId &vm, const wire::ListChange &change);
+    void receiveListAge(const VmId &vm, const wire::PlacementNotice &notice);
+    void noteOwnersRead(const VmId &vm, const ListStatement &statement);
     void onFleetChanged();
     void awaitSignal();
     void beginStop();
@@ -160,8 +164,7 @@
     asio::signal_set signals;
     TimePoint storeFailed;
     wire::ListChange listChange; ///< read by this VM and not passed on yet
-    std::int64_t changeSeen = 0; ///< offset of the last change of the list that was passed on to or by this VM
-    std::int64_t changePassed = 0; ///< the same of the zone's owner, as its notices say
+    ListChain listChain; ///< of what this VM, as the owner, has passed on
     std::int64_t unreadable = 0; ///< records of the platform that could not be read
     bool operatorsRead = false; ///< all operators' changes from before the start were read
     bool storeUp = true;
--- a/lacewing/entrynodelist.cpp
+++ b/lacewing/entrynodelist.cpp
@@ -14,15 +14,6 @@
 
 namespace {
 
-/// Between reads of the platform's list by the VM that passes its changes on, and by any VM that hears of no such
-/// read: half of the shortest time in which a leaving endpoint must get nothing new. One reader for each zone takes
-/// a tenth of the store calls that 71 readers take.
-constexpr Duration readInterval = milliseconds(900);
-/// Between reads by the other VMs. What a lost datagram left out is mended sooner: the owner's notices name the change
-/// that it has passed on last, and a VM that has not seen it reads by itself.
-constexpr Duration mendInterval = milliseconds(30000);
-/// A read by the zone's owner counts for the others this long.
-constexpr Duration readValidity = milliseconds(1400);
 /// A change of the list is passed on again after these delays, in case a datagram is lost.
 constexpr std::array<Duration, 2> repeatDelays {milliseconds(100), milliseconds(300)};
 
@@ -31,10 +22,46 @@
     return news == ListNews::Read ? "read" : "passed_on";
 }
 
+EndpointEntry entryOf(const wire::ListedEndpoint &listed)
+{
+    EndpointEntry entry;
+    entry.id = listed.endpoint;
+    entry.born = listed.born;
+    entry.service = listed.serviceName;
+    entry.address = listed.address;
+    entry.zone = listed.zone;
+    entry.slots = listed.slots;
+    entry.leaving = listed.leaving;
+    entry.orders = -1; // what it holds is said better by any other source
+    for (const std::string &model : listed.models) {
+        entry.held[model] = 1;
+    }
+    return entry;
+}
+
+wire::ListedEndpoint listedOf(const EndpointEntry &entry)
+{
+    wire::ListedEndpoint listed;
+    listed.endpoint = entry.id;
+    listed.born = entry.born;
+    listed.serviceName = entry.service;
+    listed.address = entry.address;
+    listed.zone = entry.zone;
+    listed.slots = entry.slots;
+    listed.leaving = entry.leaving;
+    for (const auto &[weights, version] : entry.held) {
+        if (!isAdapter(weights)) {
+            listed.models.push_back(weights);
+        }
+    }
+    return listed;
+}
+
 } // namespace
 
 void EntryNode::putEndpoint(const EndpointEntry &entry)
 {
+    this->noteListed(entry);
     this->takeIn(entry, ListNews::Read);
 }
 
@@ -45,7 +72,6 @@
         return;
     }
     this->lapsed.erase(entry.id);
-    this->noteListed(entry);
     const bool knownToLeave = isLeaving(this->dataPath.fleet(), entry.id, entry.born);
     if (entry.leaving && !knownToLeave) {
         logEvent("endpoint_leaving",
@@ -66,6 +92,14 @@
 }
 
 void EntryNode::removeEndpoint(const EndpointName &id)
+{
+    if (this->dataPath.fleet().endpoints.contains(id)) {
+        this->listChange.removed.push_back(id);
+        this->takeOff(id, ListNews::Read);
+    }
+}
+
+void EntryNode::takeOff(const EndpointName &id, ListNews news)
 {
     const TimePoint now = this->clock.now();
     const auto known = this->dataPath.fleet().endpoints.find(id);
@@ -73,116 +107,127 @@
         return;
     }
     const Duration hold = lapseHold(this->storeFailed, now);
-    logEvent("endpoint_unlisted",
-             {{"endpoint", id}, {"hold_ms", std::to_string(toMilliseconds(hold))}, {"news", "read"}});
-    if (hold.count() > 0 && !known->second.entry.leaving) {
-        if (this->lapsed.emplace(id, now).second) {
-            this->after(hold, [this, id] {
-                if (this->lapsed.erase(id) > 0) {
-                    this->dropEndpoint(id);
-                    this->passListOn(); // the next read is too late for those who wait for it
-                }
-            });
-        }
-        return;
+    logEvent(
+        "endpoint_unlisted",
+        {{"endpoint", id}, {"hold_ms", std::to_string(toMilliseconds(hold))}, {"news", std::string(nameOf(news))}});
+    if (hold.count() == 0 || known->second.entry.leaving) {
+        this->dropEndpoint(id);
+    } else if (this->lapsed.emplace(id, now).second) {
+        this->after(hold, [this, id] {
+            if (this->lapsed.erase(id) > 0) {
+                this->dropEndpoint(id);
+            }
+        });
     }
-    this->dropEndpoint(id);
 }
 
 void EntryNode::noteListed(const EndpointEntry &entry)
 {
-    const auto known = this->dataPath.fleet().endpoints.find(entry.id);
-    if (known != this->dataPath.fleet().endpoints.end() && known->second.entry.leaving == entry.leaving
-        && known->second.entry.born == entry.born) {
+    const Fleet &fleet = this->dataPath.fleet();
+    const bool same
+        = isIncarnation(fleet, entry.id, entry.born) && fleet.endpoints.at(entry.id).entry.leaving == entry.leaving;
+    // Of one that is kept only until it is known to be gone, the others were told that it was taken off.
+    if ((same && !this->lapsed.contains(entry.id)) || isOutdated(fleet, entry)) {
         return;
     }
-    wire::ListedEndpoint listed;
-    listed.endpoint = entry.id;
-    listed.born = entry.born;
-    listed.serviceName = entry.service;
-    listed.address = entry.address;
-    listed.zone = entry.zone;
-    listed.slots = entry.slots;
-    listed.leaving = entry.leaving;
-    for (const auto &[weights, version] : entry.held) {
-        if (!isAdapter(weights)) {
-            listed.models.push_back(weights);
-        }
-    }
-    this->listChange.listed.push_back(std::move(listed));
+    this->listChange.listed.push_back(listedOf(entry));
 }
 
 void EntryNode::passListOn()
 {
     wire::ListChange change = std::exchange(this->listChange, {});
-    if (!this->owner.active() || (change.listed.empty() && change.removed.empty())) {
+    if (!this->owner.active()) {
         return;
     }
-    change.offset = this->dataPath.fleet().listOffset;
+    const bool changed = !change.listed.empty() || !change.removed.empty();
+    const ListStatement statement = nextStatement(this->listChain, this->dataPath.fleet().list, changed);
+    change.previous = statement.previous;
+    change.offset = statement.offset;
+    this->sendList(change, statement);
+    if (!changed) {
+        return; // that nothing has changed is said again by the notices
+    }
     logEvent("list_passed_on",
-             {{"offset", std::to_string(change.offset)},
+             {{"previous", std::to_string(change.previous)},
+              {"offset", std::to_string(change.offset)},
               {"listed", std::to_string(change.listed.size())},
               {"removed", std::to_string(change.removed.size())}});
-    this->changeSeen = change.offset;
-    this->gossip.sendListToZone(change);
     for (const Duration delay : repeatDelays) {
-        this->after(delay, [this, change] { this->gossip.sendListToZone(change); });
+        this->after(delay, [this, change, statement] { this->sendList(change, statement); });
     }
 }
 
-void EntryNode::receiveList(const wire::ListChange &change)
+void EntryNode::sendList(wire::ListChange change, const ListStatement &statement)
 {
-    this->changeSeen = std::max(this->changeSeen, change.offset);
-    if (change.offset <= this->dataPath.fleet().listOffset) {
-        return;
+    change.ageMilliseconds = toMilliseconds(this->clock.now() - statement.read); // a repeat is older than the first
+    this->gossip.sendListToZone(change);
+}
+
+void EntryNode::receiveList(const VmId &vm, const wire::ListChange &change)
+{
+    const ListKnowledge &known = this->dataPath.fleet().list;
+    ListStatement statement;
+    statement.previous = change.previous;
+    statement.offset = change.offset;
+    statement.read = this->clock.now() - milliseconds(change.ageMilliseconds);
+    if (change.offset > known.offset) {
+        this->takeInChange(change, follows(known, statement));
     }
+    this->noteOwnersRead(vm, statement);
+}
+
+void EntryNode::takeInChange(const wire::ListChange &change, bool complete)
+{
     for (const wire::ListedEndpoint &listed : change.listed) {
-        EndpointEntry entry;
-        entry.id = listed.endpoint;
-        entry.born = listed.born;
-        entry.service = listed.serviceName;
-        entry.address = listed.address;
-        entry.zone = listed.zone;
-        entry.slots = listed.slots;
-        entry.leaving = listed.leaving;
-        entry.orders = -1; // what it holds is said better by any other source
-        for (const std::string &model : listed.models) {
-            entry.held[model] = 1;
+        // Where something before it is missing, only what can't be outdated: an incarnation that leaves never comes
+        // back.
+        if (complete || listed.leaving) {
+            this->takeIn(entryOf(listed), ListNews::PassedOn);
         }
-        this->takeIn(entry, ListNews::PassedOn);
+    }
+    if (!complete) {
+        return; // the rest comes with the next read
     }
     for (const EndpointName &id : change.removed) {
-        logEvent("endpoint_unlisted", {{"endpoint", id}, {"hold_ms", "0"}, {"news", "passed_on"}});
-        this->dropEndpoint(id);
+        this->takeOff(id, ListNews::PassedOn);
+    }
+}
+
+void EntryNode::receiveListAge(const VmId &vm, const wire::PlacementNotice &notice)
+{
+    if (notice.listAgeMilliseconds < 0) {
+        return; // news of adapters, which say nothing of the list
     }
+    ListStatement statement;
+    statement.previous = notice.listOffset < 0 ? noOffset : notice.listChange;
+    statement.offset = notice.listOffset < 0 ? notice.listChange : notice.listOffset;
+    statement.read = this->clock.now() - milliseconds(notice.listAgeMilliseconds);
+    this->noteOwnersRead(vm, statement);
+}
+
+void EntryNode::noteOwnersRead(const VmId &vm, const ListStatement &statement)
+{
+    const std::int64_t before = this->dataPath.fleet().list.offset;
+    this->dataPath.changeFleet([&](Fleet &fleet) { noteStatement(fleet.list, statement, vm); });
+    noteToldByOther(this->listChain, before, this->dataPath.fleet().list);
 }
 
 void EntryNode::dropEndpoint(const EndpointName &id)
 {
-    this->listChange.removed.push_back(id);
     this->dataPath.dropEndpoint(id);
     this->dataPath.changeFleet([&id](Fleet &fleet) { lacewing::removeEndpoint(fleet, id); });
 }
 
 Duration EntryNode::listInterval() const
 {
-    if (this->owner.active()) {
-        return readInterval;
-    }
-    const auto found = this->owners.find(this->settings.zone);
-    const bool upToDate = std::max(this->changeSeen, this->dataPath.fleet().listOffset) >= this->changePassed;
-    const bool covered = found != this->owners.end() && this->clock.now() - found->second.listRead < readValidity;
-    return covered && upToDate ? mendInterval : readInterval;
+    const bool covered = !this->owner.active() && isCovered(this->dataPath.fleet().list, this->clock.now());
+    return covered ? coveredReadInterval : readInterval;
 }
 
 void EntryNode::listRead(std::int64_t offset)
 {
-    this->dataPath.changeFleet([this, offset](Fleet &fleet) {
-        fleet.listed = this->clock.now();
-        fleet.listCurrent = fleet.listed;
-        fleet.listSource.clear();
-        fleet.listOffset = offset;
-    });
+    const TimePoint now = this->clock.now();
+    this->dataPath.changeFleet([offset, now](Fleet &fleet) { noteOwnRead(fleet.list, offset, now); });
     this->passListOn();
     this->onFleetChanged();
 }
--- a/lacewing/entrynodeplacement.cpp
+++ b/lacewing/entrynodeplacement.cpp
@@ -101,6 +101,7 @@
 void EntryNode::becomeOwner()
 {
     this->owner.begin(this->claim.fencing);
+    beginChain(this->listChain, this->dataPath.fleet().list);
     this->noteOwnDemand();
     this->onFleetChanged();
     this->sendNotice();
@@ -217,15 +218,16 @@
 void EntryNode::sendNotice()
 {
     if (!this->owner.active()) {
-        this->listChange = {}; // only an owner passes changes on
         return;
     }
     wire::PlacementNotice notice = this->owner.nextNotice();
-    const TimePoint listed = this->dataPath.fleet().listed;
-    if (listed.time_since_epoch().count() > 0) {
-        notice.listAgeMilliseconds = toMilliseconds(this->clock.now() - listed);
+    const ListKnowledge &list = this->dataPath.fleet().list;
+    if (list.offset != noOffset) {
+        const ListStatement statement = nextStatement(this->listChain, list, false);
+        notice.listChange = statement.previous;
+        notice.listOffset = statement.offset;
+        notice.listAgeMilliseconds = toMilliseconds(this->clock.now() - statement.read);
     }
-    notice.listChange = this->changeSeen;
     this->spread(notice);
 }
 
@@ -263,20 +265,12 @@
         logEvent("zone_owner", {{"zone", notice.zone}, {"vm", vm}, {"fencing", std::to_string(notice.fencing)}});
     }
     const TimePoint now = this->clock.now();
-    const bool hasRead = notice.listAgeMilliseconds >= 0;
-    known = {vm, notice.fencing, now, hasRead ? now - milliseconds(notice.listAgeMilliseconds) : known.listRead,
-             notice.idlePlaces};
+    known = {vm, notice.fencing, now, notice.idlePlaces};
     if (notice.zone == this->settings.zone && noteOwner(this->claim, notice.fencing, now)) {
         this->stopOwning("superseded");
     }
     if (notice.zone == this->settings.zone) {
-        this->changePassed = notice.listChange;
-        this->dataPath.changeFleet([&known](Fleet &fleet) {
-            if (known.listRead > fleet.listCurrent) {
-                fleet.listCurrent = known.listRead;
-                fleet.listSource = known.vm;
-            }
-        });
+        this->receiveListAge(vm, notice);
     }
     this->applyNotice(notice);
 }
--- a/lacewing/fleet.h
+++ b/lacewing/fleet.h
@@ -15,6 +15,7 @@
 
 #include "endpointtrust.h"
 #include "heldbefore.h"
+#include "listknowledge.h"
 #include "promptpacing.h"
 #include "types.h"
 
@@ -50,10 +51,7 @@
 struct Fleet {
     std::unordered_map<EndpointName, FleetEndpoint> endpoints;
     std::unordered_map<ServiceName, std::vector<EndpointName>> byService;
-    TimePoint listed; ///< when the platform's list was last read
-    TimePoint listCurrent; ///< changes of the list up to this time are believed to be known
-    VmId listSource; ///< the VM whose read says so; empty: this one
-    std::int64_t listOffset = 0; ///< how far it was read
+    ListKnowledge list;
 };
 
 /// What an entry of the platform's list turned out to be.
--- a/lacewing/lacewing.thrift
+++ b/lacewing/lacewing.thrift
@@ -281,8 +281,9 @@
   3: list<EndpointHoldings> endpoints,
   4: i64 listAgeMilliseconds = -1,     // since the sender last read the platform's list of endpoints; -1: never
   5: bool yields = false,              // the sender gives the zone up: another VM is to claim it
-  6: i64 listChange = 0,               // offset of the last change of the list that the sender has passed on
-  7: i32 idlePlaces = -1               // places for adapters in the zone that no request uses or waits for; -1: not known
+  6: i64 listChange = 0,               // offset that a VM must know to have all that the sender has passed on
+  7: i32 idlePlaces = -1,              // places for adapters in the zone that no request uses or waits for; -1: not known
+  8: i64 listOffset = -1               // up to which the sender knows the list; -1: it does not say
 }
 
 /** An endpoint as the platform lists it, without what it holds. */
@@ -301,7 +302,9 @@
 struct ListChange {
   1: i64 offset,                       // of the list after the change
   2: list<ListedEndpoint> listed,
-  3: list<string> removed
+  3: list<string> removed,
+  4: i64 previous = -1,                // all changes from this offset on are told, here or before; -1: it does not say
+  5: i64 ageMilliseconds = -1          // since the sender asked for what it read; -1: it does not say
 }
 
 /** Requests of one VM that are in progress at an endpoint. */
--- a/lacewing/relay.cpp
+++ b/lacewing/relay.cpp
@@ -293,8 +293,8 @@
               {"ahead", std::to_string(tokensAhead(target.prompts, this->ticket))},
               {"turn_ms", inMilliseconds(this->turnWait)},
               {"send", std::to_string(this->history.sends)},
-              {"list_age_ms", inMilliseconds(now - this->gateway.fleetState.listCurrent)},
-              {"list_source", this->gateway.fleetState.listSource},
+              {"list_age_ms", inMilliseconds(now - this->gateway.fleetState.list.current)},
+              {"list_source", this->gateway.fleetState.list.source},
               {"config", std::to_string(this->config->version)},
               {"age_ms", inMilliseconds(this->age())}});
     this->link->send(formatRequest(sent, this->body), sent.method == "HEAD", std::move(handlers));
--- a/lacewing/testing/entrynodetest.cpp
+++ b/lacewing/testing/entrynodetest.cpp
@@ -47,6 +47,7 @@
     // An endpoint that begins to leave must get nothing new from any VM of the zone, read by itself or not.
     cr_assert(vms.runUntil([&] {
         vms.one.listRead(0);
+        vms.two.listRead(0); // as each VM does at its start
         return vms.two.listInterval() > vms.one.listInterval();
     }));
     vms.one.putEndpoint(makeEntry(false));
@@ -108,6 +109,7 @@
     Pair vms;
     cr_assert(vms.runUntil([&] {
         vms.one.listRead(0);
+        vms.two.listRead(0); // as each VM does at its start
         return vms.two.listInterval() > vms.one.listInterval();
     }));
     const auto known = [&] { return vms.two.gateway().fleet().endpoints.contains("i-1"); };
@@ -219,6 +221,8 @@
     Pair vms;
     cr_assert(vms.runUntil([&] { return vms.one.heard("vm2") && vms.two.heard("vm1"); }));
     cr_assert(vms.runUntil([&] { return vms.platform.claims.size() == 1; }));
+    vms.one.listRead(0); // as each VM does at its start
+    vms.two.listRead(0);
     EntryNode &owner = vms.platform.claims.front() == "vm1" ? vms.one : vms.two;
     EntryNode &other = vms.platform.claims.front() == "vm1" ? vms.two : vms.one;
     EndpointEntry entry = makeEntry(true);
--- a/lacewing/testing/leavingtest.cpp
+++ b/lacewing/testing/leavingtest.cpp
@@ -81,6 +81,7 @@
 {
     Relying vm;
     vm.deliver(noticeOfOwner(10));
+    cr_assert_not(vm.readsByItself());
     // The change up to 20, by which i-1 leaves, is lost with all its repeats.
     vm.deliver(leavingPassedOn(30, "i-2"));
     vm.deliver(noticeOfOwner(30));
--- a/lacewing/testing/listeningvm.cpp
+++ b/lacewing/testing/listeningvm.cpp
@@ -62,6 +62,7 @@
     notice.fencing = 1;
     notice.listAgeMilliseconds = 0;
     notice.listChange = offset;
+    notice.listOffset = offset;
     wire::VmDatagram datagram;
     datagram.__set_placement(notice);
     return datagram;
--- /dev/null
+++ b/lacewing/testing/listknowledgetest.cpp
@@ -0,0 +1,232 @@
+// What a VM may believe of its copy of the list, on a clock that the test moves: whatever is lost, late or told by two
+// owners at once, a VM that counts as up to date must have every change.
+
+#include <map>
+#include <random>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include <criterion/criterion.h>
+
+#include "listknowledge.h"
+
+using namespace lacewing;
+
+namespace {
+
+constexpr TimePoint start {milliseconds(100000)};
+
+TimePoint at(std::int64_t milliseconds)
+{
+    return start + lacewing::milliseconds(milliseconds);
+}
+
+/// The store's list: a change at each offset, and when it was acknowledged.
+using Changes = std::vector<TimePoint>;
+
+struct ZoneVm {
+    ListKnowledge knowledge;
+    ListChain chain;
+    bool owner = false;
+    std::set<std::int64_t> known; ///< offsets of changes that it has
+    std::set<std::int64_t> unsent; ///< that it has read and not passed on
+    TimePoint nextRead;
+};
+
+struct Datagram {
+    std::size_t to = 0;
+    std::size_t from = 0;
+    ListStatement statement;
+    std::set<std::int64_t> changes;
+};
+
+/// VMs of one zone, their datagrams and reads, as EntryNode and TopicWatch drive them.
+struct Zone {
+    explicit Zone(std::uint64_t seed) : random(seed), vms(5)
+    {
+    }
+
+    bool chance(double share)
+    {
+        return std::uniform_real_distribution<double>(0, 1)(this->random) < share;
+    }
+
+    void read(ZoneVm &vm)
+    {
+        const auto end = static_cast<std::int64_t>(this->changes.size());
+        for (std::int64_t offset = 0; offset < end; ++offset) {
+            if (vm.known.insert(offset).second) {
+                vm.unsent.insert(offset);
+            }
+        }
+        noteOwnRead(vm.knowledge, end, this->now);
+        const std::set<std::int64_t> sent = std::exchange(vm.unsent, {});
+        if (vm.owner) {
+            this->send(vm, nextStatement(vm.chain, vm.knowledge, !sent.empty()), sent);
+        }
+    }
+
+    void send(const ZoneVm &from, const ListStatement &statement, const std::set<std::int64_t> &sent)
+    {
+        const auto sender = static_cast<std::size_t>(&from - this->vms.data());
+        for (std::size_t to = 0; to < this->vms.size(); ++to) {
+            for (int copy = 0; copy < (sent.empty() ? 1 : 3) && to != sender; ++copy) {
+                if (!this->chance(this->loss)) {
+                    const auto delay = std::uniform_int_distribution<std::int64_t>(0, 400)(this->random);
+                    this->underWay.emplace(this->now + milliseconds(delay), Datagram {to, sender, statement, sent});
+                }
+            }
+        }
+    }
+
+    void receive(const Datagram &datagram)
+    {
+        ZoneVm &vm = this->vms[datagram.to];
+        if (datagram.statement.offset > vm.knowledge.offset && follows(vm.knowledge, datagram.statement)) {
+            vm.known.insert(datagram.changes.begin(), datagram.changes.end());
+        }
+        const std::int64_t before = vm.knowledge.offset;
+        noteStatement(vm.knowledge, datagram.statement, std::to_string(datagram.from));
+        noteToldByOther(vm.chain, before, vm.knowledge);
+    }
+
+    void turn()
+    {
+        this->now += milliseconds(10);
+        if (this->chance(0.02)) {
+            this->changes.push_back(this->now);
+        }
+        if (this->chance(0.004)) { // an owner comes, or one more, or one goes
+            ZoneVm &vm = this->vms[this->random() % this->vms.size()];
+            vm.owner = !vm.owner;
+            if (vm.owner) {
+                beginChain(vm.chain, vm.knowledge);
+            }
+        }
+        while (!this->underWay.empty() && this->underWay.begin()->first <= this->now) {
+            this->receive(this->underWay.begin()->second);
+            this->underWay.erase(this->underWay.begin());
+        }
+        for (ZoneVm &vm : this->vms) {
+            const bool covered = !vm.owner && isCovered(vm.knowledge, this->now);
+            if (covered || this->now < vm.nextRead) {
+                continue;
+            }
+            vm.nextRead = this->now + readInterval;
+            if (!this->chance(this->failedReads)) {
+                this->read(vm);
+            }
+        }
+        for (ZoneVm &vm : this->vms) {
+            if (vm.owner && vm.knowledge.offset != noOffset && this->chance(0.02)) {
+                this->send(vm, nextStatement(vm.chain, vm.knowledge, false), {});
+            }
+        }
+    }
+
+    /// Every change before the offset that a VM claims to know, and every one that is as old as its copy claims to be.
+    bool holds() const
+    {
+        for (const ZoneVm &vm : this->vms) {
+            for (std::size_t offset = 0; offset < this->changes.size(); ++offset) {
+                const bool claimed = static_cast<std::int64_t>(offset) < vm.knowledge.offset
+                    || this->changes[offset] <= vm.knowledge.current;
+                if (claimed && !vm.known.contains(static_cast<std::int64_t>(offset))) {
+                    return false;
+                }
+            }
+        }
+        return true;
+    }
+
+    std::mt19937_64 random;
+    std::vector<ZoneVm> vms;
+    Changes changes;
+    std::multimap<TimePoint, Datagram> underWay;
+    TimePoint now = start;
+    double loss = 0.3;
+    double failedReads = 0.1;
+};
+
+} // namespace
+
+Test(listknowledge, aChangeThatFollowsExtendsWhatIsKnown)
+{
+    ListKnowledge knowledge;
+    noteOwnRead(knowledge, 10, at(0));
+    noteStatement(knowledge, {10, 20, at(900)}, "vm0");
+    cr_assert_eq(knowledge.offset, 20);
+    cr_assert_eq(knowledge.current, at(900));
+    cr_assert(isCovered(knowledge, at(900) + readValidity - milliseconds(1)));
+    cr_assert_not(isCovered(knowledge, at(900) + readValidity));
+}
+
+Test(listknowledge, aMissedChangeIsNotMadeUpForByLaterOnes)
+{
+    ListKnowledge knowledge;
+    noteOwnRead(knowledge, 10, at(0));
+    noteStatement(knowledge, {20, 30, at(900)}, "vm0");
+    noteStatement(knowledge, {30, 30, at(1000)}, "vm0");
+    cr_assert_eq(knowledge.offset, 10);
+    cr_assert_not(isCovered(knowledge, at(1000)));
+    noteStatement(knowledge, {10, 20, at(900)}, "vm0"); // a repeat of what was missed
+    noteStatement(knowledge, {20, 30, at(900)}, "vm0");
+    cr_assert_eq(knowledge.offset, 30);
+    cr_assert_not(isCovered(knowledge, at(900) + readValidity));
+}
+
+Test(listknowledge, nobodyReliesOnAVmThatDoesNotSayFromWhereOn)
+{
+    ListKnowledge knowledge;
+    noteOwnRead(knowledge, 10, at(0));
+    noteStatement(knowledge, {noOffset, 20, at(900)}, "vm0");
+    cr_assert_not(isCovered(knowledge, at(900)));
+    noteOwnRead(knowledge, 20, at(1000));
+    cr_assert_not(isCovered(knowledge, at(1000)));
+}
+
+Test(listknowledge, aNewOwnerCoversOnlyWhoKnowsAsMuchAsItself)
+{
+    ListKnowledge successor;
+    ListKnowledge other;
+    noteOwnRead(other, 10, at(0));
+    noteOwnRead(successor, 20, at(300));
+    ListChain chain;
+    beginChain(chain, successor);
+    noteStatement(other, nextStatement(chain, successor, false), "vm1");
+    cr_assert_not(isCovered(other, at(310)));
+    noteOwnRead(other, 20, at(400));
+    noteStatement(other, nextStatement(chain, successor, false), "vm1");
+    cr_assert(isCovered(other, at(410)));
+}
+
+Test(listknowledge, whoCountsAsUpToDateHasEveryChange)
+{
+    constexpr std::uint64_t seeds = 60;
+    constexpr int turns = 4000; // 40 s
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        Zone zone(seed);
+        for (int turn = 0; turn < turns; ++turn) {
+            zone.turn();
+            cr_assert(zone.holds(), "seed %llu, turn %d", static_cast<unsigned long long>(seed), turn);
+        }
+    }
+}
+
+Test(listknowledge, aCopyIsNeverOlderThanAReadCountsAndOneMoreRead)
+{
+    constexpr std::uint64_t seeds = 20;
+    constexpr int turns = 4000;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        Zone zone(seed);
+        zone.failedReads = 0;
+        for (int turn = 0; turn < turns; ++turn) {
+            zone.turn();
+            for (const ZoneVm &vm : zone.vms) {
+                cr_assert_leq(zone.now - vm.knowledge.current, readValidity + milliseconds(10), "seed %llu, turn %d",
+                              static_cast<unsigned long long>(seed), turn);
+            }
+        }
+    }
+}
--- a/lacewing/vmgossip.cpp
+++ b/lacewing/vmgossip.cpp
@@ -120,7 +120,7 @@
         this->onDemand(datagram.vm, datagram.zone, datagram.demand);
     }
     if (datagram.__isset.listChange && datagram.zone == this->self.zone && this->onList) {
-        this->onList(datagram.listChange);
+        this->onList(datagram.vm, datagram.listChange);
     }
     if (datagram.configOffset > this->configOffset && this->onConfigOffset) {
         this->onConfigOffset(datagram.configOffset);
--- a/lacewing/vmgossip.h
+++ b/lacewing/vmgossip.h
@@ -86,7 +86,7 @@
     std::function<void(const VmId &, const ZoneName &, const wire::DemandReport &)> onDemand;
     std::function<void(const VmId &, const ZoneName &)> onLeaving; ///< at each datagram of a VM that stops
     std::function<void(const wire::PromptSent &)> onPrompt;
-    std::function<void(const wire::ListChange &)> onList; ///< from VMs of this zone only
+    std::function<void(const VmId &, const wire::ListChange &)> onList; ///< from VMs of this zone only
     std::function<void(std::int64_t)> onConfigOffset; ///< another VM has read more than this one
 
 private:
