One failed call no longer keeps an endpoint that is gone

Callers' requests could reach an endpoint that left without a word up to 3.4 s after it was removed from the list. A removal is held back around an outage of the store, as entries lapse then; but any single failed call counted as one: a lost answer, a refusal for too many calls, a connection that was reset. On the VM that reads for its zone it kept the endpoint for all of them.

A call that fails now belongs to an outage only if the one before failed, too, and the VM's copy of the list is two seconds old: while the list is read, entries can't lapse. In an outage of the store both hold for every VM. Tests: the held endpoint stays with the VM that saw an outage and not with the other, and one that comes back is listed again for all.

--- a/lacewing/endpointlapse.cpp
+++ b/lacewing/endpointlapse.cpp
@@ -5,6 +5,11 @@
 
 namespace lacewing {
 
+bool isOutage(bool failedBefore, Duration listAge)
+{
+    return failedBefore && listAge >= shortestOutage;
+}
+
 Duration lapseHold(TimePoint storeFailed, TimePoint now)
 {
     const bool everFailed = storeFailed.time_since_epoch().count() > 0;
--- a/lacewing/entrynode.cpp
+++ b/lacewing/entrynode.cpp
@@ -10,6 +10,7 @@
 #include <csignal>
 #include <random>
 
+#include "endpointlapse.h"
 #include "eventlog.h"
 
 namespace lacewing {
@@ -210,8 +211,9 @@
 
 void EntryNode::storeAnswered(bool answered)
 {
-    if (!answered) {
-        this->storeFailed = this->clock.now();
+    const TimePoint now = this->clock.now();
+    if (!answered && isOutage(!this->storeUp, now - this->dataPath.fleet().list.current)) {
+        this->storeFailed = now;
     }
     if (answered != this->storeUp) {
         this->storeUp = answered;
--- a/lacewing/entrynode.h
+++ b/lacewing/entrynode.h
@@ -162,7 +162,7 @@
     std::map<std::string, AskedZone> askedZones; ///< for the adapters that requests of this VM wait for
     std::map<EndpointName, TimePoint> lapsed; ///< taken off the list around an outage of the store
     asio::signal_set signals;
-    TimePoint storeFailed;
+    TimePoint storeFailed; ///< when a call last failed in an outage of the store
     wire::ListChange listChange; ///< read by this VM and not passed on yet
     ListChain listChain; ///< of what this VM, as the owner, has passed on
     std::int64_t unreadable = 0; ///< records of the platform that could not be read
--- a/lacewing/testing/endpointlapsetest.cpp
+++ b/lacewing/testing/endpointlapsetest.cpp
@@ -27,3 +27,10 @@
     // Three seconds after the store answered again: holding on sent requests to a server that had left.
     cr_assert_eq(lapseHold(failed, failed + milliseconds(3070)), Duration {0});
 }
+
+Test(endpointlapse, aFailedCallWhileTheListIsRecentIsNoOutage)
+{
+    cr_assert_not(isOutage(true, milliseconds(1600)));
+    cr_assert_not(isOutage(false, milliseconds(2300))); // one answer that was waited for in vain
+    cr_assert(isOutage(true, milliseconds(2300)));
+}
--- a/lacewing/testing/entrynodetest.cpp
+++ b/lacewing/testing/entrynodetest.cpp
@@ -104,7 +104,7 @@
     cr_assert(vms.runUntil([&] { return vms.two.listInterval() == vms.one.listInterval(); }));
 }
 
-Test(entrynode, anEndpointThatWasKeptAroundAnOutageIsDroppedByAllAtOnce)
+Test(entrynode, anEndpointThatLapsedIsKeptForSomeWhileByThoseWhoSawTheOutage)
 {
     Pair vms;
     cr_assert(vms.runUntil([&] {
@@ -112,16 +112,48 @@
         vms.two.listRead(0); // as each VM does at its start
         return vms.two.listInterval() > vms.one.listInterval();
     }));
-    const auto known = [&] { return vms.two.gateway().fleet().endpoints.contains("i-1"); };
+    const auto knows = [](EntryNode &node) { return node.gateway().fleet().endpoints.contains("i-1"); };
     vms.one.putEndpoint(makeEntry(false));
     vms.one.listRead(1);
-    cr_assert(vms.runUntil(known));
-    vms.one.storeAnswered(false);
+    cr_assert(vms.runUntil([&] { return knows(vms.two); }));
+    const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(2200);
+    vms.runUntil([&] {
+        vms.one.storeAnswered(false);
+        return std::chrono::steady_clock::now() > end;
+    });
+    vms.one.storeAnswered(true);
+    vms.one.removeEndpoint("i-1"); // may have lapsed only
+    vms.one.listRead(2);
+    cr_assert(knows(vms.one));
+    cr_assert(vms.runUntil([&] { return !knows(vms.two); })); // its store has never failed
+    cr_assert(knows(vms.one));
+    cr_assert(vms.runUntil([&] { return !knows(vms.one); })); // with no further read
+}
+
+Test(entrynode, anEndpointThatComesBackIsListedAgainForAll)
+{
+    Pair vms;
+    cr_assert(vms.runUntil([&] {
+        vms.one.listRead(0);
+        vms.two.listRead(0);
+        return vms.two.listInterval() > vms.one.listInterval();
+    }));
+    const auto knows = [](EntryNode &node) { return node.gateway().fleet().endpoints.contains("i-1"); };
+    vms.one.putEndpoint(makeEntry(false));
+    vms.one.listRead(1);
+    cr_assert(vms.runUntil([&] { return knows(vms.two); }));
+    const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(2200);
+    vms.runUntil([&] {
+        vms.one.storeAnswered(false);
+        return std::chrono::steady_clock::now() > end;
+    });
     vms.one.storeAnswered(true);
-    vms.one.removeEndpoint("i-1"); // may have lapsed only: kept for some while
+    vms.one.removeEndpoint("i-1");
     vms.one.listRead(2);
-    cr_assert(known());
-    cr_assert(vms.runUntil([&] { return !known(); })); // with no further read
+    cr_assert(vms.runUntil([&] { return !knows(vms.two); }));
+    vms.one.putEndpoint(makeEntry(false)); // it lives, and VM one has kept it all the while
+    vms.one.listRead(3);
+    cr_assert(vms.runUntil([&] { return knows(vms.two); }));
 }
 
 Test(entrynode, aVmThatMissedAPassedChangeReadsTheListSoon)
