--- a/lacewing/entrynode.h
+++ b/lacewing/entrynode.h
@@ -79,7 +79,8 @@
     void removeEndpoint(const EndpointName &id);
     /// The list is complete as far as the platform has it.
     /// @param offset up to which it was read
-    void listRead(std::int64_t offset);
+    /// @param age since it was asked for
+    void listRead(std::int64_t offset, Duration age = Duration {0});
     /// @return how long to wait between two reads of the list
     Duration listInterval() const;
     /// The operators' changes were read.
--- a/lacewing/entrynodelist.cpp
+++ b/lacewing/entrynodelist.cpp
@@ -224,10 +224,10 @@
     return covered ? coveredReadInterval : readInterval;
 }
 
-void EntryNode::listRead(std::int64_t offset)
+void EntryNode::listRead(std::int64_t offset, Duration age)
 {
-    const TimePoint now = this->clock.now();
-    this->dataPath.changeFleet([offset, now](Fleet &fleet) { noteOwnRead(fleet.list, offset, now); });
+    const TimePoint asked = this->clock.now() - age;
+    this->dataPath.changeFleet([offset, asked](Fleet &fleet) { noteOwnRead(fleet.list, offset, asked); });
     this->passListOn();
     this->onFleetChanged();
 }
