An endpoint that leaves while a connection to it is made gets no request

A request was written to an endpoint up to 400 ms after it had been chosen, without another look: the time of a lost packet of the new connection. An endpoint that had said meanwhile that it leaves got it that much later, on top of the time that the news takes.

--- a/lacewing/endpointlink.cpp
+++ b/lacewing/endpointlink.cpp
@@ -84,8 +84,13 @@
         }
         self->connected = true;
         tuneSocket(self->socket);
-        self->write();
-        self->startRead();
+        if (const auto callback = self->handlers.onConnected) {
+            callback();
+        }
+        if (!self->closed) {
+            self->write();
+            self->startRead();
+        }
     });
 }
 
--- a/lacewing/endpointlink.h
+++ b/lacewing/endpointlink.h
@@ -38,6 +38,7 @@
 {
 public:
     struct Handlers {
+        std::function<void()> onConnected; ///< a new connection stands, nothing is written; may call close()
         std::function<void()> onProgress; ///< head or body bytes came, or the answer is complete
         std::function<void(LinkFailure)> onFailure; ///< the last call
     };
--- a/lacewing/relay.cpp
+++ b/lacewing/relay.cpp
@@ -272,6 +272,11 @@
     this->link = this->gateway.pool.take(choice.endpoint, target.entry.address, now, !mayRepeat(this->history));
     const std::weak_ptr<Relay> weak = this->weak_from_this();
     EndpointLink::Handlers handlers;
+    handlers.onConnected = [weak] {
+        if (const auto self = weak.lock()) {
+            self->onConnected();
+        }
+    };
     handlers.onProgress = [weak] {
         if (const auto self = weak.lock()) {
             self->onProgress();
--- a/lacewing/relay.h
+++ b/lacewing/relay.h
@@ -66,6 +66,7 @@
     void tellPrompt(bool ended, Duration took);
     QueuedPrompt queuedPrompt() const;
     void sendTo(const EndpointChoice &choice);
+    void onConnected();
     void onProgress();
     void onHead();
     void passBody();
--- a/lacewing/relayend.cpp
+++ b/lacewing/relayend.cpp
@@ -33,6 +33,19 @@
                        sent ? "connection_broken" : "not_connected");
 }
 
+void Relay::onConnected()
+{
+    const Fleet &fleet = this->gateway.fleetState;
+    const bool there = isIncarnation(fleet, this->endpoint, this->endpointBorn);
+    if (there && !isLeaving(fleet, this->endpoint, this->endpointBorn)) {
+        return;
+    }
+    // It was chosen up to a connection's timeout ago and has left since: it gets nothing new.
+    this->link->close();
+    this->link.reset();
+    this->attemptEnded(AttemptEnding::NotSent, "endpoint_left");
+}
+
 bool Relay::retryFailed(int status)
 {
     AttemptHistory withFailure = this->history;
