The runtime's clock goes on while the VM is suspended

A VM that had been suspended took what it knew before for recent: the steady clock stands still meanwhile, so the copy of the endpoint list that it vouches for to its zone counted as some milliseconds old after seconds. The time since boot goes on. A suspended VM now looks to itself as one that was frozen, which every decision meets already. No test can suspend this machine, where both clocks agree (difference under 1 us); all tests that use the clock pass unchanged.

--- a/lacewing/clock.cpp
+++ b/lacewing/clock.cpp
@@ -1,8 +1,11 @@
-// The time is the steady clock plus an offset. Pausing freezes one number; going on again adjusts the
-// offset so that the time continues from it.
+// The time is the time since boot plus an offset. The steady clock stands still while the VM is suspended: whatever was
+// known before would count as recent afterwards. Pausing freezes one number; going on again adjusts the offset so that
+// the time continues from it.
 
 #include "clock.h"
 
+#include <ctime>
+
 namespace lacewing {
 
 RuntimeClock::RuntimeClock()
@@ -12,10 +15,12 @@
     this->unixOffset = unixMicroseconds - this->now().time_since_epoch().count();
 }
 
-TimePoint RuntimeClock::steadyNow() const
+TimePoint RuntimeClock::bootNow() const
 {
-    const auto sinceStart = std::chrono::steady_clock::now().time_since_epoch();
-    return TimePoint(std::chrono::duration_cast<Duration>(sinceStart));
+    timespec time {};
+    ::clock_gettime(CLOCK_BOOTTIME, &time);
+    const auto sinceBoot = std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
+    return TimePoint(std::chrono::duration_cast<Duration>(sinceBoot));
 }
 
 TimePoint RuntimeClock::now() const
@@ -24,7 +29,7 @@
     if (stopped != runningMark) {
         return TimePoint(Duration(stopped));
     }
-    return this->steadyNow() + Duration(this->offset.load());
+    return this->bootNow() + Duration(this->offset.load());
 }
 
 void RuntimeClock::pause()
@@ -38,7 +43,7 @@
     if (stopped == runningMark) {
         return;
     }
-    this->offset.store(stopped - this->steadyNow().time_since_epoch().count());
+    this->offset.store(stopped - this->bootNow().time_since_epoch().count());
     this->frozen.store(runningMark);
 }
 
--- a/lacewing/clock.h
+++ b/lacewing/clock.h
@@ -39,9 +39,9 @@
     std::int64_t unixSeconds(TimePoint time) const;
 
 private:
-    TimePoint steadyNow() const;
+    TimePoint bootNow() const;
 
-    std::atomic<std::int64_t> offset {0}; ///< microseconds added to the steady clock
+    std::atomic<std::int64_t> offset {0}; ///< microseconds added to the time since boot
     std::atomic<std::int64_t> frozen {runningMark}; ///< the time while paused, or runningMark
     std::int64_t unixOffset = 0; ///< microseconds from this clock to 1970
 
