What a datagram says of the present is as old as it was held up on its way

The age of a copy of the list was told in datagrams and counted from their arrival: one that had waited in the queue of a full link covered its receivers for that much too long, and callers' requests went to endpoints that had left. Datagrams that say how recent something is now carry the sender's time; the receiver learns how much longer each took than the fastest one of that process, with room for clocks that drift apart, and adds it to the age.

--- a/lacewing/entrynode.cpp
+++ b/lacewing/entrynode.cpp
@@ -87,14 +87,16 @@
             });
         }
     };
-    this->gossip.onPlacement = [this](const VmId &vm, const ZoneName &, const wire::PlacementNotice &notice) {
-        this->receivePlacement(vm, notice);
+    this->gossip.onPlacement = [this](const VmId &vm, const wire::PlacementNotice &notice, Duration heldUp) {
+        this->receivePlacement(vm, notice, heldUp);
     };
     this->gossip.onDemand = [this](const VmId &vm, const ZoneName &zone, const wire::DemandReport &report) {
         this->owner.noteDemand(vm, zone, report);
     };
     this->gossip.onLeaving = [this](const VmId &vm, const ZoneName &zone) { this->onOwnerLeaving(vm, zone); };
-    this->gossip.onList = [this](const VmId &vm, const wire::ListChange &change) { this->receiveList(vm, change); };
+    this->gossip.onList = [this](const VmId &vm, const wire::ListChange &change, Duration heldUp) {
+        this->receiveList(vm, change, heldUp);
+    };
     this->gossip.onConfigOffset = [this](std::int64_t offset) {
         if (this->onMoreConfig) {
             this->onMoreConfig(offset);
--- a/lacewing/entrynode.h
+++ b/lacewing/entrynode.h
@@ -127,7 +127,7 @@
     bool hasOwner(const ZoneName &zone) const;
     std::vector<ZoneOffer> zoneOffers(const std::string &weights) const;
     void chooseZones(const wire::DemandReport &all);
-    void receivePlacement(const VmId &vm, const wire::PlacementNotice &notice);
+    void receivePlacement(const VmId &vm, const wire::PlacementNotice &notice, Duration heldUp);
     void applyNotice(const wire::PlacementNotice &notice);
     void dropEndpoint(const EndpointName &id);
     void takeIn(const EndpointEntry &entry, ListNews news);
@@ -136,8 +136,8 @@
     void passListOn();
     void sendList(wire::ListChange change, const ListStatement &statement);
     void takeInChange(const wire::ListChange &change, bool complete);
-    void receiveList(const VmId &vm, const wire::ListChange &change);
-    void receiveListAge(const VmId &vm, const wire::PlacementNotice &notice);
+    void receiveList(const VmId &vm, const wire::ListChange &change, Duration heldUp);
+    void receiveListAge(const VmId &vm, const wire::PlacementNotice &notice, Duration heldUp);
     void noteOwnersRead(const VmId &vm, const ListStatement &statement);
     void onFleetChanged();
     void awaitSignal();
--- a/lacewing/entrynodelist.cpp
+++ b/lacewing/entrynodelist.cpp
@@ -163,13 +163,13 @@
     this->gossip.sendListToZone(change);
 }
 
-void EntryNode::receiveList(const VmId &vm, const wire::ListChange &change)
+void EntryNode::receiveList(const VmId &vm, const wire::ListChange &change, Duration heldUp)
 {
     const ListKnowledge &known = this->dataPath.fleet().list;
     ListStatement statement;
     statement.previous = change.previous;
     statement.offset = change.offset;
-    statement.read = this->clock.now() - milliseconds(change.ageMilliseconds);
+    statement.read = this->clock.now() - milliseconds(change.ageMilliseconds) - heldUp;
     if (change.offset > known.offset) {
         this->takeInChange(change, follows(known, statement));
     }
@@ -193,7 +193,7 @@
     }
 }
 
-void EntryNode::receiveListAge(const VmId &vm, const wire::PlacementNotice &notice)
+void EntryNode::receiveListAge(const VmId &vm, const wire::PlacementNotice &notice, Duration heldUp)
 {
     if (notice.listAgeMilliseconds < 0) {
         return; // news of adapters, which say nothing of the list
@@ -201,7 +201,7 @@
     ListStatement statement;
     statement.previous = notice.listOffset < 0 ? noOffset : notice.listChange;
     statement.offset = notice.listOffset < 0 ? notice.listChange : notice.listOffset;
-    statement.read = this->clock.now() - milliseconds(notice.listAgeMilliseconds);
+    statement.read = this->clock.now() - milliseconds(notice.listAgeMilliseconds) - heldUp;
     this->noteOwnersRead(vm, statement);
 }
 
--- a/lacewing/entrynodeplacement.cpp
+++ b/lacewing/entrynodeplacement.cpp
@@ -251,7 +251,7 @@
     }
 }
 
-void EntryNode::receivePlacement(const VmId &vm, const wire::PlacementNotice &notice)
+void EntryNode::receivePlacement(const VmId &vm, const wire::PlacementNotice &notice, Duration heldUp)
 {
     ZoneOwner &known = this->owners[notice.zone];
     if (notice.fencing < known.fencing) {
@@ -270,7 +270,7 @@
         this->stopOwning("superseded");
     }
     if (notice.zone == this->settings.zone) {
-        this->receiveListAge(vm, notice);
+        this->receiveListAge(vm, notice, heldUp);
     }
     this->applyNotice(notice);
 }
--- a/lacewing/lacewing.thrift
+++ b/lacewing/lacewing.thrift
@@ -342,5 +342,6 @@
   8: optional PromptSent prompt,
   9: optional ListChange listChange,
   10: i64 configOffset = 0,            // how far the sender has read the operators' changes
-  11: i32 millicores = 0               // processor time that the sender has, in thousandths of a core
+  11: i32 millicores = 0,              // processor time that the sender has, in thousandths of a core
+  12: optional i64 sentMilliseconds    // by the sender's clock, where the content says how recent something is
 }
--- a/lacewing/testing/leavingtest.cpp
+++ b/lacewing/testing/leavingtest.cpp
@@ -144,3 +144,20 @@
     vm.node->listRead(20);
     cr_assert_not(vm.node->gateway().fleet().endpoints.contains("i-1"));
 }
+
+Test(leaving, aNoticeThatWasHeldUpOnItsWayIsAsOldAsThat)
+{
+    Relying vm;
+    wire::VmDatagram news = noticeOfOwner(0);
+    news.placement.listAgeMilliseconds = -1;
+    news.__set_sentMilliseconds(50000);
+    vm.deliver(news);
+    wire::VmDatagram heldUp = noticeOfOwner(10); // 2 s in the queue of the owner's link
+    heldUp.__set_sentMilliseconds(48000);
+    vm.deliver(heldUp);
+    cr_assert(vm.readsByItself());
+    wire::VmDatagram prompt = noticeOfOwner(10);
+    prompt.__set_sentMilliseconds(50001);
+    vm.deliver(prompt);
+    cr_assert_not(vm.readsByItself());
+}
--- a/lacewing/vmgossip.cpp
+++ b/lacewing/vmgossip.cpp
@@ -102,6 +102,9 @@
     if (!vm.everHeard || now - vm.heard > vmLifetime || !sameProcess) {
         logEvent("vm_heard", {{"vm", datagram.vm}, {"zone", datagram.zone}});
     }
+    if (!sameProcess) {
+        vm.delay = {};
+    }
     vm.address = this->sender;
     vm.zone = datagram.zone;
     vm.incarnation = datagram.incarnation;
@@ -113,14 +116,18 @@
     if (datagram.leaving && this->onLeaving) {
         this->onLeaving(datagram.vm, datagram.zone);
     }
+    Duration heldUp {0};
+    if (datagram.__isset.sentMilliseconds) {
+        heldUp = noteDatagram(vm.delay, TimePoint(milliseconds(datagram.sentMilliseconds)), now);
+    }
     if (datagram.__isset.placement && this->onPlacement) {
-        this->onPlacement(datagram.vm, datagram.zone, datagram.placement);
+        this->onPlacement(datagram.vm, datagram.placement, heldUp);
     }
     if (datagram.__isset.demand && this->onDemand) {
         this->onDemand(datagram.vm, datagram.zone, datagram.demand);
     }
     if (datagram.__isset.listChange && datagram.zone == this->self.zone && this->onList) {
-        this->onList(datagram.vm, datagram.listChange);
+        this->onList(datagram.vm, datagram.listChange, heldUp);
     }
     if (datagram.configOffset > this->configOffset && this->onConfigOffset) {
         this->onConfigOffset(datagram.configOffset);
@@ -143,6 +150,13 @@
     return datagram;
 }
 
+wire::VmDatagram VmGossip::beginTimed()
+{
+    wire::VmDatagram datagram = this->begin();
+    datagram.__set_sentMilliseconds(toMilliseconds(this->clock.now().time_since_epoch()));
+    return datagram;
+}
+
 void VmGossip::sendTo(const KnownVm &vm, const std::string &bytes)
 {
     NetError lost; // a datagram that can't be sent is as one that is lost
@@ -172,7 +186,7 @@
 
 void VmGossip::sendPlacementToAll(const wire::PlacementNotice &notice)
 {
-    wire::VmDatagram datagram = this->begin();
+    wire::VmDatagram datagram = this->beginTimed();
     datagram.__set_placement(notice);
     this->sendToAlive(encode(datagram));
 }
@@ -186,7 +200,7 @@
 
 void VmGossip::sendListToZone(const wire::ListChange &change)
 {
-    wire::VmDatagram datagram = this->begin();
+    wire::VmDatagram datagram = this->beginTimed();
     datagram.__set_listChange(change);
     const std::string bytes = encode(datagram);
     for (const auto &[name, vm] : this->known) {
--- a/lacewing/vmgossip.h
+++ b/lacewing/vmgossip.h
@@ -20,6 +20,7 @@
 
 #include <boost/asio/ip/udp.hpp>
 
+#include "datagramdelay.h"
 #include "lacewing_types.h"
 #include "platformport.h"
 #include "zoneclaim.h"
@@ -43,6 +44,7 @@
     bool everHeard = false;
     bool leaving = false;
     std::int32_t millicores = 0;
+    DatagramDelay delay;
 };
 
 class VmGossip
@@ -82,11 +84,12 @@
     std::int64_t configOffset = 0;
     std::int32_t millicores = 0;
 
-    std::function<void(const VmId &, const ZoneName &, const wire::PlacementNotice &)> onPlacement;
+    /// The last argument is how long the datagram was held up on its way.
+    std::function<void(const VmId &, const wire::PlacementNotice &, Duration)> onPlacement;
     std::function<void(const VmId &, const ZoneName &, const wire::DemandReport &)> onDemand;
     std::function<void(const VmId &, const ZoneName &)> onLeaving; ///< at each datagram of a VM that stops
     std::function<void(const wire::PromptSent &)> onPrompt;
-    std::function<void(const VmId &, const wire::ListChange &)> onList; ///< from VMs of this zone only
+    std::function<void(const VmId &, const wire::ListChange &, Duration)> onList; ///< from VMs of this zone only
     std::function<void(std::int64_t)> onConfigOffset; ///< another VM has read more than this one
 
 private:
@@ -94,6 +97,7 @@
     void receive();
     void onDatagram(std::size_t size);
     wire::VmDatagram begin();
+    wire::VmDatagram beginTimed();
     void sendTo(const KnownVm &vm, const std::string &bytes);
     void sendToAlive(const std::string &bytes);
 
