A VM's copy of the list is the list at one offset, so that a successor passes on what it lacks

Callers' requests could still go to an endpoint that had left: what an owner passes on is the difference to its own copy, and a copy could be ahead of the offset that its VM vouched for. It took in what followed a change that it had missed; the later pages of a listing show changes behind the end that is named; an endpoint that came and went between two reads, or before a listing, was never known to it and its removal was told to nobody, though another VM had read it in between.

--- a/lacewing/entrynode.h
+++ b/lacewing/entrynode.h
@@ -77,10 +77,11 @@
     void putEndpoint(const EndpointEntry &entry);
     /// An entry was taken off the platform's list.
     void removeEndpoint(const EndpointName &id);
+    /// An entry of the platform's list can't be used.
+    void dropUnusable(const EndpointName &id);
     /// The list is complete as far as the platform has it.
-    /// @param offset up to which it was read
-    /// @param age since it was asked for
-    void listRead(std::int64_t offset, Duration age = Duration {0});
+    /// @param read how far, and how it came
+    void listRead(const ListRead &read);
     /// @return how long to wait between two reads of the list
     Duration listInterval() const;
     /// The operators' changes were read.
@@ -135,7 +136,7 @@
     void noteListed(const EndpointEntry &entry);
     void passListOn();
     void sendList(wire::ListChange change, const ListStatement &statement);
-    void takeInChange(const wire::ListChange &change, bool complete);
+    void takeInChange(const wire::ListChange &change);
     void receiveList(const VmId &vm, const wire::ListChange &change, Duration heldUp);
     void receiveListAge(const VmId &vm, const wire::PlacementNotice &notice, Duration heldUp);
     void noteOwnersRead(const VmId &vm, const ListStatement &statement);
--- a/lacewing/entrynodelist.cpp
+++ b/lacewing/entrynodelist.cpp
@@ -92,10 +92,16 @@
 }
 
 void EntryNode::removeEndpoint(const EndpointName &id)
+{
+    // Passed on also if it was not known here: another VM may have read it while it was listed.
+    this->listChange.removed.push_back(id);
+    this->takeOff(id, ListNews::Read);
+}
+
+void EntryNode::dropUnusable(const EndpointName &id)
 {
     if (this->dataPath.fleet().endpoints.contains(id)) {
-        this->listChange.removed.push_back(id);
-        this->takeOff(id, ListNews::Read);
+        this->removeEndpoint(id);
     }
 }
 
@@ -170,23 +176,18 @@
     statement.previous = change.previous;
     statement.offset = change.offset;
     statement.read = this->clock.now() - milliseconds(change.ageMilliseconds) - heldUp;
-    if (change.offset > known.offset) {
-        this->takeInChange(change, follows(known, statement));
+    // What follows a change that was missed is left out: this VM's copy is the list at an offset, and never a mixture
+    // of two, so that it can be passed on should this VM become the owner.
+    if (change.offset > known.offset && follows(known, statement)) {
+        this->takeInChange(change);
     }
     this->noteOwnersRead(vm, statement);
 }
 
-void EntryNode::takeInChange(const wire::ListChange &change, bool complete)
+void EntryNode::takeInChange(const wire::ListChange &change)
 {
     for (const wire::ListedEndpoint &listed : change.listed) {
-        // Where something before it is missing, only what can't be outdated: an incarnation that leaves never comes
-        // back.
-        if (complete || listed.leaving) {
-            this->takeIn(entryOf(listed), ListNews::PassedOn);
-        }
-    }
-    if (!complete) {
-        return; // the rest comes with the next read
+        this->takeIn(entryOf(listed), ListNews::PassedOn);
     }
     for (const EndpointName &id : change.removed) {
         this->takeOff(id, ListNews::PassedOn);
@@ -224,10 +225,13 @@
     return covered ? coveredReadInterval : readInterval;
 }
 
-void EntryNode::listRead(std::int64_t offset, Duration age)
+void EntryNode::listRead(const ListRead &read)
 {
-    const TimePoint asked = this->clock.now() - age;
-    this->dataPath.changeFleet([offset, asked](Fleet &fleet) { noteOwnRead(fleet.list, offset, asked); });
+    const TimePoint asked = this->clock.now() - read.age;
+    this->dataPath.changeFleet([&read, asked](Fleet &fleet) { noteOwnRead(fleet.list, read.offset, asked); });
+    if (read.afresh) {
+        breakChain(this->listChain);
+    }
     this->passListOn();
     this->onFleetChanged();
 }
--- a/lacewing/listknowledge.cpp
+++ b/lacewing/listknowledge.cpp
@@ -37,6 +37,11 @@
     }
 }
 
+void breakChain(ListChain &chain)
+{
+    chain.passedOn = noOffset;
+}
+
 void beginChain(ListChain &chain, const ListKnowledge &knowledge)
 {
     chain.passedOn = knowledge.offset;
@@ -51,7 +56,7 @@
 
 ListStatement nextStatement(ListChain &chain, const ListKnowledge &knowledge, bool changes)
 {
-    if (chain.passedOn == noOffset) { // its first read is its whole list, without what it never knew to be gone
+    if (chain.passedOn == noOffset) {
         chain.passedOn = knowledge.offset;
     }
     const ListStatement statement {chain.passedOn, knowledge.offset, knowledge.current};
--- a/lacewing/listknowledge.h
+++ b/lacewing/listknowledge.h
@@ -30,6 +30,13 @@
 /// Between reads of the list by a VM that relies on an owner's.
 constexpr Duration coveredReadInterval = milliseconds(30000);
 
+/// A read of the list to its end, by this VM.
+struct ListRead {
+    std::int64_t offset = noOffset; ///< up to which it was read
+    Duration age {0}; ///< since it was asked for
+    bool afresh = false; ///< listed anew: endpoints that came and went since the read before were never seen
+};
+
 struct ListKnowledge {
     std::int64_t offset = noOffset; ///< all changes before it are known; noOffset: the list was never read
     std::int64_t announced = noOffset; ///< changes before it were passed on, whether or not they came here
@@ -69,6 +76,10 @@
 /// @param source who said it
 void noteStatement(ListKnowledge &knowledge, const ListStatement &statement, const VmId &source);
 
+/// This VM has listed all endpoints anew, so it can't tell what changed: who knows less reads the list, too.
+/// @param chain changed
+void breakChain(ListChain &chain);
+
 /// This VM becomes an owner. What it has read before was told to nobody, so the others know as much or read it
 /// themselves.
 /// @param chain changed
--- a/lacewing/testing/entrynodetest.cpp
+++ b/lacewing/testing/entrynodetest.cpp
@@ -46,19 +46,19 @@
     Pair vms;
     // An endpoint that begins to leave must get nothing new from any VM of the zone, read by itself or not.
     cr_assert(vms.runUntil([&] {
-        vms.one.listRead(0);
-        vms.two.listRead(0); // as each VM does at its start
+        vms.one.listRead({0});
+        vms.two.listRead({0}); // as each VM does at its start
         return vms.two.listInterval() > vms.one.listInterval();
     }));
     vms.one.putEndpoint(makeEntry(false));
-    vms.one.listRead(1);
+    vms.one.listRead({1});
     const auto known = [&] { return vms.two.gateway().fleet().endpoints.contains("i-1"); };
     cr_assert(vms.runUntil(known));
     vms.one.putEndpoint(makeEntry(true));
-    vms.one.listRead(2);
+    vms.one.listRead({2});
     cr_assert(vms.runUntil([&] { return vms.two.gateway().fleet().endpoints.at("i-1").entry.leaving; }));
     vms.one.removeEndpoint("i-1");
-    vms.one.listRead(3);
+    vms.one.listRead({3});
     cr_assert(vms.runUntil([&] { return !known(); }));
 }
 
@@ -83,10 +83,10 @@
 {
     Pair vms;
     cr_assert(vms.runUntil([&] { return vms.one.heard("vm2"); }));
-    vms.two.listRead(10);
+    vms.two.listRead({10});
     vms.one.putEndpoint(makeEntry(false));
-    vms.one.listRead(5); // an entry that VM two has read to be gone
-    vms.one.listRead(11);
+    vms.one.listRead({5}); // an entry that VM two has read to be gone
+    vms.one.listRead({11});
     const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(600);
     vms.runUntil([&] { return std::chrono::steady_clock::now() > end; });
     cr_assert_not(vms.two.gateway().fleet().endpoints.contains("i-1"));
@@ -96,8 +96,8 @@
 {
     Pair vms;
     cr_assert(vms.runUntil([&] {
-        vms.one.listRead(1);
-        vms.two.listRead(1);
+        vms.one.listRead({1});
+        vms.two.listRead({1});
         return vms.two.listInterval() > vms.one.listInterval();
     }));
     // The owner's reads end: the other one reads by itself again.
@@ -108,13 +108,13 @@
 {
     Pair vms;
     cr_assert(vms.runUntil([&] {
-        vms.one.listRead(0);
-        vms.two.listRead(0); // as each VM does at its start
+        vms.one.listRead({0});
+        vms.two.listRead({0}); // as each VM does at its start
         return vms.two.listInterval() > vms.one.listInterval();
     }));
     const auto knows = [](EntryNode &node) { return node.gateway().fleet().endpoints.contains("i-1"); };
     vms.one.putEndpoint(makeEntry(false));
-    vms.one.listRead(1);
+    vms.one.listRead({1});
     cr_assert(vms.runUntil([&] { return knows(vms.two); }));
     const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(2200);
     vms.runUntil([&] {
@@ -123,7 +123,7 @@
     });
     vms.one.storeAnswered(true);
     vms.one.removeEndpoint("i-1"); // may have lapsed only
-    vms.one.listRead(2);
+    vms.one.listRead({2});
     cr_assert(knows(vms.one));
     cr_assert(vms.runUntil([&] { return !knows(vms.two); })); // its store has never failed
     cr_assert(knows(vms.one));
@@ -134,13 +134,13 @@
 {
     Pair vms;
     cr_assert(vms.runUntil([&] {
-        vms.one.listRead(0);
-        vms.two.listRead(0);
+        vms.one.listRead({0});
+        vms.two.listRead({0});
         return vms.two.listInterval() > vms.one.listInterval();
     }));
     const auto knows = [](EntryNode &node) { return node.gateway().fleet().endpoints.contains("i-1"); };
     vms.one.putEndpoint(makeEntry(false));
-    vms.one.listRead(1);
+    vms.one.listRead({1});
     cr_assert(vms.runUntil([&] { return knows(vms.two); }));
     const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(2200);
     vms.runUntil([&] {
@@ -149,10 +149,10 @@
     });
     vms.one.storeAnswered(true);
     vms.one.removeEndpoint("i-1");
-    vms.one.listRead(2);
+    vms.one.listRead({2});
     cr_assert(vms.runUntil([&] { return !knows(vms.two); }));
     vms.one.putEndpoint(makeEntry(false)); // it lives, and VM one has kept it all the while
-    vms.one.listRead(3);
+    vms.one.listRead({3});
     cr_assert(vms.runUntil([&] { return knows(vms.two); }));
 }
 
@@ -160,28 +160,28 @@
 {
     Pair vms;
     cr_assert(vms.runUntil([&] {
-        vms.one.listRead(1);
-        vms.two.listRead(1);
+        vms.one.listRead({1});
+        vms.two.listRead({1});
         return vms.two.listInterval() > vms.one.listInterval();
     }));
     const Duration often = vms.one.listInterval();
     vms.one.putEndpoint(makeEntry(false));
-    vms.one.listRead(5);
+    vms.one.listRead({5});
     const auto passed = std::chrono::steady_clock::now() + std::chrono::milliseconds(600); // with all repeats
     vms.runUntil([&] { return std::chrono::steady_clock::now() > passed; });
     EntryNode late(vms.context, settingsOf(vms.context, "vm3"), RequestFormat {}, vms.platform.port("vm3"));
     cr_assert_not(late.start());
-    late.listRead(4); // as of before the change, which went out before this VM was there
+    late.listRead({4}); // as of before the change, which went out before this VM was there
     const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(1500);
     vms.runUntil([&] {
-        vms.one.listRead(5);
+        vms.one.listRead({5});
         return std::chrono::steady_clock::now() > end;
     });
     cr_assert(late.heard("vm1"));
     cr_assert_eq(late.listInterval(), often);
-    late.listRead(5);
+    late.listRead({5});
     cr_assert(vms.runUntil([&] {
-        vms.one.listRead(5);
+        vms.one.listRead({5});
         return late.listInterval() > often;
     }));
 }
@@ -253,14 +253,14 @@
     Pair vms;
     cr_assert(vms.runUntil([&] { return vms.one.heard("vm2") && vms.two.heard("vm1"); }));
     cr_assert(vms.runUntil([&] { return vms.platform.claims.size() == 1; }));
-    vms.one.listRead(0); // as each VM does at its start
-    vms.two.listRead(0);
+    vms.one.listRead({0}); // as each VM does at its start
+    vms.two.listRead({0});
     EntryNode &owner = vms.platform.claims.front() == "vm1" ? vms.one : vms.two;
     EntryNode &other = vms.platform.claims.front() == "vm1" ? vms.two : vms.one;
     EndpointEntry entry = makeEntry(true);
     entry.born = 1000;
     owner.putEndpoint(entry);
-    owner.listRead(5);
+    owner.listRead({5});
     const auto bornAt = [](EntryNode &node) {
         const Fleet &fleet = node.gateway().fleet();
         const auto found = fleet.endpoints.find("i-1");
@@ -270,7 +270,7 @@
     EndpointEntry restarted = makeEntry(false);
     restarted.born = 2000;
     owner.putEndpoint(restarted);
-    owner.listRead(6);
+    owner.listRead({6});
     cr_assert(vms.runUntil([&] { return bornAt(other) == 2000; }));
     cr_assert_not(other.gateway().fleet().endpoints.at("i-1").entry.leaving);
     other.putEndpoint(entry); // its own, slower read of the list
--- a/lacewing/testing/leavingtest.cpp
+++ b/lacewing/testing/leavingtest.cpp
@@ -36,7 +36,7 @@
             = std::make_unique<EntryNode>(this->context, this->settings, RequestFormat {}, this->platform.port("vm1"));
         cr_assert_not(this->node->start());
         this->node->putEndpoint(makeEntry(false));
-        this->node->listRead(10);
+        this->node->listRead({10});
     }
 
     /// Sends a datagram and lets the VM take it in, with all that was sent before.
@@ -113,16 +113,16 @@
     cr_assert_not(two.start());
     for (EntryNode *node : {&one, &two}) {
         node->putEndpoint(makeEntry(false));
-        node->listRead(10);
+        node->listRead({10});
     }
     // While the zone has no owner, each reads for itself, and VM one happens to read last.
     one.putEndpoint(makeEntry(true));
-    one.listRead(20);
+    one.listRead({20});
     int notices = 0;
     const auto end = std::chrono::steady_clock::now() + longestRun;
     while (notices < 2 && std::chrono::steady_clock::now() < end) {
         context.run_one_for(std::chrono::milliseconds(20));
-        one.listRead(20);
+        one.listRead({20});
         observer.send(settings.datagramAddress, {}); // is alive, so it is told too
         for (const wire::VmDatagram &datagram : observer.received()) {
             notices += datagram.__isset.placement ? 1 : 0;
@@ -141,7 +141,7 @@
     vm.node->storeAnswered(false); // one lost answer or refusal, while the store serves
     vm.node->storeAnswered(true);
     vm.node->removeEndpoint("i-1");
-    vm.node->listRead(20);
+    vm.node->listRead({20});
     cr_assert_not(vm.node->gateway().fleet().endpoints.contains("i-1"));
 }
 
--- a/lacewing/testing/listknowledgetest.cpp
+++ b/lacewing/testing/listknowledgetest.cpp
@@ -22,15 +22,31 @@
     return start + lacewing::milliseconds(milliseconds);
 }
 
-/// The store's list: a change at each offset, and when it was acknowledged.
-using Changes = std::vector<TimePoint>;
+/// An endpoint comes to the list or is taken off it; its place among all changes is its offset.
+struct Change {
+    TimePoint acknowledged;
+    int endpoint = 0;
+    bool listed = false;
+};
+
+/// What goes with a statement.
+struct Difference {
+    std::set<int> listed;
+    std::set<int> removed;
+
+    bool empty() const
+    {
+        return this->listed.empty() && this->removed.empty();
+    }
+};
 
 struct ZoneVm {
     ListKnowledge knowledge;
     ListChain chain;
     bool owner = false;
-    std::set<std::int64_t> known; ///< offsets of changes that it has
-    std::set<std::int64_t> unsent; ///< that it has read and not passed on
+    std::set<int> copy; ///< of the list
+    Difference read; ///< that was not passed on yet
+    std::size_t next = 0; ///< offset that it reads from
     TimePoint nextRead;
 };
 
@@ -38,7 +54,7 @@
     std::size_t to = 0;
     std::size_t from = 0;
     ListStatement statement;
-    std::set<std::int64_t> changes;
+    Difference difference;
 };
 
 /// VMs of one zone, their datagrams and reads, as EntryNode and TopicWatch drive them.
@@ -52,29 +68,95 @@
         return std::uniform_real_distribution<double>(0, 1)(this->random) < share;
     }
 
-    void read(ZoneVm &vm)
+    std::set<int> listAt(std::int64_t offset) const
+    {
+        std::set<int> list;
+        for (std::int64_t place = 0; place < offset; ++place) {
+            const Change &change = this->changes[static_cast<std::size_t>(place)];
+            if (change.listed) {
+                list.insert(change.endpoint);
+            } else {
+                list.erase(change.endpoint);
+            }
+        }
+        return list;
+    }
+
+    void change()
+    {
+        const std::set<int> list = this->listAt(static_cast<std::int64_t>(this->changes.size()));
+        if (!list.empty() && this->chance(0.5)) {
+            this->changes.push_back({this->now, *list.begin(), false});
+        } else {
+            this->changes.push_back({this->now, this->nextEndpoint++, true});
+        }
+    }
+
+    static void put(ZoneVm &vm, int endpoint)
+    {
+        if (vm.copy.insert(endpoint).second) {
+            vm.read.listed.insert(endpoint);
+        }
+    }
+
+    /// The newest record of each endpoint since the last read.
+    void readOn(ZoneVm &vm) const
     {
-        const auto end = static_cast<std::int64_t>(this->changes.size());
-        for (std::int64_t offset = 0; offset < end; ++offset) {
-            if (vm.known.insert(offset).second) {
-                vm.unsent.insert(offset);
+        std::map<int, bool> newest;
+        for (; vm.next < this->changes.size(); ++vm.next) {
+            newest[this->changes[vm.next].endpoint] = this->changes[vm.next].listed;
+        }
+        for (const auto &[endpoint, listed] : newest) {
+            if (listed) {
+                put(vm, endpoint);
+            } else {
+                vm.copy.erase(endpoint);
+                vm.read.removed.insert(endpoint);
             }
         }
-        noteOwnRead(vm.knowledge, end, this->now);
-        const std::set<std::int64_t> sent = std::exchange(vm.unsent, {});
+    }
+
+    /// The history was dropped.
+    void listAfresh(ZoneVm &vm) const
+    {
+        vm.next = this->changes.size();
+        const std::set<int> list = this->listAt(static_cast<std::int64_t>(vm.next));
+        const std::set<int> before = vm.copy;
+        for (const int endpoint : before) {
+            if (!list.contains(endpoint)) {
+                vm.copy.erase(endpoint);
+                vm.read.removed.insert(endpoint);
+            }
+        }
+        for (const int endpoint : list) {
+            put(vm, endpoint);
+        }
+        breakChain(vm.chain);
+    }
+
+    void read(ZoneVm &vm)
+    {
+        if (this->chance(this->dropped)) {
+            this->listAfresh(vm);
+        } else {
+            this->readOn(vm);
+        }
+        noteOwnRead(vm.knowledge, static_cast<std::int64_t>(vm.next), this->now);
+        const Difference difference = std::exchange(vm.read, {});
         if (vm.owner) {
-            this->send(vm, nextStatement(vm.chain, vm.knowledge, !sent.empty()), sent);
+            this->send(vm, nextStatement(vm.chain, vm.knowledge, !difference.empty()), difference);
         }
     }
 
-    void send(const ZoneVm &from, const ListStatement &statement, const std::set<std::int64_t> &sent)
+    void send(const ZoneVm &from, const ListStatement &statement, const Difference &difference)
     {
         const auto sender = static_cast<std::size_t>(&from - this->vms.data());
         for (std::size_t to = 0; to < this->vms.size(); ++to) {
-            for (int copy = 0; copy < (sent.empty() ? 1 : 3) && to != sender; ++copy) {
+            for (int copy = 0; copy < (difference.empty() ? 1 : 3) && to != sender; ++copy) {
                 if (!this->chance(this->loss)) {
                     const auto delay = std::uniform_int_distribution<std::int64_t>(0, 400)(this->random);
-                    this->underWay.emplace(this->now + milliseconds(delay), Datagram {to, sender, statement, sent});
+                    this->underWay.emplace(this->now + milliseconds(delay),
+                                           Datagram {to, sender, statement, difference});
                 }
             }
         }
@@ -84,7 +166,10 @@
     {
         ZoneVm &vm = this->vms[datagram.to];
         if (datagram.statement.offset > vm.knowledge.offset && follows(vm.knowledge, datagram.statement)) {
-            vm.known.insert(datagram.changes.begin(), datagram.changes.end());
+            vm.copy.insert(datagram.difference.listed.begin(), datagram.difference.listed.end());
+            for (const int endpoint : datagram.difference.removed) {
+                vm.copy.erase(endpoint);
+            }
         }
         const std::int64_t before = vm.knowledge.offset;
         noteStatement(vm.knowledge, datagram.statement, std::to_string(datagram.from));
@@ -95,7 +180,7 @@
     {
         this->now += milliseconds(10);
         if (this->chance(0.02)) {
-            this->changes.push_back(this->now);
+            this->change();
         }
         if (this->chance(0.004)) { // an owner comes, or one more, or one goes
             ZoneVm &vm = this->vms[this->random() % this->vms.size()];
@@ -125,16 +210,18 @@
         }
     }
 
-    /// Every change before the offset that a VM claims to know, and every one that is as old as its copy claims to be.
+    /// Each copy is the list at the offset that its VM claims to know, and as recent as it claims to be.
     bool holds() const
     {
         for (const ZoneVm &vm : this->vms) {
-            for (std::size_t offset = 0; offset < this->changes.size(); ++offset) {
-                const bool claimed = static_cast<std::int64_t>(offset) < vm.knowledge.offset
-                    || this->changes[offset] <= vm.knowledge.current;
-                if (claimed && !vm.known.contains(static_cast<std::int64_t>(offset))) {
-                    return false;
-                }
+            if (vm.knowledge.offset == noOffset) {
+                continue;
+            }
+            const auto known = static_cast<std::size_t>(vm.knowledge.offset);
+            const bool recent
+                = known >= this->changes.size() || this->changes[known].acknowledged >= vm.knowledge.current;
+            if (!recent || vm.copy != this->listAt(vm.knowledge.offset)) {
+                return false;
             }
         }
         return true;
@@ -142,11 +229,13 @@
 
     std::mt19937_64 random;
     std::vector<ZoneVm> vms;
-    Changes changes;
+    std::vector<Change> changes;
+    int nextEndpoint = 1;
     std::multimap<TimePoint, Datagram> underWay;
     TimePoint now = start;
     double loss = 0.3;
     double failedReads = 0.1;
+    double dropped = 0.2; ///< share of reads that find the history dropped
 };
 
 } // namespace
