What the budget of a leaving endpoint is spent on, beside the constants that spend it

The header of the list's knowledge names each part of the 2000 ms between the store's acknowledgement and the last request with its figure, and what a refused or unanswered read of its own adds. Comments only; found when the change was read as a newcomer would.

--- a/lacewing/listknowledge.h
+++ b/lacewing/listknowledge.h
@@ -9,10 +9,11 @@
 // Load pattern: endpoints leave in series while owners are killed, frozen or cut off and links are full. The smallest
 // bound on an endpoint that leaves is 2000 ms from the store's acknowledgement to the last request. It is spent so:
 //
-//   readValidity   1400 ms  an owner's read counts for the others: readInterval, and a lost statement of it
-//   lookInterval    200 ms  until a VM notices that nothing covers it any more (topicwatch)
-//   a call          some 10 ms; a lost answer costs the call's timeout, which longer bounds leave room for
-//   the rest        nothing is sent that was decided earlier: the choice is looked at again before it is written
+//   1400 ms  an owner's read counts for the others (readValidity): readInterval and one lost statement of it
+//    200 ms  until a VM notices that nothing covers it any more: the topic's watch looks that often
+//     10 ms  its own read; one that is refused costs 250 ms more, one that is not answered 950 ms, for which only the
+//            longer bounds leave room
+//      0 ms  what was decided before: an endpoint is looked at again before a request is written to a new connection
 
 #pragma once
 
@@ -47,8 +48,8 @@
 
 /// What an owner has passed on.
 struct ListChain {
-    std::int64_t passedOn
-        = noOffset; ///< who knows the list up to here has missed none of its changes; noOffset: none yet
+    /// Who knows the list up to here has missed none of its changes; noOffset: nothing was passed on.
+    std::int64_t passedOn = noOffset;
 };
 
 /// What an owner says of its own copy. Whoever knows the list up to `previous` and has what it passed on since knows it
