Tests of the endpoint list share how a VM comes to rely on another and how it sees an outage

Two prologues of the same lines stood in three and two tests; they are functions now, and so is the question whether a VM knows the endpoint.

--- a/lacewing/testing/entrynodetest.cpp
+++ b/lacewing/testing/entrynodetest.cpp
@@ -39,17 +39,39 @@
     EntryNode two;
 };
 
-} // namespace
-
-Test(entrynode, theOwnersReadOfTheListReachesTheOtherVms)
+/// Lets VM one become the owner and VM two rely on its reads of the list.
+void coverTwo(Pair &vms)
 {
-    Pair vms;
-    // An endpoint that begins to leave must get nothing new from any VM of the zone, read by itself or not.
     cr_assert(vms.runUntil([&] {
         vms.one.listRead({0});
         vms.two.listRead({0}); // as each VM does at its start
         return vms.two.listInterval() > vms.one.listInterval();
     }));
+}
+
+/// Calls of a VM on the store fail until it takes that for an outage, then succeed again.
+void sufferOutage(Pair &vms, EntryNode &node)
+{
+    const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(2200);
+    vms.runUntil([&] {
+        node.storeAnswered(false);
+        return std::chrono::steady_clock::now() > end;
+    });
+    node.storeAnswered(true);
+}
+
+bool knows(EntryNode &node)
+{
+    return node.gateway().fleet().endpoints.contains("i-1");
+}
+
+} // namespace
+
+Test(entrynode, theOwnersReadOfTheListReachesTheOtherVms)
+{
+    Pair vms;
+    // An endpoint that begins to leave must get nothing new from any VM of the zone, read by itself or not.
+    coverTwo(vms);
     vms.one.putEndpoint(makeEntry(false));
     vms.one.listRead({1});
     const auto known = [&] { return vms.two.gateway().fleet().endpoints.contains("i-1"); };
@@ -107,21 +129,11 @@
 Test(entrynode, anEndpointThatLapsedIsKeptForSomeWhileByThoseWhoSawTheOutage)
 {
     Pair vms;
-    cr_assert(vms.runUntil([&] {
-        vms.one.listRead({0});
-        vms.two.listRead({0}); // as each VM does at its start
-        return vms.two.listInterval() > vms.one.listInterval();
-    }));
-    const auto knows = [](EntryNode &node) { return node.gateway().fleet().endpoints.contains("i-1"); };
+    coverTwo(vms);
     vms.one.putEndpoint(makeEntry(false));
     vms.one.listRead({1});
     cr_assert(vms.runUntil([&] { return knows(vms.two); }));
-    const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(2200);
-    vms.runUntil([&] {
-        vms.one.storeAnswered(false);
-        return std::chrono::steady_clock::now() > end;
-    });
-    vms.one.storeAnswered(true);
+    sufferOutage(vms, vms.one);
     vms.one.removeEndpoint("i-1"); // may have lapsed only
     vms.one.listRead({2});
     cr_assert(knows(vms.one));
@@ -133,21 +145,11 @@
 Test(entrynode, anEndpointThatComesBackIsListedAgainForAll)
 {
     Pair vms;
-    cr_assert(vms.runUntil([&] {
-        vms.one.listRead({0});
-        vms.two.listRead({0});
-        return vms.two.listInterval() > vms.one.listInterval();
-    }));
-    const auto knows = [](EntryNode &node) { return node.gateway().fleet().endpoints.contains("i-1"); };
+    coverTwo(vms);
     vms.one.putEndpoint(makeEntry(false));
     vms.one.listRead({1});
     cr_assert(vms.runUntil([&] { return knows(vms.two); }));
-    const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(2200);
-    vms.runUntil([&] {
-        vms.one.storeAnswered(false);
-        return std::chrono::steady_clock::now() > end;
-    });
-    vms.one.storeAnswered(true);
+    sufferOutage(vms, vms.one);
     vms.one.removeEndpoint("i-1");
     vms.one.listRead({2});
     cr_assert(vms.runUntil([&] { return !knows(vms.two); }));
