--- a/lacewing/testing/entrynodefixture.cpp
+++ b/lacewing/testing/entrynodefixture.cpp
@@ -31,10 +31,25 @@
     made.newestClaim = [this](std::int64_t, const std::function<void(std::optional<std::int64_t>)> &done) {
         done(static_cast<std::int64_t>(this->claims.size()));
     };
-    made.order = [](const PlacementOrder &, const std::string &, std::int64_t,
-                    const std::function<void(OrderReply)> &done) { done(OrderReply::NoAnswer); };
-    made.report = [](const EndpointName &, const std::string &,
-                     const std::function<void(std::optional<EndpointReport>)> &done) { done(EndpointReport {}); };
+    made.order = [this](const PlacementOrder &, const std::string &, std::int64_t,
+                        const std::function<void(OrderReply)> &done) {
+        this->orders += 1;
+        if (this->loadsNeverEnd != nullptr) {
+            asio::post(*this->loadsNeverEnd, [done] { done(OrderReply::Accepted); });
+        } else {
+            done(OrderReply::NoAnswer);
+        }
+    };
+    made.report = [this](const EndpointName &, const std::string &,
+                         const std::function<void(std::optional<EndpointReport>)> &done) {
+        EndpointReport report;
+        if (this->loadsNeverEnd == nullptr) {
+            done(report);
+            return;
+        }
+        report.held["m"] = 1;
+        asio::post(*this->loadsNeverEnd, [done, report] { done(report); });
+    };
     made.announce = [this](const VmContact &contact, const std::function<void(bool)> &done) {
         const auto store = [this, contact, done] {
             this->contacts.push_back(contact);
@@ -65,6 +80,23 @@
     return settings;
 }
 
+std::shared_ptr<const RouteConfig> makeEngineConfig()
+{
+    constexpr int placesForAdapters = 18;
+    EngineSpec engine;
+    engine.slots = 32;
+    engine.adapterSlots = placesForAdapters;
+    engine.weightsMegabytes = 67000;
+    engine.models.push_back({"m", 65000, 12, milliseconds(600)});
+    ServiceSpec service;
+    service.name = "s";
+    service.engine = engine;
+    RouteConfig config;
+    config.version = 1;
+    config.services["s"] = service;
+    return std::make_shared<const RouteConfig>(config);
+}
+
 EndpointEntry makeEntry(bool leaving)
 {
     EndpointEntry entry;
--- a/lacewing/testing/entrynodefixture.h
+++ b/lacewing/testing/entrynodefixture.h
@@ -2,11 +2,13 @@
 
 #pragma once
 
+#include <memory>
 #include <set>
 #include <string>
 #include <vector>
 
 #include "entrynode.h"
+#include "routeconfig.h"
 
 namespace lacewing::testing {
 
@@ -16,6 +18,8 @@
     std::vector<VmId> claims;
     std::set<VmId> cutOff;
     asio::io_context *storedLater = nullptr; ///< announcements are stored after what follows them was asked
+    asio::io_context *loadsNeverEnd = nullptr; ///< endpoints accept each order and hold a model, and nothing else ever
+    int orders = 0; ///< that were sent
 
     /// @param vm that calls it; the platform outlives the port
     PlatformPort port(const VmId &vm);
@@ -26,6 +30,9 @@
 /// @return settings with addresses that are free
 EntryNodeSettings settingsOf(asio::io_context &context, const VmId &vm);
 
+/// @return configuration with the service "s", whose engines hold the model "m"
+std::shared_ptr<const RouteConfig> makeEngineConfig();
+
 /// @param leaving whether it has said that it leaves
 /// @return entry of endpoint "i-1" of service "s"
 EndpointEntry makeEntry(bool leaving);
--- a/lacewing/testing/entrynodetest.cpp
+++ b/lacewing/testing/entrynodetest.cpp
@@ -2,9 +2,13 @@
 
 #include "entrynode.h"
 
+#include <algorithm>
 #include <csignal>
+#include <memory>
+#include <vector>
 
 #include "entrynodefixture.h"
+#include "listeningvm.h"
 
 // After Boost, whose headers use names that Criterion defines as macros.
 #include <criterion/criterion.h>
@@ -278,3 +282,91 @@
     other.putEndpoint(entry); // its own, slower read of the list
     cr_assert_eq(bornAt(other), 2000);
 }
+
+namespace {
+
+/// The owner of a zone of its own, whose loads never end, and a VM with more processor time that the test plays.
+struct CheckingOwner {
+    explicit CheckingOwner(asio::io_context &context) : larger(context, "vm2"), settings(settingsOf(context, "vm1"))
+    {
+        this->platform.loadsNeverEnd = &context;
+        this->platform.contacts = {this->larger.contact()};
+        this->settings.millicores = 120;
+        this->node = std::make_unique<EntryNode>(context, this->settings, RequestFormat {}, this->platform.port("vm1"));
+        cr_assert_not(this->node->start());
+        this->node->setConfig(makeEngineConfig());
+        this->node->putEndpoint(makeEntry(false));
+        this->node->listRead({1});
+    }
+
+    /// The other VM waits for an adapter.
+    void want()
+    {
+        wire::WantedWeights want;
+        want.name = "m/a1";
+        want.waiting = 1;
+        wire::DemandReport demand;
+        demand.wanted.push_back(want);
+        wire::VmDatagram datagram;
+        datagram.__set_demand(demand);
+        this->larger.send(this->settings.datagramAddress, datagram);
+    }
+
+    /// The other VM makes its processor time known.
+    void showSize()
+    {
+        wire::VmDatagram datagram;
+        datagram.millicores = largerBy * this->settings.millicores;
+        this->larger.send(this->settings.datagramAddress, datagram);
+    }
+
+    bool hasYielded()
+    {
+        for (const wire::VmDatagram &received : this->larger.received()) {
+            this->yielded = this->yielded || (received.__isset.placement && received.placement.yields);
+        }
+        return this->yielded;
+    }
+
+    FakePlatform platform;
+    ListeningVm larger;
+    EntryNodeSettings settings;
+    std::unique_ptr<EntryNode> node;
+    bool yielded = false;
+};
+
+} // namespace
+
+Test(entrynode, anOwnerThatYieldsWhileALoadIsCheckedGoesOn)
+{
+    // The same as placementowner::anOwnershipThatEndsAtAnyQuestionWhetherToOrderEndsNothingElse, with the claim itself:
+    // owners hear of a larger VM while they look every few milliseconds whether a load has ended. One in two of them
+    // used to give its zone up within such a look.
+    constexpr std::size_t count = 16;
+    constexpr auto apart = std::chrono::milliseconds(7);
+    asio::io_context context;
+    std::vector<std::unique_ptr<CheckingOwner>> owners;
+    while (owners.size() < count) {
+        owners.push_back(std::make_unique<CheckingOwner>(context));
+        context.run_for(apart); // so that their timers are not in step
+    }
+    const auto all = [&](const auto &condition) { return std::all_of(owners.begin(), owners.end(), condition); };
+    const auto runUntil = [&](const auto &condition) {
+        const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+        while (!all(condition) && std::chrono::steady_clock::now() < end) {
+            context.run_for(apart);
+        }
+        cr_assert(all(condition));
+    };
+    runUntil([](const auto &owner) { return !owner->platform.claims.empty(); });
+    for (const auto &owner : owners) {
+        owner->want();
+    }
+    context.run_for(leastTenure + milliseconds(250)); // shorter than a load may take
+    for (const auto &owner : owners) {
+        cr_assert_gt(owner->platform.orders, 2, "a load is being checked");
+        owner->showSize();
+    }
+    runUntil([](const auto &owner) { return owner->hasYielded(); });
+    context.run_for(std::chrono::milliseconds(100));
+}
--- a/lacewing/testing/placementownertest.cpp
+++ b/lacewing/testing/placementownertest.cpp
@@ -143,3 +143,31 @@
     zone.run(failurePause + milliseconds(50));
     cr_assert_eq(holdings(), 1, "the model, as the new incarnation reports");
 }
+
+Test(placementowner, anOwnershipThatEndsAtAnyQuestionWhetherToOrderEndsNothingElse)
+{
+    // A daemon ended by itself, at once after these lines:
+    //
+    //   event=placement_owner zone=luzon-b fencing=2 owner=no
+    //   event=ownership_lost zone=luzon-b reason=larger_vm
+    //   lacewing-entry: map::at
+    //
+    // A load was being checked. The question whether the owner may order looked after the claim first, gave the zone up
+    // to a larger VM, and so cleared the endpoints whose load was being checked; the next check was then set for an
+    // endpoint that was no longer there. Here the ownership ends at the first question, at the second, and so on.
+    constexpr int mostQuestions = 40;
+    for (int ending = 1; ending <= mostQuestions; ++ending) {
+        Zone zone;
+        int questions = 0;
+        zone.owner.mayOrder = [&] {
+            questions += 1;
+            if (questions == ending) {
+                zone.owner.end();
+            }
+            return questions < ending;
+        };
+        zone.owner.noteDemand("vm", "z", wants(1, 4));
+        zone.run(milliseconds(400));
+        cr_assert_eq(zone.owner.active(), questions < ending);
+    }
+}
