An owner that loses its zone within a question whether it may order goes on without it

What callers saw: a VM ended by itself, with every request on it. Cause: the question whether the owner may order called checkClaim(), which may give the zone up to a larger VM; that ends the ownership and clears the endpoints, while the check of a load went on with a reference to one of them and looked it up with at(). The question now only looks whether the process stood still; giving up, claiming and confirming stay with the timer. And the owner holds out against a question that ends it all the same: it asks before it looks an endpoint up, passes on the endpoint it has found in place of looking it up again, copies the address that it gives to a call, and stops a plan whose order has ended the ownership. Looked for elsewhere: the other lookups by at() in the data path follow a choice or a check of the same endpoint with nothing between them that could remove it.

--- a/lacewing/entrynode.h
+++ b/lacewing/entrynode.h
@@ -110,6 +110,7 @@
         std::int32_t idlePlaces = -1; ///< for adapters in the zone; -1: not known
     };
 
+    void lookForStall();
     void checkClaim();
     void claimZone();
     void confirmClaim();
--- a/lacewing/entrynodeplacement.cpp
+++ b/lacewing/entrynodeplacement.cpp
@@ -24,16 +24,21 @@
     }
 }
 
-void EntryNode::checkClaim()
+void EntryNode::lookForStall()
 {
-    const TimePoint now = this->clock.now();
     if (this->stallWatch.gap() >= stallGap) {
         logEvent("stalled", {{"owner", this->claim.held ? "yes" : "no"}});
-        noteStall(this->claim, now);
+        noteStall(this->claim, this->clock.now());
     }
+}
+
+void EntryNode::checkClaim()
+{
+    this->lookForStall();
     if (this->asking || this->stopping) {
         return;
     }
+    const TimePoint now = this->clock.now();
     const ZoneView view = this->gossip.zoneView();
     if (shouldClaim(this->claim, view, now)) {
         this->claimZone();
@@ -94,7 +99,9 @@
 
 bool EntryNode::mayOrderNow()
 {
-    this->checkClaim(); // timers that were due while the process stood still run in any order
+    // Only this part of checkClaim(): whoever asks holds on to what ends with the ownership. Timers that were due while
+    // the process stood still run in any order, so it is looked for here, too.
+    this->lookForStall();
     return lacewing::mayOrder(this->claim, this->settings.claim, this->clock.now()) && !this->stopping;
 }
 
--- a/lacewing/placementowner.cpp
+++ b/lacewing/placementowner.cpp
@@ -219,16 +219,24 @@
     this->plansMade += 1;
     this->mergeDemand();
     this->refillModelLoads();
+    const std::int64_t plannedIn = this->term;
     for (const PlacementOrder &order : planOrders(this->state, this->planned)) {
+        if (this->term != plannedIn) {
+            return; // an answer to one of them has ended the ownership
+        }
         this->send(order);
     }
 }
 
 void PlacementOwner::send(const PlacementOrder &order)
 {
+    const auto found = this->state.endpoints.find(order.endpoint);
+    if (found == this->state.endpoints.end()) {
+        return; // taken off the list since the plan was made
+    }
     noteOrdered(this->state, order, this->now());
     this->ordersSent += 1;
-    const PlacedEndpoint &endpoint = this->state.endpoints.at(order.endpoint);
+    const PlacedEndpoint &endpoint = found->second;
     logEvent("order_sent",
              {{"endpoint", order.endpoint},
               {"action", order.action == PlacementAction::Load ? "load" : "unload"},
@@ -239,7 +247,8 @@
               {"placed", std::to_string(adaptersPlaced(endpoint))}});
     const std::int64_t sentIn = this->term;
     const std::int64_t born = endpoint.born;
-    this->port.order(order, endpoint.address, this->fencingNumber, [this, order, sentIn, born](OrderReply reply) {
+    const std::string address = endpoint.address; // the endpoint may go within the call
+    this->port.order(order, address, this->fencingNumber, [this, order, sentIn, born](OrderReply reply) {
         if (this->term == sentIn) {
             this->onReply(order, born, reply);
         }
@@ -269,9 +278,9 @@
     const TimePoint time = this->now();
     if (reply == OrderReply::Accepted && order.action == PlacementAction::Load) {
         endpoint.orders = order.expectedOrders + 1;
-        this->onLoadAccepted(order);
+        this->onLoadAccepted(endpoint, order);
     } else if (reply == OrderReply::Done && order.action == PlacementAction::Load && !order.adapter.empty()) {
-        this->onLoaded(order);
+        this->onLoaded(endpoint, order);
     } else if (reply == OrderReply::Done && order.action == PlacementAction::Unload) {
         endpoint.orders = order.expectedOrders + 1;
         const auto held = endpoint.held.find(weights);
@@ -303,21 +312,19 @@
     this->requestPlan();
 }
 
-void PlacementOwner::onLoadAccepted(const PlacementOrder &order)
+void PlacementOwner::onLoadAccepted(PlacedEndpoint &endpoint, const PlacementOrder &order)
 {
-    PlacedEndpoint &endpoint = this->state.endpoints.at(order.endpoint);
     if (order.adapter.empty()) {
         endpoint.busy = true;
         this->schedulePoll(order.endpoint, pollInterval);
     } else {
         const bool heldBefore = findRemembered(endpoint.heldBefore, weightsOf(order), order.version) != nullptr;
-        this->scheduleCheck(order, heldBefore ? fastLoad : firstCheckAfter(this->loadTime));
+        this->scheduleCheck(order, endpoint.born, heldBefore ? fastLoad : firstCheckAfter(this->loadTime));
     }
 }
 
-void PlacementOwner::onLoaded(const PlacementOrder &order)
+void PlacementOwner::onLoaded(PlacedEndpoint &endpoint, const PlacementOrder &order)
 {
-    PlacedEndpoint &endpoint = this->state.endpoints.at(order.endpoint);
     const std::string weights = weightsOf(order);
     const auto coming = endpoint.coming.find(weights);
     const TimePoint time = this->now();
--- a/lacewing/placementowner.h
+++ b/lacewing/placementowner.h
@@ -64,7 +64,7 @@
 
     /// Called with changes of what endpoints hold, some milliseconds' worth at a time.
     std::function<void(const wire::PlacementNotice &)> onChanged;
-    /// Asked before each order; unset: always.
+    /// Asked before each order; unset: always. Ending the ownership within the question is allowed.
     std::function<bool()> mayOrder;
     /// Called when an endpoint refused our fencing number.
     std::function<void()> onFenced;
@@ -87,13 +87,13 @@
     void plan();
     void send(const PlacementOrder &order);
     void onReply(const PlacementOrder &order, std::int64_t born, OrderReply reply);
-    void onLoadAccepted(const PlacementOrder &order);
-    void onLoaded(const PlacementOrder &order);
-    void scheduleCheck(const PlacementOrder &order, Duration delay);
+    void onLoadAccepted(PlacedEndpoint &endpoint, const PlacementOrder &order);
+    void onLoaded(PlacedEndpoint &endpoint, const PlacementOrder &order);
+    void scheduleCheck(const PlacementOrder &order, std::int64_t born, Duration delay);
     void checkLoad(PlacementOrder order, std::int64_t born);
     void noteLoadTime(Duration took);
     void readReport(const EndpointName &id);
-    void onReport(const EndpointName &id, const EndpointReport &report);
+    void onReport(const EndpointName &id, PlacedEndpoint &endpoint, const EndpointReport &report);
     void schedulePoll(const EndpointName &id, Duration delay);
     void mergeDemand();
     void refillModelLoads();
--- a/lacewing/placementreports.cpp
+++ b/lacewing/placementreports.cpp
@@ -27,11 +27,10 @@
 
 } // namespace
 
-void PlacementOwner::scheduleCheck(const PlacementOrder &order, Duration delay)
+void PlacementOwner::scheduleCheck(const PlacementOrder &order, std::int64_t born, Duration delay)
 {
     const auto timer = std::make_shared<asio::steady_timer>(this->context);
     const std::int64_t setIn = this->term;
-    const std::int64_t born = this->state.endpoints.at(order.endpoint).born;
     timer->expires_after(delay);
     timer->async_wait([this, timer, order, setIn, born](const NetError &error) {
         if (!error && this->term == setIn) {
@@ -42,28 +41,34 @@
 
 void PlacementOwner::checkLoad(PlacementOrder order, std::int64_t born)
 {
+    const bool mayOrderNow = this->allowed(); // first: it may end the ownership, and the endpoints with it
     PlacedEndpoint *known = this->incarnation(order.endpoint, born);
-    if (known == nullptr || !known->coming.contains(weightsOf(order))) {
+    if (known == nullptr) {
         return;
     }
     PlacedEndpoint &endpoint = *known;
-    if (this->now() - endpoint.coming.at(weightsOf(order)).since > longestLoad) {
+    const auto coming = endpoint.coming.find(weightsOf(order));
+    if (coming == endpoint.coming.end()) {
+        return;
+    }
+    if (this->now() - coming->second.since > longestLoad) {
         // What it holds is not known: after a pause of this process an order planned on the old state made an
         // endpoint load more than it has room for, in 3 of 40 runs with random faults.
-        endpoint.coming.erase(weightsOf(order));
+        endpoint.coming.erase(coming);
         endpoint.ready = false;
         this->readReport(order.endpoint);
         return;
     }
-    if (endpoint.orderOpen || !endpoint.ready || !this->allowed()) {
-        this->scheduleCheck(order, checkInterval / 4);
+    if (endpoint.orderOpen || !endpoint.ready || !mayOrderNow) {
+        this->scheduleCheck(order, born, checkInterval / 4);
         return;
     }
     endpoint.orderOpen = true;
     order.expectedOrders = endpoint.orders;
     this->loadChecks += 1;
     const std::int64_t sentIn = this->term;
-    this->port.order(order, endpoint.address, this->fencingNumber, [this, order, sentIn, born](OrderReply reply) {
+    const std::string address = endpoint.address; // the endpoint may go within the call
+    this->port.order(order, address, this->fencingNumber, [this, order, sentIn, born](OrderReply reply) {
         PlacedEndpoint *checked = this->incarnation(order.endpoint, born);
         if (this->term != sentIn || checked == nullptr) {
             return;
@@ -75,7 +80,7 @@
         const bool again = reply == OrderReply::Accepted || reply == OrderReply::Conflict;
         if (again || reply == OrderReply::NoAnswer) { // one that is carried out late finds the adapter held
             checked->orderOpen = false;
-            this->scheduleCheck(order, checkInterval);
+            this->scheduleCheck(order, born, checkInterval);
             this->requestPlan();
             return;
         }
@@ -105,7 +110,8 @@
     this->reportsRead += 1;
     const std::int64_t askedIn = this->term;
     const std::int64_t born = found->second.born;
-    this->port.report(id, found->second.address, [this, id, askedIn, born](std::optional<EndpointReport> report) {
+    const std::string address = found->second.address; // the endpoint may go within the call
+    this->port.report(id, address, [this, id, askedIn, born](std::optional<EndpointReport> report) {
         PlacedEndpoint *endpoint = this->incarnation(id, born);
         if (this->term != askedIn || endpoint == nullptr) {
             return;
@@ -117,13 +123,12 @@
             this->schedulePoll(id, failurePause);
             return;
         }
-        this->onReport(id, *report);
+        this->onReport(id, *endpoint, *report);
     });
 }
 
-void PlacementOwner::onReport(const EndpointName &id, const EndpointReport &report)
+void PlacementOwner::onReport(const EndpointName &id, PlacedEndpoint &endpoint, const EndpointReport &report)
 {
-    PlacedEndpoint &endpoint = this->state.endpoints.at(id);
     const TimePoint time = this->now();
     if (report.orders < endpoint.orders) { // older than the last order that was accepted
         this->schedulePoll(id, pollInterval);
@@ -150,7 +155,7 @@
         const auto known = endpoint.coming.find(weights);
         coming[weights] = known == endpoint.coming.end() ? ComingAdapter {version, time} : known->second;
         if (known == endpoint.coming.end()) {
-            this->scheduleCheck(makeLoad(id, weights, version), checkInterval);
+            this->scheduleCheck(makeLoad(id, weights, version), endpoint.born, checkInterval);
         }
     }
     endpoint.coming = std::move(coming);
