An exception in a handler ends what the handler was about, not the process

Cause: any exception in the event loop ended the daemon with all its requests and one line on standard error; one in a call on the platform was dropped without a line, and with it, in the watch of a topic, all further reads. Now each request, datagram, record, timer and call is run guarded: event handler_failed with the place, handler_failures_total, and an owner whose plan or answer failed gives its zone up.

--- a/lacewing/entrynode.cpp
+++ b/lacewing/entrynode.cpp
@@ -12,6 +12,7 @@
 
 #include "endpointlapse.h"
 #include "eventlog.h"
+#include "handlerguard.h"
 
 namespace lacewing {
 
@@ -110,6 +111,11 @@
         noteFenced(this->claim, this->clock.now());
         this->stopOwning("fenced");
     };
+    this->owner.onFailed = [this] {
+        if (this->claim.held) {
+            this->yieldZone("internal_error"); // to a VM whose view of the endpoints is whole
+        }
+    };
     this->gossip.millicores = this->settings.millicores;
 }
 
@@ -170,7 +176,7 @@
     timer->expires_after(delay);
     timer->async_wait([timer, job](const NetError &error) {
         if (!error) {
-            job();
+            runGuarded("timer", job);
         }
     });
 }
@@ -178,7 +184,7 @@
 void EntryNode::every(Duration interval, const std::function<void()> &job)
 {
     this->after(interval, [this, interval, job] {
-        job();
+        runGuarded("timer", job); // by itself, so that the next one is set whatever becomes of this one
         this->every(interval, job);
     });
 }
@@ -335,6 +341,7 @@
     line("placement_owner", this->owner.active() ? 1 : 0);
     line("records_unreadable_total", this->unreadable);
     line("store_up", this->storeUp ? 1 : 0);
+    line("handler_failures_total", handlerFailures().total);
     return text;
 }
 
--- a/lacewing/entrynode.h
+++ b/lacewing/entrynode.h
@@ -116,7 +116,7 @@
     void confirmClaim();
     bool mayOrderNow();
     void becomeOwner();
-    void yieldZone();
+    void yieldZone(std::string_view reason);
     void onOwnerLeaving(const VmId &vm, const ZoneName &ownerZone);
     void stopOwning(std::string_view reason);
     void report();
--- a/lacewing/entrynodeplacement.cpp
+++ b/lacewing/entrynodeplacement.cpp
@@ -6,6 +6,7 @@
 
 #include "adapterhome.h"
 #include "eventlog.h"
+#include "handlerguard.h"
 #include "weightsname.h"
 
 namespace lacewing {
@@ -45,18 +46,18 @@
     } else if (shouldConfirm(this->claim, this->settings.claim, view, now)) {
         this->confirmClaim();
     } else if (shouldYield(this->claim, view, now)) {
-        this->yieldZone();
+        this->yieldZone("larger_vm");
     }
 }
 
-void EntryNode::yieldZone()
+void EntryNode::yieldZone(std::string_view reason)
 {
     wire::PlacementNotice notice;
     notice.zone = this->settings.zone;
     notice.fencing = this->claim.fencing;
     notice.yields = true;
     noteYielded(this->claim, this->clock.now());
-    this->stopOwning("larger_vm");
+    this->stopOwning(reason);
     this->gossip.sendPlacementToAll(notice);
 }
 
@@ -218,6 +219,10 @@
 
 void EntryNode::heartbeat()
 {
+    if (isFailingInSeries(handlerFailures())) {
+        this->context.stop();
+        return;
+    }
     this->shareRetryBudget();
     this->gossip.sendHeartbeat();
 }
--- a/lacewing/gateway.cpp
+++ b/lacewing/gateway.cpp
@@ -9,6 +9,7 @@
 #include "callerconnection.h"
 #include "clock.h"
 #include "eventlog.h"
+#include "handlerguard.h"
 #include "relay.h"
 
 namespace lacewing {
@@ -91,10 +92,15 @@
 void Gateway::onRequest(const std::shared_ptr<CallerConnection> &caller, HttpRequestHead head, std::string body)
 {
     this->counts.requests += 1;
-    const auto relay = std::make_shared<Relay>(*this, caller, std::move(head), std::move(body));
-    this->callers[caller] = relay;
-    this->relays.insert(relay);
-    relay->start();
+    const bool taken = runGuarded("request", [&] {
+        const auto relay = std::make_shared<Relay>(*this, caller, std::move(head), std::move(body));
+        this->callers[caller] = relay;
+        this->relays.insert(relay);
+        relay->start();
+    });
+    if (!taken) {
+        caller->abort();
+    }
 }
 
 bool Gateway::setConfig(std::shared_ptr<const RouteConfig> next)
--- a/lacewing/placementowner.cpp
+++ b/lacewing/placementowner.cpp
@@ -10,6 +10,7 @@
 #include "clock.h"
 #include "eventlog.h"
 #include "fleet.h"
+#include "handlerguard.h"
 #include "routeconfig.h"
 #include "weightsname.h"
 
@@ -199,12 +200,23 @@
         return;
     }
     this->planRequested = true;
+    this->runAfter(std::max(Duration {0}, this->planned + planPause - this->now()), [this] { this->plan(); });
+}
+
+void PlacementOwner::run(std::int64_t madeIn, const std::function<void()> &handler)
+{
+    if (this->term == madeIn && !runGuarded("placement", handler) && this->onFailed) {
+        this->onFailed();
+    }
+}
+
+void PlacementOwner::runAfter(Duration delay, const std::function<void()> &handler)
+{
     const auto timer = std::make_shared<asio::steady_timer>(this->context);
-    const std::int64_t setIn = this->term;
-    timer->expires_after(std::max(Duration {0}, this->planned + planPause - this->now()));
-    timer->async_wait([this, timer, setIn](const NetError &error) {
-        if (!error && this->term == setIn) {
-            this->plan();
+    timer->expires_after(delay);
+    timer->async_wait([this, timer, handler, setIn = this->term](const NetError &error) {
+        if (!error) {
+            this->run(setIn, handler);
         }
     });
 }
@@ -249,9 +261,7 @@
     const std::int64_t born = endpoint.born;
     const std::string address = endpoint.address; // the endpoint may go within the call
     this->port.order(order, address, this->fencingNumber, [this, order, sentIn, born](OrderReply reply) {
-        if (this->term == sentIn) {
-            this->onReply(order, born, reply);
-        }
+        this->run(sentIn, [&] { this->onReply(order, born, reply); });
     });
 }
 
--- a/lacewing/placementowner.h
+++ b/lacewing/placementowner.h
@@ -15,6 +15,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "adapterplan.h"
@@ -68,6 +69,8 @@
     std::function<bool()> mayOrder;
     /// Called when an endpoint refused our fencing number.
     std::function<void()> onFenced;
+    /// Called when a plan or the handling of an answer failed: what is known of the endpoints may be wrong.
+    std::function<void()> onFailed;
 
     /// Loads and unloads ordered since the start, for the metrics page.
     std::int64_t ordersSent = 0;
@@ -82,6 +85,10 @@
         TimePoint heard;
     };
 
+    /// Runs a handler if the ownership that it was made in still holds.
+    void run(std::int64_t madeIn, const std::function<void()> &handler);
+    /// Runs a handler after a while, likewise.
+    void runAfter(Duration delay, const std::function<void()> &handler);
     wire::PlacementNotice notice(std::vector<wire::EndpointHoldings> endpoints) const;
     void requestPlan();
     void plan();
@@ -91,6 +98,8 @@
     void onLoaded(PlacedEndpoint &endpoint, const PlacementOrder &order);
     void scheduleCheck(const PlacementOrder &order, std::int64_t born, Duration delay);
     void checkLoad(PlacementOrder order, std::int64_t born);
+    void onLoadChecked(const PlacementOrder &order, std::int64_t born, OrderReply reply);
+    void onReportAnswer(const EndpointName &id, std::int64_t born, const std::optional<EndpointReport> &report);
     void noteLoadTime(Duration took);
     void readReport(const EndpointName &id);
     void onReport(const EndpointName &id, PlacedEndpoint &endpoint, const EndpointReport &report);
--- a/lacewing/placementreports.cpp
+++ b/lacewing/placementreports.cpp
@@ -29,14 +29,7 @@
 
 void PlacementOwner::scheduleCheck(const PlacementOrder &order, std::int64_t born, Duration delay)
 {
-    const auto timer = std::make_shared<asio::steady_timer>(this->context);
-    const std::int64_t setIn = this->term;
-    timer->expires_after(delay);
-    timer->async_wait([this, timer, order, setIn, born](const NetError &error) {
-        if (!error && this->term == setIn) {
-            this->checkLoad(order, born);
-        }
-    });
+    this->runAfter(delay, [this, order, born] { this->checkLoad(order, born); });
 }
 
 void PlacementOwner::checkLoad(PlacementOrder order, std::int64_t born)
@@ -69,35 +62,33 @@
     const std::int64_t sentIn = this->term;
     const std::string address = endpoint.address; // the endpoint may go within the call
     this->port.order(order, address, this->fencingNumber, [this, order, sentIn, born](OrderReply reply) {
-        PlacedEndpoint *checked = this->incarnation(order.endpoint, born);
-        if (this->term != sentIn || checked == nullptr) {
-            return;
-        }
-        logEvent("load_checked",
-                 {{"endpoint", order.endpoint},
-                  {"weights", weightsOf(order)},
-                  {"reply", std::to_string(static_cast<int>(reply))}});
-        const bool again = reply == OrderReply::Accepted || reply == OrderReply::Conflict;
-        if (again || reply == OrderReply::NoAnswer) { // one that is carried out late finds the adapter held
-            checked->orderOpen = false;
-            this->scheduleCheck(order, born, checkInterval);
-            this->requestPlan();
-            return;
-        }
-        this->onReply(order, born, reply);
+        this->run(sentIn, [&] { this->onLoadChecked(order, born, reply); });
     });
 }
 
+void PlacementOwner::onLoadChecked(const PlacementOrder &order, std::int64_t born, OrderReply reply)
+{
+    PlacedEndpoint *checked = this->incarnation(order.endpoint, born);
+    if (checked == nullptr) {
+        return;
+    }
+    logEvent("load_checked",
+             {{"endpoint", order.endpoint},
+              {"weights", weightsOf(order)},
+              {"reply", std::to_string(static_cast<int>(reply))}});
+    const bool again = reply == OrderReply::Accepted || reply == OrderReply::Conflict;
+    if (again || reply == OrderReply::NoAnswer) { // one that is carried out late finds the adapter held
+        checked->orderOpen = false;
+        this->scheduleCheck(order, born, checkInterval);
+        this->requestPlan();
+        return;
+    }
+    this->onReply(order, born, reply);
+}
+
 void PlacementOwner::schedulePoll(const EndpointName &id, Duration delay)
 {
-    const auto timer = std::make_shared<asio::steady_timer>(this->context);
-    const std::int64_t setIn = this->term;
-    timer->expires_after(delay);
-    timer->async_wait([this, timer, id, setIn](const NetError &error) {
-        if (!error && this->term == setIn) {
-            this->readReport(id);
-        }
-    });
+    this->runAfter(delay, [this, id] { this->readReport(id); });
 }
 
 void PlacementOwner::readReport(const EndpointName &id)
@@ -112,21 +103,27 @@
     const std::int64_t born = found->second.born;
     const std::string address = found->second.address; // the endpoint may go within the call
     this->port.report(id, address, [this, id, askedIn, born](std::optional<EndpointReport> report) {
-        PlacedEndpoint *endpoint = this->incarnation(id, born);
-        if (this->term != askedIn || endpoint == nullptr) {
-            return;
-        }
-        this->reportOpen[id] = false;
-        const bool ofOther = report && report->born != 0 && report->born != born; // the list will tell of it
-        if (!report || ofOther) {
-            endpoint->ready = false;
-            this->schedulePoll(id, failurePause);
-            return;
-        }
-        this->onReport(id, *endpoint, *report);
+        this->run(askedIn, [&] { this->onReportAnswer(id, born, report); });
     });
 }
 
+void PlacementOwner::onReportAnswer(const EndpointName &id, std::int64_t born,
+                                    const std::optional<EndpointReport> &report)
+{
+    PlacedEndpoint *endpoint = this->incarnation(id, born);
+    if (endpoint == nullptr) {
+        return;
+    }
+    this->reportOpen[id] = false;
+    const bool ofOther = report && report->born != 0 && report->born != born; // the list will tell of it
+    if (!report || ofOther) {
+        endpoint->ready = false;
+        this->schedulePoll(id, failurePause);
+        return;
+    }
+    this->onReport(id, *endpoint, *report);
+}
+
 void PlacementOwner::onReport(const EndpointName &id, PlacedEndpoint &endpoint, const EndpointReport &report)
 {
     const TimePoint time = this->now();
--- a/lacewing/relay.cpp
+++ b/lacewing/relay.cpp
@@ -9,6 +9,7 @@
 #include "callerconnection.h"
 #include "eventlog.h"
 #include "gateway.h"
+#include "handlerguard.h"
 #include "waitlimits.h"
 
 namespace lacewing {
@@ -39,7 +40,32 @@
 {
 }
 
+void Relay::run(const std::function<void()> &part)
+{
+    const auto self = this->shared_from_this();
+    if (runGuarded("request", part) || this->done) {
+        return;
+    }
+    this->breakOff("internal_error"); // a closed connection promises nothing of what has run
+}
+
+void Relay::setTimer(asio::steady_timer &timer, Duration length, void (Relay::*onEnd)())
+{
+    timer.expires_after(length);
+    timer.async_wait([weak = this->weak_from_this(), onEnd](const NetError &error) {
+        const auto self = weak.lock();
+        if (!error && self && !self->done) {
+            self->run([&self, onEnd] { (self.get()->*onEnd)(); });
+        }
+    });
+}
+
 void Relay::start()
+{
+    this->run([this] { this->begin(); });
+}
+
+void Relay::begin()
 {
     if (!this->config) {
         this->answerOwn(ResultCode::NoConfiguration, elsewhereRetryAfter);
@@ -69,14 +95,7 @@
     const Duration silence = this->route->silencePatience;
     const Duration longestStart = silence.count() > 0 ? silence : this->deadline - this->arrived;
     this->versionGrace = oldVersionGrace(this->gateway.settings.versionBound, longestStart);
-    const std::weak_ptr<Relay> weak = this->weak_from_this();
-    this->deadlineTimer.expires_after(this->deadline - this->arrived);
-    this->deadlineTimer.async_wait([weak](const NetError &error) {
-        const auto self = weak.lock();
-        if (!error && self && !self->done) {
-            self->onDeadline();
-        }
-    });
+    this->setTimer(this->deadlineTimer, this->deadline - this->arrived, &Relay::onDeadline);
     noteFirstAttempt(this->gateway.budgetOf(this->service), this->gateway.budgetSettings, this->arrived);
     this->place();
 }
@@ -129,21 +148,14 @@
         this->turnSince = this->gateway.now();
     }
     this->paced = choice.endpoint;
-    const std::weak_ptr<Relay> weak = this->weak_from_this();
-    this->paceTimer.expires_after(std::min(left, turnCheckInterval));
-    this->paceTimer.async_wait([weak](const NetError &error) {
-        const auto self = weak.lock();
-        if (!error && self) {
-            self->lookForTurn();
-        }
-    });
+    this->setTimer(this->paceTimer, std::min(left, turnCheckInterval), &Relay::lookForTurn);
     return true;
 }
 
 void Relay::lookForTurn()
 {
     if (!this->done && !this->paced.empty()) {
-        this->place();
+        this->run([this] { this->place(); });
     }
 }
 
@@ -214,14 +226,7 @@
               {"weights", this->weights},
               {"held", result == ChoiceResult::AllFull ? "full" : "no"},
               {"limit_ms", inMilliseconds(limit)}});
-    const std::weak_ptr<Relay> weak = this->weak_from_this();
-    this->waitTimer.expires_after(limit);
-    this->waitTimer.async_wait([weak](const NetError &error) {
-        const auto self = weak.lock();
-        if (!error && self && !self->done && !self->waiting.empty()) {
-            self->onWaitLimit();
-        }
-    });
+    this->setTimer(this->waitTimer, limit, &Relay::onWaitLimit);
     if (this->gateway.onWanted) {
         this->gateway.onWanted();
     }
@@ -230,7 +235,7 @@
 void Relay::lookAgain()
 {
     if (!this->done && !this->waiting.empty()) {
-        this->place();
+        this->run([this] { this->place(); });
     }
 }
 
@@ -246,6 +251,9 @@
 
 void Relay::onWaitLimit()
 {
+    if (this->waiting.empty()) {
+        return;
+    }
     this->waiting.clear();
     this->answerOwn(ResultCode::LoadFailed, refusedRetryAfter);
 }
@@ -274,17 +282,17 @@
     EndpointLink::Handlers handlers;
     handlers.onConnected = [weak] {
         if (const auto self = weak.lock()) {
-            self->onConnected();
+            self->run([&self] { self->onConnected(); });
         }
     };
     handlers.onProgress = [weak] {
         if (const auto self = weak.lock()) {
-            self->onProgress();
+            self->run([&self] { self->onProgress(); });
         }
     };
     handlers.onFailure = [weak](LinkFailure failure) {
         if (const auto self = weak.lock()) {
-            self->onFailure(failure);
+            self->run([&self, failure] { self->onFailure(failure); });
         }
     };
     logEvent("request_sent",
--- a/lacewing/relay.h
+++ b/lacewing/relay.h
@@ -5,6 +5,7 @@
 
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -58,6 +59,11 @@
     Duration age() const;
 
 private:
+    void begin();
+    /// Runs a part of this request; an exception ends this request alone.
+    void run(const std::function<void()> &part);
+    /// Sets a timer; what follows is left out if the request has ended by then.
+    void setTimer(asio::steady_timer &timer, Duration length, void (Relay::*onEnd)());
     void place();
     void waitFor(ChoiceResult result);
     bool awaitTurn(const EndpointChoice &choice);
--- a/lacewing/testing/entrynodefixture.cpp
+++ b/lacewing/testing/entrynodefixture.cpp
@@ -2,14 +2,25 @@
 
 #include "entrynodefixture.h"
 
+#include <cstdint>
+
+#include <unistd.h>
+
 namespace lacewing::testing {
 
 namespace {
 
-std::string freeAddress(asio::io_context &context)
+/// An address of the loopback that only this process uses: a port that was found free on one that all use may be taken
+/// by another test before it is bound.
+std::string ownAddress()
 {
-    asio::ip::udp::socket probe(context, {asio::ip::address_v4::loopback(), 0});
-    return "127.0.0.1:" + std::to_string(probe.local_endpoint().port());
+    constexpr std::uint32_t loopback = 0x7f000000;
+    constexpr std::uint32_t hostBits = 0x00ffffff;
+    constexpr int firstPort = 20000;
+    static int next = firstPort;
+    const std::uint32_t host = 0x100 + static_cast<std::uint32_t>(::getpid()); // not 127.0.0.1
+    const asio::ip::address_v4 address(loopback | (host & hostBits));
+    return address.to_string() + ":" + std::to_string(next++);
 }
 
 } // namespace
@@ -67,7 +78,7 @@
     return made;
 }
 
-EntryNodeSettings settingsOf(asio::io_context &context, const VmId &vm)
+EntryNodeSettings settingsOf(const VmId &vm)
 {
     EntryNodeSettings settings;
     settings.vm = vm;
@@ -75,7 +86,7 @@
     settings.callerAddress = "127.0.0.1:0";
     settings.readyAddress = "127.0.0.1:0";
     settings.readyPath = "/ready";
-    settings.datagramAddress = freeAddress(context);
+    settings.datagramAddress = ownAddress();
     settings.claim.turnDelay = Duration {0};
     return settings;
 }
--- a/lacewing/testing/entrynodefixture.h
+++ b/lacewing/testing/entrynodefixture.h
@@ -25,10 +25,9 @@
     PlatformPort port(const VmId &vm);
 };
 
-/// @param context any event loop
 /// @param vm name of a VM of zone "z"
 /// @return settings with addresses that are free
-EntryNodeSettings settingsOf(asio::io_context &context, const VmId &vm);
+EntryNodeSettings settingsOf(const VmId &vm);
 
 /// @return configuration with the service "s", whose engines hold the model "m"
 std::shared_ptr<const RouteConfig> makeEngineConfig();
--- a/lacewing/testing/entrynodetest.cpp
+++ b/lacewing/testing/entrynodetest.cpp
@@ -20,8 +20,8 @@
 
 struct Pair {
     Pair()
-        : one(context, settingsOf(context, "vm1"), RequestFormat {}, platform.port("vm1")),
-          two(context, settingsOf(context, "vm2"), RequestFormat {}, platform.port("vm2"))
+        : one(context, settingsOf("vm1"), RequestFormat {}, platform.port("vm1")),
+          two(context, settingsOf("vm2"), RequestFormat {}, platform.port("vm2"))
     {
         cr_assert_not(this->one.start());
         cr_assert_not(this->two.start());
@@ -93,8 +93,8 @@
     asio::io_context context;
     FakePlatform platform;
     platform.storedLater = &context;
-    EntryNode one(context, settingsOf(context, "vm1"), RequestFormat {}, platform.port("vm1"));
-    EntryNode two(context, settingsOf(context, "vm2"), RequestFormat {}, platform.port("vm2"));
+    EntryNode one(context, settingsOf("vm1"), RequestFormat {}, platform.port("vm1"));
+    EntryNode two(context, settingsOf("vm2"), RequestFormat {}, platform.port("vm2"));
     cr_assert_not(one.start());
     cr_assert_not(two.start());
     const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(10);
@@ -175,7 +175,7 @@
     vms.one.listRead({5});
     const auto passed = std::chrono::steady_clock::now() + std::chrono::milliseconds(600); // with all repeats
     vms.runUntil([&] { return std::chrono::steady_clock::now() > passed; });
-    EntryNode late(vms.context, settingsOf(vms.context, "vm3"), RequestFormat {}, vms.platform.port("vm3"));
+    EntryNode late(vms.context, settingsOf("vm3"), RequestFormat {}, vms.platform.port("vm3"));
     cr_assert_not(late.start());
     late.listRead({4}); // as of before the change, which went out before this VM was there
     const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(1500);
@@ -206,7 +206,7 @@
     Pair vms;
     // Whatever the number of VMs, what they may save up together keeps within the burst of all.
     const auto sum = [&vms] { return vms.one.gateway().retryBurst() + vms.two.gateway().retryBurst(); };
-    const double all = settingsOf(vms.context, "vm").retryBurst;
+    const double all = settingsOf("vm").retryBurst;
     cr_assert_leq(sum(), all);
     // Both may start again once more with a full bucket each.
     cr_assert(vms.runUntil([&] { return vms.one.heard("vm2") && vms.two.heard("vm1") && 2 * sum() <= all; }));
@@ -222,7 +222,7 @@
 Test(entrynode, aHangupReadsTheSettingsAgainAndTheirLimitsHoldAtOnce)
 {
     Pair vms;
-    EntryNodeSettings next = settingsOf(vms.context, "vm1");
+    EntryNodeSettings next = settingsOf("vm1");
     next.retryBurst = 4 * next.retryBurst;
     vms.one.onReload = [&] { vms.one.applySettings(next); };
     const double before = vms.one.gateway().retryBurst();
@@ -234,9 +234,9 @@
 {
     asio::io_context context;
     FakePlatform platform;
-    EntryNodeSettings small = settingsOf(context, "vm1");
+    EntryNodeSettings small = settingsOf("vm1");
     small.millicores = 120;
-    EntryNodeSettings large = settingsOf(context, "vm2");
+    EntryNodeSettings large = settingsOf("vm2");
     large.millicores = 500;
     EntryNode one(context, small, RequestFormat {}, platform.port("vm1"));
     EntryNode two(context, large, RequestFormat {}, platform.port("vm2"));
@@ -287,7 +287,7 @@
 
 /// The owner of a zone of its own, whose loads never end, and a VM with more processor time that the test plays.
 struct CheckingOwner {
-    explicit CheckingOwner(asio::io_context &context) : larger(context, "vm2"), settings(settingsOf(context, "vm1"))
+    explicit CheckingOwner(asio::io_context &context) : larger(context, "vm2"), settings(settingsOf("vm1"))
     {
         this->platform.loadsNeverEnd = &context;
         this->platform.contacts = {this->larger.contact()};
--- a/lacewing/testing/leavingtest.cpp
+++ b/lacewing/testing/leavingtest.cpp
@@ -31,7 +31,7 @@
     {
         this->platform.cutOff = {"vm1"}; // it never owns the zone
         this->platform.contacts = {this->owner.contact()};
-        this->settings = settingsOf(this->context, "vm1");
+        this->settings = settingsOf("vm1");
         this->node
             = std::make_unique<EntryNode>(this->context, this->settings, RequestFormat {}, this->platform.port("vm1"));
         cr_assert_not(this->node->start());
@@ -106,9 +106,9 @@
     platform.cutOff = {"vm2"}; // only VM one may own the zone
     ListeningVm observer(context, "vm0");
     platform.contacts = {observer.contact()};
-    const EntryNodeSettings settings = settingsOf(context, "vm1");
+    const EntryNodeSettings settings = settingsOf("vm1");
     EntryNode one(context, settings, RequestFormat {}, platform.port("vm1"));
-    EntryNode two(context, settingsOf(context, "vm2"), RequestFormat {}, platform.port("vm2"));
+    EntryNode two(context, settingsOf("vm2"), RequestFormat {}, platform.port("vm2"));
     cr_assert_not(one.start());
     cr_assert_not(two.start());
     for (EntryNode *node : {&one, &two}) {
--- a/lacewing/vmgossip.cpp
+++ b/lacewing/vmgossip.cpp
@@ -8,6 +8,7 @@
 #include "clock.h"
 #include "codec.h"
 #include "eventlog.h"
+#include "handlerguard.h"
 
 namespace lacewing {
 
@@ -81,7 +82,7 @@
                                             return;
                                         }
                                         if (!error) {
-                                            this->onDatagram(size);
+                                            runGuarded("datagram", [this, size] { this->onDatagram(size); });
                                         }
                                         this->receive();
                                     });
