What callers wait for is loaded before copies and new versions that nobody waits for

Cause: a copy of a popular adapter, and a new version of one in use, had the rank of the most urgent callers. Change: what nobody waits for has the last rank. Test: adapterplantest, four loads in transit, three popular adapters and three replaced ones against four that callers wait for (fails before).

--- a/lacewing/adapterplan.cpp
+++ b/lacewing/adapterplan.cpp
@@ -221,11 +221,12 @@
         }
         for (const auto &[weights, use] : uses) {
             const auto wanted = this->state.wanted.find(weights);
-            const double waiting = wanted == this->state.wanted.end() ? 0 : wanted->second.waiting;
-            const double load = use.running + waiting;
+            const bool awaited = wanted != this->state.wanted.end() && wanted->second.waiting > 0;
+            const double load = use.running + (awaited ? wanted->second.waiting : 0);
             if (load > copyLoadShare * use.slots && !this->isComing(weights)) {
-                this->wants.push_back(
-                    {.weights = weights, .urgency = std::max(0.4, load - urgentCopyShare * use.slots)});
+                this->wants.push_back({.weights = weights,
+                                       .urgency = std::max(0.4, load - urgentCopyShare * use.slots),
+                                       .rank = awaited ? wanted->second.rank : rankOfUnawaited});
             }
         }
     }
--- a/lacewing/testing/adapterplantest.cpp
+++ b/lacewing/testing/adapterplantest.cpp
@@ -301,6 +301,33 @@
     cr_assert_eq(loaded, (std::set<std::string> {"m/z-urgent", "m/a100", "m/a101", "m/a102"}));
 }
 
+Test(adapterplan, underAStormWhatCallersWaitForGoesBeforeCopiesAndNewVersionsThatNobodyWaitsFor)
+{
+    // Engines with few slots, where a few streams of a popular adapter ask for a further copy of it: those went before
+    // all callers but the most urgent ones.
+    Zone zone(4);
+    for (int number = 0; number < 3; ++number) {
+        const std::string weights = "m/popular" + std::to_string(number);
+        PlacedEndpoint &endpoint = zone.state.endpoints.at("e" + std::to_string(number));
+        endpoint.slots = 12;
+        endpoint.held[weights] = {1, start, 10};
+        endpoint.held["m/replaced" + std::to_string(number)] = {1, start, 2};
+        zone.state.versions["m/replaced" + std::to_string(number)] = {2, start};
+    }
+    constexpr int storm = 4;
+    std::set<std::string> awaited;
+    for (int number = 0; number < storm; ++number) {
+        const std::string weights = "m/a" + std::to_string(number);
+        want(zone, weights, 1, milliseconds(10));
+        awaited.insert(weights);
+    }
+    std::set<std::string> loaded;
+    for (const PlacementOrder &order : zone.settle()) { // four loads may be in transit
+        loaded.insert(weightsOf(order));
+    }
+    cr_assert_eq(loaded, awaited);
+}
+
 Test(adapterplan, anAdapterIsPlacedWhereFewestPlacesAreInUse)
 {
     Zone zone(3);
--- a/lacewing/wantorder.h
+++ b/lacewing/wantorder.h
@@ -9,17 +9,21 @@
 #pragma once
 
 #include <cstdint>
+#include <limits>
 #include <string>
 
 #include "types.h"
 
 namespace lacewing {
 
+/// Rank of what no caller waits for: behind all that some wait for.
+constexpr std::int32_t rankOfUnawaited = std::numeric_limits<std::int32_t>::max();
+
 /// A load that is wanted.
 struct Want {
     std::string weights;
-    double urgency = 0; ///< callers who wait; less than 1: nobody waits
-    std::int32_t rank = 0; ///< of the most urgent of them; 0 is the most urgent
+    double urgency = 0; ///< callers who wait or run on it; less than 1: it can wait
+    std::int32_t rank = rankOfUnawaited; ///< of the most urgent caller who waits; 0 is the most urgent
     TimePoint since {Duration::max()}; ///< when the oldest of them began to wait
 };
 
