A read of the list that is answered late brings back nothing that was told to be gone

Cause: while the store is slow, a VM's own read, asked before, is answered after its zone's owner has told a removal; its records, older than what the VM knew, were taken in, so the entry came back and stayed until the VM's next read, up to 30 s later. Test: leavingtest, without the comparison it fails.

--- a/lacewing/entrynode.h
+++ b/lacewing/entrynode.h
@@ -75,12 +75,18 @@
     void setConfig(std::shared_ptr<const RouteConfig> config);
     /// A version of an adapter was read.
     void setVersion(std::string_view weights, std::int32_t version);
-    /// Entries of the platform's list were read.
-    void putEndpoint(const EndpointEntry &entry);
+    /// An entry of the platform's list was read.
+    /// @param entry as listed
+    /// @param offset of the change by which it came to be so; noOffset: not known
+    void putEndpoint(const EndpointEntry &entry, std::int64_t offset = noOffset);
     /// An entry was taken off the platform's list.
-    void removeEndpoint(const EndpointName &id);
+    /// @param id of the endpoint
+    /// @param offset as above
+    void removeEndpoint(const EndpointName &id, std::int64_t offset = noOffset);
     /// An entry of the platform's list can't be used.
-    void dropUnusable(const EndpointName &id);
+    /// @param id of the endpoint
+    /// @param offset as above
+    void dropUnusable(const EndpointName &id, std::int64_t offset = noOffset);
     /// The list is complete as far as the platform has it.
     /// @param read how far, and how it came
     void listRead(const ListRead &read);
@@ -162,6 +168,7 @@
     void dropEndpoint(const EndpointName &id);
     void takeIn(const EndpointEntry &entry, ListNews news);
     void takeOff(const EndpointName &id, ListNews news);
+    bool isSuperseded(std::int64_t offset) const;
     void noteListed(const EndpointEntry &entry);
     void passListOn();
     void sendList(wire::ListChange change, const ListStatement &statement);
--- a/lacewing/entrynodelist.cpp
+++ b/lacewing/entrynodelist.cpp
@@ -59,8 +59,18 @@
 
 } // namespace
 
-void EntryNode::putEndpoint(const EndpointEntry &entry)
+bool EntryNode::isSuperseded(std::int64_t offset) const
 {
+    // A read that is answered late brings changes from before what the zone's owner has told meanwhile. They are part
+    // of this VM's copy already, or were undone by a later change that is.
+    return offset != noOffset && offset < this->dataPath.fleet().list.offset;
+}
+
+void EntryNode::putEndpoint(const EndpointEntry &entry, std::int64_t offset)
+{
+    if (this->isSuperseded(offset)) {
+        return;
+    }
     this->noteListed(entry);
     this->takeIn(entry, ListNews::Read);
 }
@@ -91,16 +101,19 @@
     });
 }
 
-void EntryNode::removeEndpoint(const EndpointName &id)
+void EntryNode::removeEndpoint(const EndpointName &id, std::int64_t offset)
 {
+    if (this->isSuperseded(offset)) {
+        return;
+    }
     // Passed on also if it was not known here: another VM may have read it while it was listed.
     this->listChange.removed.push_back(id);
     this->takeOff(id, ListNews::Read);
 }
 
-void EntryNode::dropUnusable(const EndpointName &id)
+void EntryNode::dropUnusable(const EndpointName &id, std::int64_t offset)
 {
-    if (this->dataPath.fleet().endpoints.contains(id)) {
+    if (!this->isSuperseded(offset) && this->dataPath.fleet().endpoints.contains(id)) {
         this->removeEndpoint(id);
     }
 }
--- a/lacewing/testing/leavingtest.cpp
+++ b/lacewing/testing/leavingtest.cpp
@@ -161,3 +161,35 @@
     vm.deliver(prompt);
     cr_assert_not(vm.readsByItself());
 }
+
+Test(leaving, aReadThatIsAnsweredLateBringsNothingBackThatTheOwnerToldToBeGone)
+{
+    // Requests reached an endpoint 4.2 s after it had left the list. In the run that settled it, the store was slow,
+    // and a VM's own read, asked before, was answered after the owner had passed the removal on:
+    //
+    //   18.270 vm=d-33 event=endpoint_unlisted endpoint=i-99841dad68 news=passed_on
+    //   18.603 vm=d-33 event=endpoint_listed endpoint=i-99841dad68
+    //   18.940 vm=d-33 event=request_sent endpoint=i-99841dad68 list_age_ms=1954 list_source=d-1
+    //
+    // What its own read brought was older than what it knew, and the entry stayed until its next read, up to 30 s
+    // later.
+    Relying vm;
+    vm.deliver(noticeOfOwner(10));
+    wire::ListChange change;
+    change.previous = 10;
+    change.offset = 20;
+    change.ageMilliseconds = 0;
+    change.removed = {"i-1"};
+    wire::VmDatagram removal;
+    removal.__set_listChange(change);
+    vm.deliver(removal);
+    const Fleet &fleet = vm.node->gateway().fleet();
+    cr_assert_not(fleet.endpoints.contains("i-1"));
+    vm.node->putEndpoint(makeEntry(false), 15);
+    vm.node->listRead({16});
+    cr_assert_not(fleet.endpoints.contains("i-1"), "older than what the owner told");
+    vm.node->putEndpoint(makeEntry(false), 20);
+    cr_assert(fleet.endpoints.contains("i-1"), "listed again since");
+    vm.node->removeEndpoint("i-1", 19);
+    cr_assert(fleet.endpoints.contains("i-1"), "a removal from before that");
+}
