--- a/lacewing/entrynode.cpp
+++ b/lacewing/entrynode.cpp
@@ -356,7 +356,9 @@
     const auto datagramLines = [&line](const std::string &name, const DatagramsByKind &counts) {
         for (std::size_t kind = 0; kind < counts.size(); ++kind) {
             const std::string label = "{kind=\"" + std::string(nameOf(static_cast<DatagramKind>(kind))) + "\"}";
-            const std::string counted = name + "_total" + label;
+            std::string counted = name;
+            counted += "_total";
+            counted += label;
             line("datagrams_" + counted, counts[kind].datagrams);
             line("datagram_bytes_" + counted, counts[kind].bytes);
         }
