--- a/lacewing/relay.cpp
+++ b/lacewing/relay.cpp
@@ -90,6 +90,8 @@
         this->gapLimits = {this->route->longestGap, spec->engine->tokensPerEvent};
         this->weights = this->info.adapter.empty() ? this->info.model : this->info.model + "/" + this->info.adapter;
     }
+    const std::string_view host = findHeader(this->head.headers, "host");
+    this->digest = digestOf({this->head.method, host, this->head.target, this->weights}, this->body);
     const Duration patience = this->info.patience.value_or(this->route->timeout) - answerMargin;
     this->deadline = this->arrived + std::min(patience, this->route->timeout);
     const Duration silence = this->route->silencePatience;
@@ -297,6 +299,7 @@
     };
     logEvent("request_sent",
              {{"id", this->info.id},
+              {"digest", describe(this->digest)},
               {"route", this->route->name},
               {"endpoint", choice.endpoint},
               {"weights", this->weights},
--- a/lacewing/relay.h
+++ b/lacewing/relay.h
@@ -12,6 +12,7 @@
 
 #include "endpointchoice.h"
 #include "endpointlink.h"
+#include "requestdigest.h"
 #include "requestformat.h"
 #include "resultcode.h"
 #include "retrydecision.h"
@@ -97,6 +98,7 @@
     RequestInfo info;
     ServiceName service;
     std::string weights;
+    RequestDigest digest = 0; ///< of what an endpoint is given to run
     std::string waiting;
     TimePoint arrived;
     TimePoint sentAt;
--- a/lacewing/relayend.cpp
+++ b/lacewing/relayend.cpp
@@ -62,7 +62,11 @@
 void Relay::sendAgain(std::string_view reason, bool reachesServiceAgain)
 {
     this->gateway.counts.repeats += reachesServiceAgain ? 1 : 0;
-    logEvent("request_retried", {{"id", this->info.id}, {"endpoint", this->endpoint}, {"reason", std::string(reason)}});
+    logEvent("request_retried",
+             {{"id", this->info.id},
+              {"digest", describe(this->digest)},
+              {"endpoint", this->endpoint},
+              {"reason", std::string(reason)}});
     this->tried.push_back(this->endpoint);
     this->releaseEndpoint();
     this->place();
@@ -103,6 +107,7 @@
     this->gateway.counts.brokenAnswers += 1;
     logEvent("answer_broken_off",
              {{"id", this->info.id},
+              {"digest", describe(this->digest)},
               {"endpoint", this->endpoint},
               {"reason", std::string(reason)},
               {"age_ms", inMilliseconds(this->age())}});
