VMs tell each other which requests ran where an endpoint ended, and refuse what ended three

Cause: a request was judged anew at each send, and each VM saw one to five of its 21 sends: what ran as an endpoint ended was known to one VM at most. Evidence: one digest (weights and tokens in the reported logs) at each of the thirteen ends between 36.7 and 47.1 s, none of which a single VM could add up in time.

Now a break is followed by one try of the port; if that refuses, the list shows the next incarnation, or another VM tells of it, the digests in progress go to all VMs, whose ledgers come to the same verdict. Three crashes prove a request, which ends at once with 400, code 110; suspects run where least is in progress and are not repeated by us.

--- a/lacewing/datagramcounts.cpp
+++ b/lacewing/datagramcounts.cpp
@@ -23,13 +23,16 @@
     if (datagram.__isset.newsAsked) {
         return DatagramKind::NewsAsked;
     }
+    if (datagram.__isset.crashNews) {
+        return DatagramKind::CrashNews;
+    }
     return datagram.__isset.endpointNews ? DatagramKind::EndpointNews : DatagramKind::Heartbeat;
 }
 
 std::string_view nameOf(DatagramKind kind)
 {
     constexpr std::array<std::string_view, datagramKinds> names {
-        "heartbeat", "placement", "demand", "prompt", "list", "news_asked", "endpoint_news", "passed_on"};
+        "heartbeat", "placement", "demand", "prompt", "list", "news_asked", "endpoint_news", "crash_news", "passed_on"};
     return names.at(static_cast<std::size_t>(kind));
 }
 
--- a/lacewing/datagramcounts.h
+++ b/lacewing/datagramcounts.h
@@ -22,9 +22,10 @@
     List,
     NewsAsked,
     EndpointNews,
+    CrashNews,
     PassedOn, ///< of another VM, within the zone
 };
-constexpr std::size_t datagramKinds = 8;
+constexpr std::size_t datagramKinds = 9;
 
 struct DatagramCount {
     std::int64_t datagrams = 0;
--- a/lacewing/endpointchoice.cpp
+++ b/lacewing/endpointchoice.cpp
@@ -52,6 +52,14 @@
     return estimateRunning(endpoint) / slots + handicap + backlog;
 }
 
+/// Requests that would end with the endpoint. Those that may crash it themselves are kept apart, so that a crash shows
+/// which of them it was.
+double requestsAtRisk(const FleetEndpoint &endpoint)
+{
+    constexpr double moreThanRun = 1e6;
+    return estimateRunning(endpoint) + moreThanRun * endpoint.ownSuspects;
+}
+
 } // namespace
 
 EndpointChoice chooseEndpoint(const Fleet &fleet, const EndpointNeed &need, TimePoint now)
@@ -87,7 +95,7 @@
         candidate.endpoint = &endpoint;
         candidate.reserved = id == need.reserved;
         candidate.trusted = isTrusted(endpoint.trust, now) && !shunned;
-        candidate.load = loadOf(endpoint, need.zone);
+        candidate.load = need.suspected ? requestsAtRisk(endpoint) : loadOf(endpoint, need.zone);
         candidate.draw = draw;
         if (isBetter(candidate, best)) {
             best = candidate;
--- a/lacewing/endpointchoice.h
+++ b/lacewing/endpointchoice.h
@@ -30,6 +30,7 @@
     ZoneName zone; ///< of this VM
     std::span<const EndpointName> avoid; ///< tried already
     std::uint64_t draw = 0; ///< random, decides between equals
+    bool suspected = false; ///< it may crash the endpoint that runs it: where least is in progress
     EndpointName reserved; ///< where its prompt has a turn: taken if it is trusted and can take it; may be empty
 };
 
--- a/lacewing/entrynode.cpp
+++ b/lacewing/entrynode.cpp
@@ -115,6 +115,8 @@
         this->receiveEndpointNews(this->settings.vm, this->settings.zone, news);
     };
     this->dataPath.onPrompt = [this](const wire::PromptSent &prompt) { this->gossip.sendPromptToAll(prompt); };
+    this->gossip.onCrashNews = [this](const wire::CrashNews &news) { this->dataPath.crashWatch().take(news); };
+    this->dataPath.crashWatch().onNews = [this](const wire::CrashNews &news) { this->gossip.sendCrashNewsToAll(news); };
     this->owner.onChanged = [this](const wire::PlacementNotice &notice) { this->spread(notice); };
     this->owner.mayOrder = [this] { return this->mayOrderNow(); };
     this->owner.onFenced = [this] {
@@ -338,6 +340,11 @@
     for (const auto &[code, count] : counters.ownAnswers) {
         line("own_answers_total{type=\"" + std::string(resultCodeInfo(code).type) + "\"}", count);
     }
+    const CrashCounters &crashes = this->dataPath.crashWatch().counts;
+    line("endpoint_crashes_total", crashes.crashes);
+    line("endpoint_crashes_refuted_total", crashes.refuted);
+    line("requests_proven_to_crash_total", crashes.proven);
+    line("crash_digests_untold_total", crashes.untold);
     line("requests_open", static_cast<std::int64_t>(this->dataPath.openRequests()));
     line("orders_total", this->owner.ordersSent);
     line("load_checks_total", this->owner.loadChecks);
--- a/lacewing/entrynodelist.cpp
+++ b/lacewing/entrynodelist.cpp
@@ -82,6 +82,7 @@
         return;
     }
     this->lapsed.erase(entry.id);
+    this->dataPath.crashWatch().noteListed(entry);
     const bool knownToLeave = isLeaving(this->dataPath.fleet(), entry.id, entry.born);
     if (entry.leaving && !knownToLeave) {
         logEvent("endpoint_leaving",
--- a/lacewing/entrynodeplacement.cpp
+++ b/lacewing/entrynodeplacement.cpp
@@ -248,7 +248,7 @@
         return;
     }
     this->shareRetryBudget();
-    this->gossip.sendHeartbeat();
+    this->gossip.sendHeartbeat(this->dataPath.crashWatch().repeatedNews());
 }
 
 void EntryNode::onOwnerLeaving(const VmId &vm, const ZoneName &zone)
--- a/lacewing/fleet.h
+++ b/lacewing/fleet.h
@@ -45,6 +45,7 @@
     HeldBefore heldBefore; ///< as the placement owner's news tell
     PromptQueue prompts; ///< of all VMs, as far as they said so
     std::int32_t ownRunning = 0; ///< requests of this VM in progress there
+    std::int32_t ownSuspects = 0; ///< of these, that may crash it
     std::int32_t allRunning = 0; ///< of all VMs, when the owner last said so
     std::int32_t ownWhenReported = 0; ///< ownRunning at that time
     TimePoint heard; ///< when the platform's list last named it
--- a/lacewing/gateway.cpp
+++ b/lacewing/gateway.cpp
@@ -22,8 +22,10 @@
       format(requestFormat),
       acceptor(ioContext),
       pool(ioContext),
+      crashes(ioContext, runtimeClock),
       random(std::random_device {}())
 {
+    this->crashes.onProven = [this] { this->endProven(); };
     this->budgetSettings.retryFloor = 0;
     this->setRetryLimits(this->settings.retryShare, this->settings.retryBurst);
 }
@@ -253,6 +255,14 @@
     }
 }
 
+void Gateway::endProven()
+{
+    const std::vector<std::shared_ptr<Relay>> open(this->relays.begin(), this->relays.end());
+    for (const auto &relay : open) {
+        relay->endIfProven();
+    }
+}
+
 void Gateway::setRetryLimits(double share, double burst)
 {
     this->budgetSettings.retryShare = share;
@@ -350,6 +360,16 @@
     return this->counts;
 }
 
+CrashWatch &Gateway::crashWatch()
+{
+    return this->crashes;
+}
+
+const CrashWatch &Gateway::crashWatch() const
+{
+    return this->crashes;
+}
+
 TimePoint Gateway::now() const
 {
     return this->clock.now();
--- a/lacewing/gateway.h
+++ b/lacewing/gateway.h
@@ -25,6 +25,7 @@
 
 #include "adapterversions.h"
 #include "coresettings.h"
+#include "crashwatch.h"
 #include "endpointlink.h"
 #include "fleet.h"
 #include "lacewing_types.h"
@@ -114,6 +115,9 @@
     const Fleet &fleet() const;
     const AdapterVersions &versions() const;
     const GatewayCounters &counters() const;
+    /// @return what is known of requests that crash endpoints
+    CrashWatch &crashWatch();
+    const CrashWatch &crashWatch() const;
 
     /// A prompt of any VM joins the queue of an endpoint, or has been read there.
     void notePrompt(const wire::PromptSent &prompt);
@@ -139,6 +143,7 @@
     void addCaller(Tcp::socket socket);
     void onRequest(const std::shared_ptr<CallerConnection> &caller, HttpRequestHead head, std::string body);
     void wakeWaiting();
+    void endProven();
     void tellEndpointNews(const EndpointName &id, bool works);
     void noteEndpointFailure(const EndpointName &id, EndpointFailure failure, const std::string &request);
     void noteEndpointSuccess(const EndpointName &id);
@@ -157,6 +162,7 @@
     Fleet fleetState;
     AdapterVersions versionsNamed;
     EndpointPool pool;
+    CrashWatch crashes;
     std::unordered_map<ServiceName, RetryBudget> budgets;
     std::unordered_map<std::shared_ptr<CallerConnection>, std::weak_ptr<Relay>> callers; ///< with their last request
     std::unordered_set<std::shared_ptr<Relay>> relays;
--- a/lacewing/lacewing.thrift
+++ b/lacewing/lacewing.thrift
@@ -300,6 +300,26 @@
   3: bool works = false                // a request succeeded there, of which failures were told; otherwise one failed
 }
 
+/** An endpoint ended with requests of the sender in progress. */
+struct CrashReport {
+  1: string endpoint,
+  2: i64 born,                         // start of the incarnation that ended, Unix milliseconds
+  3: string serviceName,
+  4: list<i64> digests,                // of requests that had just begun, or had not begun
+  5: list<i64> lateDigests             // of requests that had been answered for a while
+}
+
+/** Crashes that count against a request, and such as count no more. */
+struct SuspectStatement { 1: i64 digest, 2: list<i64> charged, 3: list<i64> cleared }
+
+/** What VMs tell each other of requests that may crash the endpoints that run them. */
+struct CrashNews {
+  1: list<CrashReport> crashes,
+  2: list<i64> completed,              // digests of requests that an endpoint has answered whole
+  3: list<SuspectStatement> suspects,  // told again and again
+  4: list<i64> refuted                 // crashes of endpoints that are alive
+}
+
 /** An endpoint as the platform lists it, without what it holds. */
 struct ListedEndpoint {
   1: string endpoint,
@@ -362,5 +382,6 @@
   14: bool passedOn = false,           // it came by way of another VM
   15: string address,                  // of the sender, if it was passed on
   16: optional NewsAsked newsAsked,
-  17: optional EndpointNews endpointNews
+  17: optional EndpointNews endpointNews,
+  18: optional CrashNews crashNews
 }
--- a/lacewing/relay.cpp
+++ b/lacewing/relay.cpp
@@ -104,6 +104,9 @@
 
 void Relay::place()
 {
+    if (this->refuseIfProven()) {
+        return;
+    }
     const TimePoint now = this->gateway.now();
     EndpointNeed need;
     need.service = this->service;
@@ -113,6 +116,7 @@
     need.avoid = this->tried;
     need.draw = this->gateway.random();
     need.reserved = this->paced;
+    need.suspected = this->suspicion() == Suspicion::Suspected;
     EndpointChoice choice = chooseEndpoint(this->gateway.fleetState, need, now);
     if (choice.result == ChoiceResult::NoEndpoint && !this->tried.empty()) {
         need.avoid = {};
@@ -267,6 +271,8 @@
     this->endpoint = choice.endpoint;
     this->endpointBorn = target.entry.born;
     target.ownRunning += 1;
+    this->isolated = this->suspicion() == Suspicion::Suspected;
+    target.ownSuspects += this->isolated ? 1 : 0;
     this->gateway.inUse[this->endpoint][this->weights] += 1;
     HttpRequestHead sent = this->head;
     dropConnectionHeaders(sent.headers);
@@ -340,6 +346,7 @@
     if (isIncarnation(this->gateway.fleetState, this->endpoint, this->endpointBorn)) {
         FleetEndpoint &left = this->gateway.fleetState.endpoints.at(this->endpoint);
         left.ownRunning = std::max(0, left.ownRunning - 1);
+        left.ownSuspects -= this->isolated ? 1 : 0;
         const auto used = this->gateway.inUse.find(this->endpoint);
         if (used != this->gateway.inUse.end() && --used->second[this->weights] <= 0) {
             used->second.erase(this->weights);
--- a/lacewing/relay.h
+++ b/lacewing/relay.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "crashledger.h"
 #include "endpointchoice.h"
 #include "endpointlink.h"
 #include "requestdigest.h"
@@ -39,6 +40,8 @@
     void lookAgain();
     /// The caller has left.
     void cancel();
+    /// Ends the request if it is proven to crash endpoints.
+    void endIfProven();
     /// Ends the request with an answer of our own.
     /// @param wanted why; OutcomeUnknown takes its place where it would be untrue
     /// @param retryAfter when the caller should come back; 0: not said
@@ -67,6 +70,9 @@
     void setTimer(asio::steady_timer &timer, Duration length, void (Relay::*onEnd)());
     void place();
     void waitFor(ChoiceResult result);
+    Suspicion suspicion() const;
+    bool refuseIfProven();
+    void noteBreak(const std::string &address);
     bool awaitTurn(const EndpointChoice &choice);
     void joinQueue(const EndpointName &target);
     void leaveQueue();
@@ -123,6 +129,7 @@
     TimePoint turnSince; ///< when it began to wait for its turn
     Duration turnWait {0}; ///< how long it waited
     bool foundIdle = false; ///< nothing was unread at the endpoint when the prompt was sent
+    bool isolated = false; ///< counted among the suspects of its endpoint
     bool answerBegun = false;
     bool done = false;
 };
--- a/lacewing/relayanswer.cpp
+++ b/lacewing/relayanswer.cpp
@@ -72,6 +72,7 @@
         this->onFailure(LinkFailure::Broken);
         return;
     }
+    this->gateway.crashes.noteAnswer(this->endpoint, this->endpointBorn, this->sentAt);
     const bool failed = answer.head.status >= 500;
     if (failed) {
         this->gateway.noteEndpointFailure(this->endpoint, EndpointFailure::Error, this->info.id);
@@ -126,6 +127,9 @@
     }
     if (answer.complete()) {
         this->gateway.counts.answered += 1;
+        if (answer.head.status < 300) {
+            this->gateway.crashes.noteCompletion(this->digest);
+        }
         logEvent("request_answered",
                  {{"id", this->info.id},
                   {"endpoint", this->endpoint},
--- a/lacewing/relayend.cpp
+++ b/lacewing/relayend.cpp
@@ -13,7 +13,11 @@
     if (this->done) {
         return;
     }
+    const std::string address = this->link ? this->link->address : std::string();
     this->link.reset();
+    if (failure == LinkFailure::Broken) {
+        this->noteBreak(address);
+    }
     const auto kind = failure == LinkFailure::NotConnected ? EndpointFailure::Connect : EndpointFailure::Broken;
     this->gateway.noteEndpointFailure(this->endpoint, kind, this->info.id);
     if (this->answerBegun) {
@@ -25,6 +29,43 @@
                        sent ? "connection_broken" : "not_connected");
 }
 
+Suspicion Relay::suspicion() const
+{
+    return this->gateway.crashes.suspicionOf(this->digest);
+}
+
+void Relay::noteBreak(const std::string &address)
+{
+    const bool late = this->firstPiece.count() > 0 && this->age() - this->firstPiece >= crashOnset;
+    this->gateway.crashes.noteBroken({this->endpoint, this->endpointBorn, this->service, address}, this->digest, late);
+}
+
+bool Relay::refuseIfProven()
+{
+    if (this->suspicion() != Suspicion::Proven) {
+        return false;
+    }
+    this->gateway.crashes.noteRefusal(this->digest);
+    this->answerOwn(ResultCode::CrashesEndpoints, Duration {0});
+    return true;
+}
+
+void Relay::endIfProven()
+{
+    if (this->done || this->suspicion() != Suspicion::Proven) {
+        return;
+    }
+    if (this->link) {
+        this->link->close(); // the endpoint may not have begun to run it
+        this->link.reset();
+    }
+    if (this->answerBegun) {
+        this->breakOff("crashes_endpoints");
+        return;
+    }
+    this->run([this] { this->refuseIfProven(); });
+}
+
 void Relay::onConnected()
 {
     const Fleet &fleet = this->gateway.fleetState;
@@ -75,6 +116,7 @@
 void Relay::attemptEnded(AttemptEnding ending, std::string_view reason)
 {
     this->history.mayHaveRun += ending == AttemptEnding::MayHaveRun ? 1 : 0;
+    this->history.suspected = this->suspicion() != Suspicion::None;
     const NextStep step = decideNextStep(this->history);
     const bool repeat = ending != AttemptEnding::NotSent; // what was never sent does not reach the service twice
     if (step == NextStep::SendAgain && (!repeat || this->takeRetry())) {
@@ -126,6 +168,7 @@
               {"code", std::to_string(static_cast<int>(code))},
               {"reason", std::string(result.type)},
               {"cause", std::string(resultCodeInfo(wanted).type)},
+              {"digest", describe(this->digest)},
               {"weights", this->weights},
               {"sends", std::to_string(this->history.sends)},
               {"age_ms", inMilliseconds(this->age())}});
--- a/lacewing/resultcode.cpp
+++ b/lacewing/resultcode.cpp
@@ -23,6 +23,8 @@
     ResultCodeInfo {ResultCode::MethodNotAllowed, 405, "method_not_allowed", "the method is not allowed here"},
     ResultCodeInfo {ResultCode::NotFound, 404, "not_found", "no such path"},
     ResultCodeInfo {ResultCode::InvalidKey, 400, "invalid_key", "the idempotency key was not minted for this member"},
+    ResultCodeInfo {ResultCode::CrashesEndpoints, 400, "crashes_endpoints",
+                    "endpoints ended while they ran this request; it is not run again"},
     ResultCodeInfo {ResultCode::QueueFull, 503, "queue_full", "the queue is full"},
     ResultCodeInfo {ResultCode::MemberLimit, 429, "member_limit", "the member has too many requests open"},
     ResultCodeInfo {ResultCode::DeadlineWouldPass, 503, "deadline_would_pass", "the deadline would pass while waiting"},
--- a/lacewing/resultcode.h
+++ b/lacewing/resultcode.h
@@ -25,6 +25,7 @@
     MethodNotAllowed = 107,
     NotFound = 108,
     InvalidKey = 109,
+    CrashesEndpoints = 110,
     // 2xx: refused for now, not run
     QueueFull = 200,
     MemberLimit = 201,
--- a/lacewing/retrydecision.cpp
+++ b/lacewing/retrydecision.cpp
@@ -29,7 +29,7 @@
         return history.sends < mostSends ? NextStep::SendAgain : NextStep::Refuse;
     }
     const bool attemptsLeft = history.mayHaveRun < history.mostAttempts && history.sends < mostSends;
-    if (mayRepeat(history) && attemptsLeft && !history.answerBegun) {
+    if (mayRepeat(history) && attemptsLeft && !history.answerBegun && !history.suspected) {
         return NextStep::SendAgain;
     }
     return NextStep::GiveUp;
--- a/lacewing/retrydecision.h
+++ b/lacewing/retrydecision.h
@@ -32,6 +32,7 @@
     std::int32_t mostAttempts = 1; ///< endpoints on which it may run
     int sends = 0;
     int mayHaveRun = 0; ///< sends that may have run
+    bool suspected = false; ///< endpoints ended while they ran it
     bool answerBegun = false; ///< the caller has been sent the head of an answer
 };
 
--- a/lacewing/vmgossip.cpp
+++ b/lacewing/vmgossip.cpp
@@ -186,6 +186,9 @@
     if (datagram.__isset.endpointNews && this->onEndpointNews) {
         this->onEndpointNews(datagram.vm, datagram.zone, datagram.endpointNews);
     }
+    if (datagram.__isset.crashNews && this->onCrashNews) {
+        this->onCrashNews(datagram.crashNews);
+    }
 }
 
 wire::VmDatagram VmGossip::begin()
@@ -250,9 +253,13 @@
     this->sendToName(vm, datagram);
 }
 
-void VmGossip::sendHeartbeat()
+void VmGossip::sendHeartbeat(const wire::CrashNews &news)
 {
-    const std::string bytes = encode(this->begin());
+    wire::VmDatagram datagram = this->begin();
+    if (!news.suspects.empty()) {
+        datagram.__set_crashNews(news);
+    }
+    const std::string bytes = encode(datagram);
     const TimePoint now = this->clock.now();
     if (this->leaving) { // whoever is not told goes on counting on this VM
         for (const auto &[name, vm] : this->known) {
@@ -288,6 +295,13 @@
     this->sendToAll(std::move(datagram));
 }
 
+void VmGossip::sendCrashNewsToAll(const wire::CrashNews &news)
+{
+    wire::VmDatagram datagram = this->begin();
+    datagram.__set_crashNews(news);
+    this->sendToAll(std::move(datagram));
+}
+
 void VmGossip::sendListToZone(const wire::ListChange &change)
 {
     wire::VmDatagram datagram = this->beginTimed();
--- a/lacewing/vmgossip.h
+++ b/lacewing/vmgossip.h
@@ -45,7 +45,8 @@
 
     void sendDemand(const VmId &vm, const wire::DemandReport &report);
     /// To all VMs of the zone and some of each other one; while leaving, to all.
-    void sendHeartbeat();
+    /// @param news told again with it; may be empty
+    void sendHeartbeat(const wire::CrashNews &news = {});
     void sendPlacementToAll(const wire::PlacementNotice &notice);
     /// @param vm that lacks them
     /// @param notice news that it has missed
@@ -55,6 +56,7 @@
     void sendNewsAsked(const VmId &vm, const wire::NewsAsked &asked);
     void sendPromptToAll(const wire::PromptSent &prompt);
     void sendEndpointNewsToAll(const wire::EndpointNews &news);
+    void sendCrashNewsToAll(const wire::CrashNews &news);
 
     /// @return whether the VM was heard lately
     bool alive(const VmId &vm) const;
@@ -84,6 +86,7 @@
     std::function<void(const wire::PromptSent &)> onPrompt;
     std::function<void(const VmId &, const wire::NewsAsked &)> onNewsAsked;
     std::function<void(const VmId &, const ZoneName &, const wire::EndpointNews &)> onEndpointNews;
+    std::function<void(const wire::CrashNews &)> onCrashNews;
     std::function<void(const VmId &, const wire::ListChange &, Duration)> onList; ///< from VMs of this zone only
     std::function<void(std::int64_t)> onConfigOffset; ///< another VM has read more than this one
 
