--- a/lacewing/crashledger.cpp
+++ b/lacewing/crashledger.cpp
@@ -337,6 +337,7 @@
     const std::vector<RequestDigest> rest = takeInTurn(std::move(others), turn, most - told.size());
     told.insert(told.end(), rest.begin(), rest.end());
     std::vector<SuspectStatement> statements;
+    statements.reserve(told.size());
     for (const RequestDigest digest : told) {
         statements.push_back(statementOf(ledger, digest, now));
     }
