An endpoint that names a limit in its answers is logged

`limit_named` gives the endpoint, the rate and the request whose answer carried it. Nothing is decided by it yet.

--- a/lacewing/relayanswer.cpp
+++ b/lacewing/relayanswer.cpp
@@ -47,6 +47,10 @@
         }
         return;
     }
+    if (said.limit) {
+        logEvent("limit_named",
+                 {{"endpoint", this->endpoint}, {"id", this->info.id}, {"per_second", std::to_string(*said.limit)}});
+    }
     FleetEndpoint *known = nullptr;
     if (const auto found = this->gateway.fleetState.endpoints.find(this->endpoint);
         found != this->gateway.fleetState.endpoints.end()) {
--- a/lacewing/requestformat.h
+++ b/lacewing/requestformat.h
@@ -38,6 +38,7 @@
     std::string id; ///< of the request that it answers; empty: not said
     bool genuine = false; ///< carries the mark of an endpoint's own answer
     bool notRun = false; ///< states that the request has not run
+    std::optional<double> limit; ///< requests a second that it takes from all VMs together; any number, NaN: unreadable
     std::optional<Duration> keepAlive; ///< how long the endpoint keeps an idle connection
 };
 
