A stop waits until callers have got the end of their answers

A caller could lose the end of an answer that its endpoint had ended whole: a stop closed all connections once no request was open, also those with output that was not written yet, or whose caller had not closed after its last answer. It waits for these now, within the same bound. callerconnectiontest fails when only open requests count (both of its tests, tried by replacing the condition).

--- a/lacewing/callerconnection.cpp
+++ b/lacewing/callerconnection.cpp
@@ -232,6 +232,11 @@
     return this->output.size() + this->writingBytes.size();
 }
 
+bool CallerConnection::isDelivering() const
+{
+    return !this->closed && !this->inProgress && (this->pendingOutput() > 0 || this->lastAnswer);
+}
+
 void CallerConnection::armTimer(Duration limit)
 {
     this->timerNumber += 1;
--- a/lacewing/callerconnection.h
+++ b/lacewing/callerconnection.h
@@ -56,6 +56,10 @@
     /// @return bytes of output not written yet
     std::size_t pendingOutput() const;
 
+    /// @return whether an answer that was finished has not reached the caller as far as is known: it is not written, or
+    /// it was the last one and the caller has not closed
+    bool isDelivering() const;
+
     /// Set once the process is stopping: answers say that the connection closes.
     bool closing = false;
 
--- a/lacewing/entrynode.cpp
+++ b/lacewing/entrynode.cpp
@@ -317,9 +317,11 @@
 void EntryNode::checkStop()
 {
     const Duration waited = this->clock.now() - this->stopAsked;
-    const bool idle = this->dataPath.openRequests() == 0;
+    const bool idle = this->dataPath.openRequests() == 0 && this->dataPath.deliveringCallers() == 0;
     if (idle || waited >= this->settings.shutdownBound - stopMargin) {
-        logEvent("stopped", {{"open_requests", std::to_string(this->dataPath.openRequests())}});
+        logEvent("stopped",
+                 {{"open_requests", std::to_string(this->dataPath.openRequests())},
+                  {"delivering", std::to_string(this->dataPath.deliveringCallers())}});
         this->dataPath.close();
         this->context.stop();
         return;
--- a/lacewing/gateway.cpp
+++ b/lacewing/gateway.cpp
@@ -222,6 +222,12 @@
     return this->relays.size();
 }
 
+std::size_t Gateway::deliveringCallers() const
+{
+    const auto isDelivering = [](const auto &entry) { return entry.first->isDelivering(); };
+    return static_cast<std::size_t>(std::count_if(this->callers.begin(), this->callers.end(), isDelivering));
+}
+
 void Gateway::close()
 {
     NetError ignored; // the process ends
--- a/lacewing/gateway.h
+++ b/lacewing/gateway.h
@@ -107,6 +107,8 @@
     void refuseNew();
     /// @return requests in progress
     std::size_t openRequests() const;
+    /// @return callers that have not got the end of their answer yet, as far as is known
+    std::size_t deliveringCallers() const;
     /// Closes everything.
     void close();
 
