A repeatable request is held back from a second try only by crashes before the break

Found on reading the change: a break that another VM had told of already made the request suspect before its own retry was decided, so that a sound request lost its second try for the break that it was to make good. What was known before the break decides now. Tests of what suspects are denied and where they go; reports are published in one place, also with nobody to hear.

--- a/lacewing/crashwatch.cpp
+++ b/lacewing/crashwatch.cpp
@@ -190,13 +190,20 @@
     for (const wire::CrashReport &report : reports) {
         const std::size_t digests = report.digests.size() + report.lateDigests.size();
         if (size > 0 && size + digests > mostInDatagram) {
-            this->onNews(std::exchange(news, {}));
+            this->publish(std::exchange(news, {}));
             size = 0;
         }
         news.crashes.push_back(report);
         size += digests + namesInDigests;
     }
-    if (!news.crashes.empty() && this->onNews) {
+    if (!news.crashes.empty()) {
+        this->publish(news);
+    }
+}
+
+void CrashWatch::publish(const wire::CrashNews &news) const
+{
+    if (this->onNews) {
         this->onNews(news);
     }
 }
@@ -208,9 +215,7 @@
     }
     wire::CrashNews news;
     news.completed.push_back(toWire(digest));
-    if (this->onNews) {
-        this->onNews(news);
-    }
+    this->publish(news);
 }
 
 void CrashWatch::noteAnswer(const EndpointName &endpoint, std::int64_t born, TimePoint sentAt)
@@ -227,9 +232,7 @@
     this->refute(key);
     wire::CrashNews news;
     news.refuted.push_back(toWire(key));
-    if (this->onNews) {
-        this->onNews(news);
-    }
+    this->publish(news);
 }
 
 void CrashWatch::refute(CrashKey key)
--- a/lacewing/crashwatch.h
+++ b/lacewing/crashwatch.h
@@ -101,6 +101,7 @@
     void onProbed(CrashKey key, const NetError &error);
     void confirm(CrashKey key, std::string_view evidence);
     void tell(const EndpointRun &run, const InProgress &requests);
+    void publish(const wire::CrashNews &news) const;
     void queueReport(const EndpointRun &run, const std::vector<RequestDigest> &digests, bool late);
     void flush();
     void reviewSoon();
--- a/lacewing/relayend.cpp
+++ b/lacewing/relayend.cpp
@@ -16,6 +16,7 @@
     const std::string address = this->link ? this->link->address : std::string();
     this->link.reset();
     if (failure == LinkFailure::Broken) {
+        this->history.suspected = this->suspicion() != Suspicion::None; // by what was known before this break
         this->noteBreak(address);
     }
     const auto kind = failure == LinkFailure::NotConnected ? EndpointFailure::Connect : EndpointFailure::Broken;
@@ -116,7 +117,6 @@
 void Relay::attemptEnded(AttemptEnding ending, std::string_view reason)
 {
     this->history.mayHaveRun += ending == AttemptEnding::MayHaveRun ? 1 : 0;
-    this->history.suspected = this->suspicion() != Suspicion::None;
     const NextStep step = decideNextStep(this->history);
     const bool repeat = ending != AttemptEnding::NotSent; // what was never sent does not reach the service twice
     if (step == NextStep::SendAgain && (!repeat || this->takeRetry())) {
--- a/lacewing/testing/endpointchoicetest.cpp
+++ b/lacewing/testing/endpointchoicetest.cpp
@@ -67,6 +67,20 @@
     cr_assert_eq(chooseEndpoint(fleet, need(), start).endpoint, "far");
 }
 
+Test(endpointchoice, aRequestThatMayCrashItsEndpointGoesWhereLeastWouldEndWithIt)
+{
+    Fleet fleet;
+    putEndpoint(fleet, makeEntry("near", "a"), start);
+    putEndpoint(fleet, makeEntry("far", "b"), start);
+    putHoldings(fleet, "near", 0, {}, 2, start);
+    EndpointNeed suspect = need();
+    suspect.suspected = true;
+    cr_assert_eq(chooseEndpoint(fleet, need(), start).endpoint, "near");
+    cr_assert_eq(chooseEndpoint(fleet, suspect, start).endpoint, "far");
+    fleet.endpoints.at("far").ownSuspects = 1;
+    cr_assert_eq(chooseEndpoint(fleet, suspect, start).endpoint, "near", "apart from another suspect");
+}
+
 Test(endpointchoice, leavingEndpointGetsNothingEvenIfListedAsReadyAgain)
 {
     Fleet fleet;
--- a/lacewing/testing/retrydecisiontest.cpp
+++ b/lacewing/testing/retrydecisiontest.cpp
@@ -44,6 +44,20 @@
     cr_assert_eq(decideNextStep(history), NextStep::GiveUp);
 }
 
+Test(retrydecision, aRequestUnderWhichEndpointsEndedIsNotSentAgainByUs)
+{
+    AttemptHistory history;
+    history.kind = RouteKind::Repeatable;
+    history.mostAttempts = 3;
+    history.sends = 1;
+    history.mayHaveRun = 1;
+    cr_assert_eq(decideNextStep(history), NextStep::SendAgain);
+    history.suspected = true;
+    cr_assert_eq(decideNextStep(history), NextStep::GiveUp);
+    history.mayHaveRun = 0;
+    cr_assert_eq(decideNextStep(history), NextStep::SendAgain, "it has not run");
+}
+
 Test(retrydecision, aRefusalThatSaysNotRunIsOnlyGivenIfThatIsKnown)
 {
     for (const ResultCodeInfo &row : resultCodes()) {
