A stop of lacewingd ends once callers have closed, not once no request is open

Callers saw: a request of a rolling restart beside other load ended with "Connection reset by peer", before any byte of an answer.

Cause: the end of a stop was decided by the open requests at one look, and all else was closed with it: connections that wait in the listener, sessions whose first request is being read or refused, idle connections on which a request is on its way, and ones that had just been told that they stay.

Why it works: the listener closes once all requests are answered, the connections in it are served, and the process ends once callers have closed (stopprogress, a pure function). Connections are closed for sending first and read until the caller closes.

--- a/lacewing/callerface.cpp
+++ b/lacewing/callerface.cpp
@@ -4,6 +4,7 @@
 
 #include "callerface.h"
 
+#include <algorithm>
 #include <vector>
 
 #include <boost/asio/co_spawn.hpp>
@@ -13,6 +14,12 @@
 
 namespace lacewing {
 
+namespace {
+
+constexpr Duration closingIdleTime = milliseconds(500); ///< for a request that the caller is just sending
+
+} // namespace
+
 CallerFace::CallerFace(asio::io_context &ioContext, Runtime &runtimeOfVm, CallerSettings callerSettings)
     : context(ioContext), runtime(runtimeOfVm), settings(std::move(callerSettings)), acceptor(ioContext)
 {
@@ -47,34 +54,56 @@
             asio::steady_timer pause(this->context);
             pause.expires_after(pauseAfterError);
             co_await pause.async_wait(awaitInto(error));
-        } else if (!error && this->sessions.size() < this->settings.connectionLimit) {
-            auto session = std::make_shared<CallerSession>(std::move(socket), *this);
-            this->sessions[session.get()] = session;
-            session->start();
+        } else if (!error) {
+            this->addSession(std::move(socket));
         }
     }
 }
 
+void CallerFace::addSession(Tcp::socket socket)
+{
+    if (this->sessions.size() >= this->settings.connectionLimit) {
+        return;
+    }
+    auto session = std::make_shared<CallerSession>(std::move(socket), *this);
+    this->sessions[session.get()] = session;
+    session->start();
+}
+
+Duration CallerFace::idleLimit() const
+{
+    return this->isStopping ? std::min(closingIdleTime, this->settings.idleTimeout) : this->settings.idleTimeout;
+}
+
 void CallerFace::beginStop()
 {
     this->isStopping = true;
     for (const auto &[key, weak] : this->sessions) {
         if (const auto session = weak.lock()) {
-            session->closeIfIdle();
+            session->closeWhenIdle();
         }
     }
 }
 
-void CallerFace::closeListener()
+std::size_t CallerFace::closeListener()
 {
-    NetError ignored; // it may be closed already
-    this->acceptor.close(ignored);
+    std::vector<Tcp::socket> waiting = lacewing::closeListener(this->acceptor);
+    for (Tcp::socket &socket : waiting) {
+        this->addSession(std::move(socket));
+    }
+    return waiting.size();
+}
+
+bool CallerFace::listening() const
+{
+    return this->acceptor.is_open();
 }
 
 void CallerFace::close()
 {
     this->isClosed = true;
-    this->closeListener();
+    NetError ignored; // it may be closed already
+    this->acceptor.close(ignored);
     for (const auto &[key, weak] : this->sessions) {
         if (const auto session = weak.lock()) {
             session->close();
--- a/lacewing/callerface.h
+++ b/lacewing/callerface.h
@@ -54,11 +54,14 @@
     /// @return the port listened on
     std::uint16_t port() const;
 
-    /// From here on each connection is closed after its current request, idle ones at once. New ones are
+    /// From here on each connection is closed after its current request, idle ones soon. New ones are
     /// still taken, to be told that the daemon is shutting down.
     void beginStop();
-    /// Closes the listener.
-    void closeListener();
+    /// Takes no connection any more. Those that wait to be taken are served, as closing would reset them.
+    /// @return connections that waited
+    std::size_t closeListener();
+    /// @return whether connections are taken
+    bool listening() const;
     /// Closes all connections.
     void close();
 
@@ -73,6 +76,8 @@
     friend class CallerSession;
 
     asio::awaitable<void> acceptLoop();
+    void addSession(Tcp::socket socket);
+    Duration idleLimit() const;
 
     asio::io_context &context;
     Runtime &runtime;
--- a/lacewing/callersession.cpp
+++ b/lacewing/callersession.cpp
@@ -45,12 +45,10 @@
     this->wakeTimer.cancel();
 }
 
-void CallerSession::closeIfIdle()
+void CallerSession::closeWhenIdle()
 {
-    // A new connection stays open: its first request is on the way, and closing now would reset it. In a rolling
-    // restart beside other load that cut one of 3,000 requests.
-    if (this->idle && this->served > 0) {
-        this->close();
+    if (this->idle) { // a request that is on its way would be reset by closing now
+        this->startReadTimer(this->face.idleLimit());
     }
 }
 
@@ -84,7 +82,10 @@
     this->served += 1;
     this->keepAlive = parser.keep_alive() && this->served < this->face.settings.requestsPerConnection;
     const bool answered = co_await this->dispatch(parser.get());
-    co_return answered &&this->mayKeepAlive();
+    if (answered && !this->keepAlive) {
+        co_await this->drain();
+    }
+    co_return answered &&this->keepAlive && !this->gone;
 }
 
 bool CallerSession::mayKeepAlive() const
@@ -99,12 +100,20 @@
     }
     constexpr std::size_t firstRead = 4096;
     this->idle = true;
-    this->stream.expires_after(this->face.settings.idleTimeout);
+    this->stream.expires_never();
     const auto space = this->buffer.prepare(firstRead);
-    const std::size_t size = co_await this->stream.async_read_some(space, awaitInto(this->error));
+    std::size_t size = 0;
+    do {
+        this->startReadTimer(this->face.idleLimit());
+        size = co_await this->stream.async_read_some(space, awaitInto(this->error));
+        this->stopReadTimer();
+    } while (this->error && this->timedOut && hasUnread(this->stream.socket()));
     this->buffer.commit(size);
-    this->stream.expires_never();
     this->idle = false;
+    if (this->error && this->timedOut) {
+        co_await this->drain();
+        co_return false;
+    }
     co_return !this->error;
 }
 
@@ -193,6 +202,7 @@
     this->stream.expires_after(drainTime);
     std::array<char, 4096> space {};
     std::size_t total = 0;
+    this->error = {};
     while (!this->error && total < drainLimit) {
         total += co_await this->stream.async_read_some(asio::buffer(space), awaitInto(this->error));
     }
--- a/lacewing/callersession.h
+++ b/lacewing/callersession.h
@@ -35,8 +35,8 @@
 
     /// Starts serving.
     void start();
-    /// Closes the connection if no request is being read or answered.
-    void closeIfIdle();
+    /// Ends the connection once no request has come for a short time.
+    void closeWhenIdle();
     /// Closes the connection.
     void close();
 
@@ -92,7 +92,7 @@
     std::string requestId; ///< that the caller knows the current request by
     unsigned httpVersion = 11; ///< of the current request
     std::size_t served = 0; ///< requests so far
-    bool keepAlive = true;
+    bool keepAlive = true; ///< as the caller was told, once the head of an answer is out
     bool headRequest = false; ///< the current request's method is HEAD
     bool chunked = false; ///< the current answer is sent in chunks
     bool noBody = false; ///< the current answer may have none
--- a/lacewing/callerwrite.cpp
+++ b/lacewing/callerwrite.cpp
@@ -50,7 +50,8 @@
         = this->eventStream ? this->eventStreamHead() : this->serviceHead(*answer.head());
     response.version(this->httpVersion);
     response.set("X-Request-Id", view(this->requestId));
-    response.keep_alive(this->mayKeepAlive());
+    this->keepAlive = this->mayKeepAlive();
+    response.keep_alive(this->keepAlive);
     http::response_serializer<http::empty_body> serializer(response);
     this->stream.expires_after(this->face.settings.writeTimeout);
     co_await http::async_write_header(this->stream, serializer, awaitInto(this->error));
@@ -132,7 +133,8 @@
         const auto seconds = std::chrono::ceil<std::chrono::seconds>(retryAfter).count();
         response.set(http::field::retry_after, std::to_string(seconds));
     }
-    response.keep_alive(this->mayKeepAlive());
+    this->keepAlive = this->mayKeepAlive();
+    response.keep_alive(this->keepAlive);
     response.body() = std::move(body);
     response.prepare_payload();
     if (this->headRequest) {
--- a/lacewing/daemon.cpp
+++ b/lacewing/daemon.cpp
@@ -1,7 +1,7 @@
 // Threads: the runtime's own runs all decisions and all caller, peer and endpoint connections; the
 // platform client and the operator face have theirs and only ever post into it.
 //
-// A planned stop is over when the decisions say so and the last answer is written. The listener stays
+// A planned stop is over when the decisions say so and callers have got the last answer. The listener stays
 // open a little longer, so that callers whom the balancer still sends here are told to go elsewhere
 // rather than refused a connection.
 
@@ -14,6 +14,7 @@
 #include "answerstream.h"
 #include "callerrequest.h"
 #include "logging.h"
+#include "stopprogress.h"
 
 namespace lacewing {
 
@@ -167,14 +168,24 @@
 
 void Daemon::checkStopped()
 {
-    const Duration waited = this->clock.now() - this->stopAsked;
-    const bool idle = this->coreFinished && this->callers.openRequests() == 0;
-    if ((idle && waited >= shortestStop) || waited >= this->settings.shutdownBound) {
+    StopProgress progress;
+    progress.listening = this->callers.listening();
+    progress.idle = this->coreFinished && this->callers.openRequests() == 0;
+    progress.connections = this->callers.connections();
+    progress.waited = this->clock.now() - this->stopAsked;
+    const StopStep step = nextStopStep(progress, {shortestStop, this->settings.shutdownBound});
+    if (step == StopStep::End) {
         this->callers.close();
         this->runtime.close();
         this->context.stop();
         return;
     }
+    if (step == StopStep::CloseListener) {
+        const std::size_t waiting = this->callers.closeListener();
+        const std::vector<LogField> fields {{"waiting", std::to_string(waiting)},
+                                            {"connections", std::to_string(this->callers.connections())}};
+        writeLogLine("listener_closed", fields);
+    }
     this->stopTimer.expires_after(stopCheckInterval);
     this->stopTimer.async_wait([this](const NetError &error) {
         if (!error) {
--- a/lacewing/netaddress.cpp
+++ b/lacewing/netaddress.cpp
@@ -22,6 +22,13 @@
 template<int Name>
 using TcpOption = asio::detail::socket_option::integer<IPPROTO_TCP, Name>;
 
+/// @return as recv(), for one byte that stays where it is
+ssize_t peek(Tcp::socket &socket)
+{
+    std::array<char, 1> byte {};
+    return ::recv(socket.native_handle(), byte.data(), byte.size(), MSG_PEEK | MSG_DONTWAIT);
+}
+
 } // namespace
 
 std::optional<Tcp::endpoint> parseAddress(std::string_view text)
@@ -83,12 +90,33 @@
     return error;
 }
 
+std::vector<Tcp::socket> closeListener(Tcp::acceptor &acceptor)
+{
+    std::vector<Tcp::socket> waiting;
+    NetError error;
+    acceptor.cancel(error); // ends the wait for a connection; a closed one has none
+    acceptor.non_blocking(true, error);
+    while (!error) {
+        Tcp::socket socket(acceptor.get_executor());
+        acceptor.accept(socket, error);
+        if (!error) {
+            waiting.push_back(std::move(socket));
+        }
+    }
+    acceptor.close(error);
+    return waiting;
+}
+
 bool closedByOther(Tcp::socket &socket)
 {
-    std::array<char, 1> byte {};
-    const ssize_t size = ::recv(socket.native_handle(), byte.data(), byte.size(), MSG_PEEK | MSG_DONTWAIT);
+    const ssize_t size = peek(socket);
     const bool nothingYet = size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
     return size <= 0 && !nothingYet;
 }
 
+bool hasUnread(Tcp::socket &socket)
+{
+    return peek(socket) > 0;
+}
+
 } // namespace lacewing
--- a/lacewing/netaddress.h
+++ b/lacewing/netaddress.h
@@ -16,6 +16,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace lacewing {
 
@@ -50,9 +51,19 @@
 /// @return what failed, if anything
 NetError listenOn(Tcp::acceptor &acceptor, std::string_view address);
 
+/// Closes a listening socket. Connections that wait there to be accepted are taken first, as closing resets them.
+/// @param acceptor listening or closed
+/// @return the connections that waited
+std::vector<Tcp::socket> closeListener(Tcp::acceptor &acceptor);
+
 /// Looks at a connection without taking data from it.
 /// @param socket a connected socket, in non-blocking mode or not
 /// @return whether the other side has closed it or it is broken
 bool closedByOther(Tcp::socket &socket);
 
+/// Looks at a connection without taking data from it.
+/// @param socket a connected socket, in non-blocking mode or not
+/// @return whether bytes have arrived that are not read yet
+bool hasUnread(Tcp::socket &socket);
+
 } // namespace lacewing
--- a/lacewing/testing/runtimetest.cpp
+++ b/lacewing/testing/runtimetest.cpp
@@ -1,6 +1,7 @@
 // The runtime over loopback sockets: two VMs in this process, a tiny engine, and decisions that only pass
 // a request on, so that what is tested is the transport and not the policy.
 
+#include <future>
 #include <map>
 #include <memory>
 #include <optional>
@@ -137,6 +138,17 @@
         asio::post(this->context, std::move(function));
     }
 
+    /// Runs a function on the runtime's thread, and returns when it has ended.
+    void runToItsEnd(const std::function<void()> &function)
+    {
+        std::promise<void> ended;
+        this->run([&] {
+            function();
+            ended.set_value();
+        });
+        ended.get_future().wait();
+    }
+
     std::uint16_t port() const
     {
         return this->face->port();
@@ -428,6 +440,38 @@
     cr_assert(!late.read().keep_alive(), "the listener still answers, and says close");
 }
 
+// Closing a listener resets the connections that wait in it, whose callers may have sent their request already.
+Test(runtime, aConnectionThatWaitsToBeTakenIsAnsweredWhenTheListenerCloses)
+{
+    TwoVms vms(true);
+    std::optional<Caller> waiting;
+    vms.runToItsEnd([&] { // in one turn of the loop, so that it can't be taken before
+        vms.callers().beginStop();
+        waiting.emplace(vms.port());
+        waiting->post("/v1/completions", assembled);
+        vms.callers().closeListener();
+    });
+    const auto answer = waiting->read();
+    cr_assert(!waiting->error, "%s", waiting->error.message().c_str());
+    cr_assert(!answer.keep_alive());
+}
+
+// A stop closed idle connections at once, and reset those on which a request was on its way.
+Test(runtime, aRequestOnAKeptConnectionThatCrossesTheStopIsAnswered)
+{
+    TwoVms vms(true);
+    Caller kept(vms.port());
+    kept.post("/v1/completions", assembled);
+    cr_assert(kept.read().result_int() == 200);
+    vms.runToItsEnd([&] { // in one turn of the loop, so that it can't be read before
+        kept.post("/v1/completions", assembled);
+        vms.callers().beginStop();
+    });
+    const auto answer = kept.read();
+    cr_assert(!kept.error, "%s", kept.error.message().c_str());
+    cr_assert(!answer.keep_alive());
+}
+
 Test(runtime, aConnectionWhoseFirstRequestIsOnTheWayOutlivesThePlannedStop)
 {
     TwoVms vms(true);
