The cause of an answer cut at a stop is shown: the last chunk waited for an earlier write

Cause: the stop closed all connections once no request was open. The last piece of a stream is being written as its end is queued behind it; a look of the stop in that turn of the event loop closed the connection with the end unwritten.

Evidence: stopped names the unwritten bytes now.

The new test of callerconnectiontest shows the window without a slow caller, and that closing in it loses the end.

--- a/lacewing/entrynode.cpp
+++ b/lacewing/entrynode.cpp
@@ -321,7 +321,8 @@
     if (idle || waited >= this->settings.shutdownBound - stopMargin) {
         logEvent("stopped",
                  {{"open_requests", std::to_string(this->dataPath.openRequests())},
-                  {"delivering", std::to_string(this->dataPath.deliveringCallers())}});
+                  {"delivering", std::to_string(this->dataPath.deliveringCallers())},
+                  {"unwritten", std::to_string(this->dataPath.unwrittenBytes())}});
         this->dataPath.close();
         this->context.stop();
         return;
--- a/lacewing/gateway.cpp
+++ b/lacewing/gateway.cpp
@@ -4,6 +4,7 @@
 #include "gateway.h"
 
 #include <algorithm>
+#include <numeric>
 #include <utility>
 
 #include "callerconnection.h"
@@ -228,6 +229,12 @@
     return static_cast<std::size_t>(std::count_if(this->callers.begin(), this->callers.end(), isDelivering));
 }
 
+std::size_t Gateway::unwrittenBytes() const
+{
+    const auto add = [](std::size_t sum, const auto &entry) { return sum + entry.first->pendingOutput(); };
+    return std::accumulate(this->callers.begin(), this->callers.end(), std::size_t {0}, add);
+}
+
 void Gateway::close()
 {
     NetError ignored; // the process ends
--- a/lacewing/gateway.h
+++ b/lacewing/gateway.h
@@ -109,6 +109,8 @@
     std::size_t openRequests() const;
     /// @return callers that have not got the end of their answer yet, as far as is known
     std::size_t deliveringCallers() const;
+    /// @return bytes of answers not handed to the kernel yet
+    std::size_t unwrittenBytes() const;
     /// Closes everything.
     void close();
 
--- a/lacewing/testing/callerconnectiontest.cpp
+++ b/lacewing/testing/callerconnectiontest.cpp
@@ -6,6 +6,8 @@
 #include <memory>
 #include <string>
 
+#include <boost/asio/write.hpp>
+
 // After Boost, whose headers use names that Criterion defines as macros.
 #include <criterion/criterion.h>
 
@@ -99,3 +101,24 @@
     pair.run();
     cr_assert_not(pair.connection->isDelivering());
 }
+
+// A stop that counted open requests alone closed the connection between the last piece of an answer and its end: what
+// is written while an earlier write is in progress waits for it, also when the caller reads at once.
+Test(callerconnection, theEndOfAnAnswerThatWaitsForAnEarlierWriteIsBeingDelivered)
+{
+    Pair pair;
+    HttpAnswerHead head;
+    head.status = 200;
+    pair.connection->beginAnswer(head, BodyFraming::Chunked, true);
+    pair.connection->writeBody("piece");
+    pair.connection->finishAnswer();
+    cr_assert(pair.connection->isDelivering());
+    pair.connection->abort();
+    std::array<char, 4096> space {};
+    NetError error;
+    std::string got;
+    while (!error) {
+        got.append(space.data(), pair.caller.read_some(asio::buffer(space), error));
+    }
+    cr_assert_not(got.ends_with("0\r\n\r\n"), "what a close at that moment would cost: %s", got.c_str());
+}
