A stop of lacewing-entry serves what waits in its listener, and ends idle connections without a reset

Callers saw nothing reported yet: the fault of lacewingd's stop (a request of a caller that has just connected, or that is on its way on an idle connection, is reset), looked for in the other daemon.

Cause: the last step of a stop closed the listener, whose waiting connections the kernel then resets, and all idle connections at once. An idle timeout did the same. A connection that was accepted as the listener closed was dropped.

--- a/lacewing/callerconnection.cpp
+++ b/lacewing/callerconnection.cpp
@@ -1,9 +1,13 @@
 // Output is gathered while a write is in progress, so that small events that come close together go out in
 // one write. A connection is shut down for sending first and closed when the caller has closed its side or a
-// short time has passed: closing at once with unread input would reset it and could destroy the answer.
+// short time has passed: closing at once with unread input would reset it and could destroy the answer. The same
+// holds for an idle connection, on which a request may be on its way.
 
 #include "callerconnection.h"
 
+#include <algorithm>
+#include <utility>
+
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 
@@ -15,12 +19,16 @@
 
 constexpr std::size_t drainedAt = 16 * kibibyte; ///< output left at which more is asked for
 constexpr std::size_t sentAheadLimit = 64 * kibibyte; ///< of requests sent before the last one was answered
-constexpr Duration lingerTime = milliseconds(1000); ///< for the caller to close after our last answer
+constexpr Duration lingerTime = milliseconds(1000); ///< for the caller to close after we have
+constexpr Duration closingIdleTime = milliseconds(300); ///< for a request that the caller is just sending
 
 } // namespace
 
 CallerConnection::CallerConnection(Tcp::socket accepted, CallerLimits callerLimits)
-    : socket(std::move(accepted)), timer(this->socket.get_executor()), limits(callerLimits)
+    : socket(std::move(accepted)),
+      timer(this->socket.get_executor()),
+      limits(callerLimits),
+      idleLimit(callerLimits.idleTimeout)
 {
     tuneSocket(this->socket);
 }
@@ -29,7 +37,7 @@
 {
     this->handlers = std::move(wanted);
     this->reader = std::make_unique<RequestReader>(this->limits.headBytes, this->limits.bodyBytes);
-    this->armTimer(this->limits.idleTimeout);
+    this->armTimer(this->idleLimit);
     this->startRead();
 }
 
@@ -150,7 +158,7 @@
         return;
     }
     this->reader = std::make_unique<RequestReader>(this->limits.headBytes, this->limits.bodyBytes);
-    this->armTimer(this->limits.idleTimeout);
+    this->armTimer(this->idleLimit);
     if (!this->input.empty()) {
         const auto self = this->shared_from_this();
         asio::post(this->socket.get_executor(), [self] {
@@ -237,12 +245,27 @@
     return !this->closed && !this->inProgress && (this->pendingOutput() > 0 || this->lastAnswer);
 }
 
+void CallerConnection::closeWhenIdle()
+{
+    this->closing = true;
+    const Duration before = std::exchange(this->idleLimit, std::min(this->idleLimit, closingIdleTime));
+    const bool idle = !this->closed && !this->inProgress && !this->lastAnswer && !this->reader->started();
+    if (idle) {
+        this->armTimerAt(this->timer.expiry() - before + this->idleLimit);
+    }
+}
+
 void CallerConnection::armTimer(Duration limit)
+{
+    this->armTimerAt(std::chrono::steady_clock::now() + limit);
+}
+
+void CallerConnection::armTimerAt(std::chrono::steady_clock::time_point end)
 {
     this->timerNumber += 1;
     const std::uint64_t number = this->timerNumber;
     const std::weak_ptr<CallerConnection> weak = this->weak_from_this();
-    this->timer.expires_after(limit);
+    this->timer.expires_at(end);
     this->timer.async_wait([weak, number](const NetError &error) {
         const auto self = weak.lock();
         if (!error && self && self->timerNumber == number && !self->closed) {
@@ -260,10 +283,19 @@
 void CallerConnection::onTimeout()
 {
     constexpr int requestTimeout = 408;
-    if (this->lastAnswer || !this->reader->started()) {
+    if (this->lastAnswer) {
         this->abort();
         return;
     }
+    if (!this->reader->started()) {
+        if (hasUnread(this->socket)) {
+            this->armTimer(this->idleLimit);
+            return;
+        }
+        this->lastAnswer = true;
+        this->shutDown();
+        return;
+    }
     this->inProgress = true;
     const auto self = this->shared_from_this();
     this->handlers.onUnreadable(requestTimeout);
--- a/lacewing/callerconnection.h
+++ b/lacewing/callerconnection.h
@@ -8,6 +8,7 @@
 #include "netaddress.h"
 
 #include <array>
+#include <chrono>
 #include <cstddef>
 #include <functional>
 #include <memory>
@@ -60,6 +61,10 @@
     /// it was the last one and the caller has not closed
     bool isDelivering() const;
 
+    /// Ends the connection soon after its last answer: no request may follow for long. One that has been idle for that
+    /// long ends now.
+    void closeWhenIdle();
+
     /// Set once the process is stopping: answers say that the connection closes.
     bool closing = false;
 
@@ -70,6 +75,7 @@
     void unreadable(const ReadError &error);
     void flush();
     void armTimer(Duration limit);
+    void armTimerAt(std::chrono::steady_clock::time_point end);
     void disarmTimer();
     void onTimeout();
     void shutDown();
@@ -77,6 +83,7 @@
     Tcp::socket socket;
     asio::steady_timer timer;
     CallerLimits limits;
+    Duration idleLimit; ///< between two requests
     Handlers handlers;
     std::string input;
     std::array<char, 4096> space {};
@@ -89,7 +96,7 @@
     bool reading = false;
     bool writing = false;
     bool inProgress = false; ///< a request has been handed out and not been answered
-    bool lastAnswer = false; ///< the connection closes after the answer
+    bool lastAnswer = false; ///< no request is taken any more
     bool closed = false;
 };
 
--- a/lacewing/entrynode.cpp
+++ b/lacewing/entrynode.cpp
@@ -13,6 +13,7 @@
 #include "endpointlapse.h"
 #include "eventlog.h"
 #include "handlerguard.h"
+#include "stopprogress.h"
 
 namespace lacewing {
 
@@ -316,17 +317,27 @@
 
 void EntryNode::checkStop()
 {
-    const Duration waited = this->clock.now() - this->stopAsked;
-    const bool idle = this->dataPath.openRequests() == 0 && this->dataPath.deliveringCallers() == 0;
-    if (idle || waited >= this->settings.shutdownBound - stopMargin) {
+    StopProgress progress;
+    progress.listening = this->dataPath.listening();
+    progress.idle = this->dataPath.openRequests() == 0;
+    progress.connections = this->dataPath.connections();
+    progress.waited = this->clock.now() - this->stopAsked;
+    const StopStep step = nextStopStep(progress, {outOfRotation, this->settings.shutdownBound - stopMargin});
+    if (step == StopStep::End) {
         logEvent("stopped",
                  {{"open_requests", std::to_string(this->dataPath.openRequests())},
+                  {"connections", std::to_string(this->dataPath.connections())},
                   {"delivering", std::to_string(this->dataPath.deliveringCallers())},
                   {"unwritten", std::to_string(this->dataPath.unwrittenBytes())}});
         this->dataPath.close();
         this->context.stop();
         return;
     }
+    if (step == StopStep::CloseListener) {
+        const std::size_t waiting = this->dataPath.closeListener();
+        logEvent("listener_closed",
+                 {{"waiting", std::to_string(waiting)}, {"connections", std::to_string(this->dataPath.connections())}});
+    }
     this->after(stopCheck, [this] { this->checkStop(); });
 }
 
--- a/lacewing/gateway.cpp
+++ b/lacewing/gateway.cpp
@@ -46,18 +46,20 @@
 void Gateway::accept()
 {
     this->acceptor.async_accept([this](const NetError &error, Tcp::socket socket) {
-        if (error == asio::error::operation_aborted || !this->acceptor.is_open()) {
-            return;
-        }
-        if (!error && this->callers.size() < this->settings.mostConnections) {
+        if (!error) {
             this->addCaller(std::move(socket));
         }
-        this->accept();
+        if (this->acceptor.is_open()) {
+            this->accept();
+        }
     });
 }
 
 void Gateway::addCaller(Tcp::socket socket)
 {
+    if (this->callers.size() >= this->settings.mostConnections) {
+        return;
+    }
     const CallerLimits limits = this->configInForce ? this->configInForce->limits : CallerLimits {};
     const auto caller = std::make_shared<CallerConnection>(std::move(socket), limits);
     caller->closing = this->stopping;
@@ -91,6 +93,9 @@
         this->callers.erase(from);
     };
     caller->start(std::move(handlers));
+    if (!this->listening()) {
+        caller->closeWhenIdle();
+    }
 }
 
 void Gateway::onRequest(const std::shared_ptr<CallerConnection> &caller, HttpRequestHead head, std::string body)
@@ -218,6 +223,28 @@
     this->refusing = true;
 }
 
+std::size_t Gateway::closeListener()
+{
+    std::vector<Tcp::socket> waiting = lacewing::closeListener(this->acceptor);
+    for (Tcp::socket &socket : waiting) {
+        this->addCaller(std::move(socket));
+    }
+    for (const auto &[caller, request] : this->callers) {
+        caller->closeWhenIdle();
+    }
+    return waiting.size();
+}
+
+bool Gateway::listening() const
+{
+    return this->acceptor.is_open();
+}
+
+std::size_t Gateway::connections() const
+{
+    return this->callers.size();
+}
+
 std::size_t Gateway::openRequests() const
 {
     return this->relays.size();
--- a/lacewing/gateway.h
+++ b/lacewing/gateway.h
@@ -105,6 +105,13 @@
     void beginStop();
     /// Answers new requests with a refusal from now on, and closes their connections.
     void refuseNew();
+    /// Takes no connection any more, and ends each that there is once it is idle.
+    /// @return connections that waited to be taken
+    std::size_t closeListener();
+    /// @return whether connections are taken
+    bool listening() const;
+    /// @return connections of callers
+    std::size_t connections() const;
     /// @return requests in progress
     std::size_t openRequests() const;
     /// @return callers that have not got the end of their answer yet, as far as is known
--- a/lacewing/testing/callerconnectiontest.cpp
+++ b/lacewing/testing/callerconnectiontest.cpp
@@ -122,3 +122,19 @@
     }
     cr_assert_not(got.ends_with("0\r\n\r\n"), "what a close at that moment would cost: %s", got.c_str());
 }
+
+// An idle connection that was closed at once reset the request that was just arriving.
+Test(callerconnection, anIdleConnectionIsClosedForSendingFirst)
+{
+    Pair pair;
+    pair.connection->closeWhenIdle();
+    while (!pair.connection->isDelivering()) {
+        pair.run();
+    }
+    asio::write(pair.caller, asio::buffer(std::string("GET / HTTP/1.1\r\n\r\n")));
+    pair.run();
+    std::array<char, 16> space {};
+    NetError error;
+    pair.caller.read_some(asio::buffer(space), error);
+    cr_assert(error == asio::error::eof, "%s", error.message().c_str());
+}
