A VM that has shown a revision is not asked again by a change that waits

Cause: each look asked every VM anew and forgot the looks before; one answer that took over a second at the last look was enough.

Evidence: the new test of operatorcommandstest fails on the code before ("not yet in force on" the VM that had shown revision 1).

--- a/lacewing/operatorclient.cpp
+++ b/lacewing/operatorclient.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <atomic>
 #include <chrono>
+#include <numeric>
 #include <optional>
 #include <thread>
 
@@ -130,17 +131,30 @@
 
 std::vector<OperatorView> OperatorClient::askAll(const std::string &target)
 {
-    std::vector<OperatorView> views(this->faces.size());
+    return this->askThese(this->allFaces(), target);
+}
+
+std::vector<std::size_t> OperatorClient::allFaces() const
+{
+    std::vector<std::size_t> all(this->faces.size());
+    std::iota(all.begin(), all.end(), 0);
+    return all;
+}
+
+std::vector<OperatorView> OperatorClient::askThese(std::span<const std::size_t> asked, const std::string &target)
+{
+    std::vector<OperatorView> views(asked.size());
     std::atomic<std::size_t> next {0};
-    const auto askSome = [&] {
-        for (std::size_t face = next++; face < views.size(); face = next++) {
+    const auto askInTurn = [&] {
+        for (std::size_t index = next++; index < asked.size(); index = next++) {
+            const std::size_t face = asked[index];
             OperatorCallResult result = this->call(face, "GET", target, "", std::min(this->timeout, longestLook));
-            views[face] = {this->faces[face], result.status, std::move(result.body)};
+            views[index] = {this->faces[face], result.status, std::move(result.body)};
         }
     };
     std::vector<std::thread> threads;
     for (std::size_t count = 0; count < std::min(views.size(), mostAskedAtOnce); ++count) {
-        threads.emplace_back(askSome);
+        threads.emplace_back(askInTurn);
     }
     for (std::thread &thread : threads) {
         thread.join();
@@ -184,20 +198,27 @@
 std::vector<HostPort> OperatorClient::waitInForce(std::int64_t revision, Duration longest)
 {
     const auto deadline = SteadyClock::now() + longest;
-    std::vector<HostPort> missing = this->faces;
-    while (!missing.empty()) {
-        missing.clear();
-        for (const OperatorView &view : this->askAll("/v1/revision")) {
-            if (integerOf(view.body, "revision") < revision) {
-                missing.push_back(view.address);
+    std::vector<std::size_t> missing = this->allFaces();
+    while (true) {
+        const std::vector<OperatorView> views = this->askThese(missing, "/v1/revision");
+        std::vector<std::size_t> left;
+        for (std::size_t index = 0; index < views.size(); ++index) {
+            if (integerOf(views[index].body, "revision") < revision) {
+                left.push_back(missing[index]);
             }
         }
+        missing = std::move(left); // a revision stays in force: who has shown it isn't asked again
         if (missing.empty() || SteadyClock::now() >= deadline) {
             break;
         }
         std::this_thread::sleep_for(timeBetweenLooks);
     }
-    return missing;
+    std::vector<HostPort> addresses;
+    addresses.reserve(missing.size());
+    for (const std::size_t face : missing) {
+        addresses.push_back(this->faces[face]);
+    }
+    return addresses;
 }
 
 std::string describeFailure(const OperatorCallResult &result)
--- a/lacewing/operatorclient.h
+++ b/lacewing/operatorclient.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -87,6 +88,8 @@
 private:
     OperatorCallResult call(std::size_t face, const std::string &method, const std::string &target,
                             const std::string &body, Duration longest);
+    std::vector<std::size_t> allFaces() const;
+    std::vector<OperatorView> askThese(std::span<const std::size_t> asked, const std::string &target);
     Submission findOut(const std::string &submissionId, std::int64_t basedOn);
 
     std::vector<HostPort> faces;
--- a/lacewing/testing/operatorcommandstest.cpp
+++ b/lacewing/testing/operatorcommandstest.cpp
@@ -205,6 +205,34 @@
     cr_assert(!has(late.out, "not yet in force on " + toString(second.address)), "%s", late.out.c_str());
 }
 
+// Only what the last look found was counted: a VM that had shown the revision and then did not answer for a second was
+// named as one where it is not in force.
+Test(operatorcommands, aVmThatHasShownTheRevisionNeedNotAnswerAgain)
+{
+    Vm first;
+    std::atomic<int> looks {0};
+    std::promise<void> released;
+    const std::shared_future<void> release = released.get_future().share();
+    const FakeHttpServer once([&](const FakeRequest &) -> std::optional<FakeReply> {
+        if (looks++ > 0) {
+            release.wait();
+            return std::nullopt;
+        }
+        return FakeReply {200, R"({"revision":1})"};
+    });
+    const FakeHttpServer behind([&](const FakeRequest &) -> std::optional<FakeReply> {
+        return FakeReply {200, R"({"revision":0})"};
+    });
+    const std::string onceAddress = toString(once.address());
+    const std::string behindAddress = toString(behind.address());
+    const std::string urls = first.url() + ",http://" + onceAddress + ",http://" + behindAddress;
+    const Run late = run(urls, {"preset", "use", "peak", "--wait", "--timeout", "2s"});
+    released.set_value();
+    cr_assert(late.code == CommandExit::NotInForce, "%s", late.errors.c_str());
+    cr_assert(has(late.out, "not yet in force on " + behindAddress), "%s", late.out.c_str());
+    cr_assert(!has(late.out, "not yet in force on " + onceAddress), "%s", late.out.c_str());
+}
+
 Test(operatorcommands, largeFilesGoInBoundedRecords)
 {
     constexpr std::size_t count = 3 * changesPerRecord + 1;
