Organisations and their keys; a key that was taken away is not used beyond its bound

Cause: lacewing-entry knew no organisations.

Change: the configuration has organisations; keys are kept as keyed digests. A request on a route that is not public is resolved to its organisation before it is placed, and the server is sent the organisation's name and never the key. A VM accepts a key only with a proof that its configuration was current less than the bound ago. Two ways for the proofs were built: own reads of each VM, and reads of the zone's placement owner, which returns the number of the last heartbeat that it had received from each VM when its read began.

--- /dev/null
+++ b/lacewing/configproof.cpp
@@ -0,0 +1,71 @@
+// The bound is split into fifths: proofs of a zone's reader are one to three fifths old when they are replaced (a
+// heartbeat, a read and a lost datagram), and own reads have the last two fifths for a lost answer and a retry.
+
+#include "configproof.h"
+
+#include <algorithm>
+
+namespace lacewing {
+
+namespace {
+
+constexpr int boundParts = 5;
+constexpr int partsWithoutOwnRead = 3;
+/// Time before the bound at which a key is no longer used; covers the rounding of timestamps on the way.
+constexpr Duration boundMargin = milliseconds(200);
+/// Covers the longest bound in use at one heartbeat a second.
+constexpr std::size_t maxHeartbeats = 16;
+
+} // namespace
+
+void recordConfigRead(ConfigProof &proof, LogOffset offset, TimePoint begun)
+{
+    proof.applied = std::max(proof.applied, offset);
+    proof.current = proof.current ? std::max(*proof.current, begun) : begun;
+}
+
+void recordHeartbeat(ConfigProof &proof, std::int64_t number, TimePoint now)
+{
+    proof.heartbeats.push_back({number, now});
+    if (proof.heartbeats.size() > maxHeartbeats) {
+        proof.heartbeats.pop_front();
+    }
+}
+
+bool recordPassedOnRead(ConfigProof &proof, LogOffset offset, std::int64_t heartbeat)
+{
+    const auto later = std::find_if(proof.heartbeats.begin(), proof.heartbeats.end(),
+                                    [heartbeat](const SentHeartbeat &one) { return one.number > heartbeat; });
+    if (proof.applied == noOffset || proof.applied < offset || later == proof.heartbeats.begin()) {
+        return false;
+    }
+    recordConfigRead(proof, offset, std::prev(later)->sent);
+    return true;
+}
+
+std::optional<Duration> proofAge(const ConfigProof &proof, TimePoint now)
+{
+    return proof.current ? std::optional<Duration>(now - *proof.current) : std::nullopt;
+}
+
+Duration zoneReadInterval(Duration bound)
+{
+    return bound / boundParts;
+}
+
+bool needsOwnRead(const ConfigProof &proof, Duration bound, TimePoint now)
+{
+    const std::optional<Duration> age = proofAge(proof, now);
+    return !age || *age >= bound * partsWithoutOwnRead / boundParts;
+}
+
+KeyDecision decideKey(bool held, std::optional<Duration> age, std::optional<Duration> bound)
+{
+    const bool proven = !bound || (age && *age < *bound - boundMargin);
+    if (!proven) {
+        return KeyDecision::Unproven;
+    }
+    return held ? KeyDecision::Accepted : KeyDecision::Unknown;
+}
+
+} // namespace lacewing
--- /dev/null
+++ b/lacewing/configproof.h
@@ -0,0 +1,83 @@
+// Proves to a VM that its configuration was current at some time, so that a key taken away is not accepted for longer
+// than the revocation bound, whatever the VM is cut off from.
+//
+// A read of the operators' changes that began at a time and found nothing newer proves that all changes acknowledged
+// before that time are known. Each proof has the time at which its read began, by this VM's own clock: a read that
+// took long, a VM that was frozen and a clock of another VM can only make a proof look older than it is.
+//
+// Load pattern: tens of VMs behind a store whose calls are paid for. One VM of each zone reads once a second and tells
+// the others how far the changes went. It also returns the number of the last heartbeat that it had received from each
+// VM when the read began: that VM then knows that the read began after it had sent that heartbeat. A VM that receives
+// no such proof in time reads by itself.
+
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+
+#include "types.h"
+
+namespace lacewing {
+
+/// A heartbeat of this VM.
+struct SentHeartbeat {
+    std::int64_t number = 0;
+    TimePoint sent;
+};
+
+/// What this VM knows about how current its configuration is.
+struct ConfigProof {
+    LogOffset applied = noOffset; ///< all changes before this offset are applied
+    std::optional<TimePoint> current; ///< all changes acknowledged before this time are applied
+    std::deque<SentHeartbeat> heartbeats; ///< recent ones, oldest first
+};
+
+/// Whether a caller's key may be used.
+enum class KeyDecision {
+    Accepted,
+    Unknown, ///< no organisation holds the key
+    Unproven, ///< the configuration may be too old to tell
+};
+
+/// Records that this VM has read and applied the operators' changes.
+/// @param proof updated
+/// @param offset end of the changes that were read
+/// @param begun when the read began
+void recordConfigRead(ConfigProof &proof, LogOffset offset, TimePoint begun);
+
+/// Records a heartbeat of this VM.
+/// @param proof updated
+/// @param number of the datagram
+/// @param now current time
+void recordHeartbeat(ConfigProof &proof, std::int64_t number, TimePoint now);
+
+/// Records another VM's read of the operators' changes.
+/// @param proof updated
+/// @param offset end of the changes when that VM read them
+/// @param heartbeat number of the last datagram of this VM that the other had received when its read began
+/// @return whether it proves anything: this VM has applied as much, and has a record of a heartbeat up to that number
+bool recordPassedOnRead(ConfigProof &proof, LogOffset offset, std::int64_t heartbeat);
+
+/// @param proof of this VM
+/// @param now current time
+/// @return time since which changes may be unknown to this VM; nothing if it has no proof
+std::optional<Duration> proofAge(const ConfigProof &proof, TimePoint now);
+
+/// @param bound on the use of a key that was taken away
+/// @return interval at which the reader of a zone reads the operators' changes
+Duration zoneReadInterval(Duration bound);
+
+/// @param proof of this VM
+/// @param bound on the use of a key that was taken away
+/// @param now current time
+/// @return whether this VM reads the operators' changes by itself: the proofs of others come too late
+bool needsOwnRead(const ConfigProof &proof, Duration bound, TimePoint now);
+
+/// @param held whether an organisation holds the key, as far as this VM knows
+/// @param age of the proof
+/// @param bound on the use of a key that was taken away; nothing: no proof is needed
+/// @return whether the key may be used
+KeyDecision decideKey(bool held, std::optional<Duration> age, std::optional<Duration> bound);
+
+} // namespace lacewing
--- a/lacewing/datagramcounts.cpp
+++ b/lacewing/datagramcounts.cpp
@@ -29,6 +29,18 @@
     if (datagram.__isset.limitNews) {
         return DatagramKind::LimitNews;
     }
+    if (datagram.__isset.configRead) {
+        return DatagramKind::ConfigRead;
+    }
+    if (datagram.__isset.quotaAsk) {
+        return DatagramKind::QuotaAsk;
+    }
+    if (datagram.__isset.quotaAnswer) {
+        return DatagramKind::QuotaAnswer;
+    }
+    if (datagram.__isset.quotaLedger) {
+        return DatagramKind::QuotaLedger;
+    }
     return datagram.__isset.endpointNews ? DatagramKind::EndpointNews : DatagramKind::Heartbeat;
 }
 
@@ -36,7 +48,8 @@
 {
     constexpr std::array<std::string_view, datagramKindCount> names {
         "heartbeat",  "placement",     "demand",     "prompt",     "list",
-        "news_asked", "endpoint_news", "crash_news", "limit_news", "passed_on"};
+        "news_asked", "endpoint_news", "crash_news", "limit_news",
+        "config_read", "quota_ask",    "quota_answer", "quota_ledger", "passed_on"};
     return names.at(static_cast<std::size_t>(kind));
 }
 
--- a/lacewing/datagramcounts.h
+++ b/lacewing/datagramcounts.h
@@ -24,9 +24,13 @@
     EndpointNews,
     CrashNews,
     LimitNews,
+    ConfigRead,
+    QuotaAsk,
+    QuotaAnswer,
+    QuotaLedger,
     PassedOn, ///< datagram of another VM, forwarded within the zone
 };
-constexpr std::size_t datagramKindCount = 10;
+constexpr std::size_t datagramKindCount = 14;
 
 struct DatagramCount {
     std::int64_t datagrams = 0;
--- a/lacewing/entrynode.cpp
+++ b/lacewing/entrynode.cpp
@@ -26,6 +26,8 @@
 constexpr Duration heartbeatInterval = milliseconds(1000);
 /// Interval between notices of the placement owner; a change of an endpoint's weights is sent at once, by itself.
 constexpr Duration noticeInterval = milliseconds(500);
+/// Interval between checks whether the operators' changes need to be read to prove that the configuration is current.
+constexpr Duration configProofInterval = milliseconds(200);
 /// Interval between reads of the VM list. It is long because VMs that are alive announce themselves by heartbeats.
 constexpr Duration listVmsInterval = milliseconds(60000);
 constexpr Duration listVmsRetry = milliseconds(1000);
@@ -50,6 +52,7 @@
     GatewaySettings gateway;
     gateway.zone = settings.zone;
     gateway.versionBound = settings.versionBound;
+    gateway.revocationBound = settings.revocationBound;
     gateway.retryShare = settings.retryShare; // the burst is set once the other VMs are known
     return gateway;
 }
@@ -106,6 +109,7 @@
             this->onConfigBehind(offset);
         }
     };
+    this->gossip.onConfigRead = [this](const wire::ConfigRead &read) { this->receiveConfigRead(read); };
     this->gossip.onPromptUpdate = [this](const wire::PromptSent &prompt) { this->dataPath.applyPromptUpdate(prompt); };
     this->gossip.onUpdateRequest
         = [this](const VmId &vm, const wire::NewsAsked &asked) { this->answerUpdateRequest(vm, asked); };
@@ -160,6 +164,7 @@
     this->every(reportInterval, [this] { this->reportDemand(); });
     this->every(heartbeatInterval, [this] { this->heartbeat(); });
     this->every(noticeInterval, [this] { this->sendNotice(); });
+    this->every(configProofInterval, [this] { this->checkConfigProof(); });
     this->every(trafficInterval, [this] { this->logTraffic(); });
     this->every(listVmsInterval, [this] { this->refreshVms(); });
     logEvent("started",
@@ -224,10 +229,12 @@
     return this->gossip.alive(vm);
 }
 
-void EntryNode::configRead(std::int64_t offset)
+void EntryNode::configRead(std::int64_t offset, TimePoint begun)
 {
     this->operatorChangesRead = true;
     this->gossip.configOffset = offset;
+    recordConfigRead(this->dataPath.configProof, offset, begun);
+    this->passOnConfigRead(begun);
 }
 
 void EntryNode::countUnreadableRecord()
--- a/lacewing/entrynode.h
+++ b/lacewing/entrynode.h
@@ -12,6 +12,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <system_error>
@@ -45,6 +46,9 @@
     ZoneClaimSettings claim;
     Duration versionBound
         = milliseconds(5000); ///< a new version of an adapter takes effect within this time after it was set
+    std::optional<Duration> revocationBound; ///< a key taken away is not used for longer; nothing: not bounded
+    std::int32_t zoneCount = 1; ///< zones that the organisations' quotas are divided among
+    double quotaSlack = 0; ///< units by which the VMs together may exceed an organisation's quota in a window
     double retryShare = 0.2; ///< of all VMs together
     double retryBurst = 50; ///< of all VMs together
 };
@@ -94,7 +98,8 @@
     Duration listInterval() const;
     /// Called when the operators' changes have been read.
     /// @param offset up to which they were read
-    void configRead(std::int64_t offset);
+    /// @param begun when the read began, by the runtime's clock
+    void configRead(std::int64_t offset, TimePoint begun);
     /// Reads the list of VMs from the platform; also done periodically.
     void refreshVms();
     /// @param vm name of another VM
@@ -114,6 +119,8 @@
     /// Called when another VM has read the operators' changes further, up to this offset; set by the component that
     /// reads them.
     std::function<void(std::int64_t offset)> onConfigBehind;
+    /// Called to read at once whether there are newer operators' changes; set by the component that reads them.
+    std::function<void()> onConfigCheck;
 
 private:
     struct EndpointIncarnation {
@@ -152,6 +159,10 @@
     void sendNotice();
     void broadcastPlacement(const wire::PlacementNotice &notice);
     void announce();
+    bool needsConfigProofs() const;
+    void checkConfigProof();
+    void passOnConfigRead(TimePoint begun);
+    void receiveConfigRead(const wire::ConfigRead &read);
     void recordOwnDemand();
     wire::DemandReport demandFor(const ZoneName &ownerZone, const wire::DemandReport &all) const;
     bool hasOwner(const ZoneName &zone) const;
@@ -206,6 +217,8 @@
         pendingRemovals; ///< removed from the list around an outage of the store, and kept for now
     asio::signal_set signals;
     TimePoint lastStoreFailure; ///< when a call last failed in an outage of the store
+    std::optional<TimePoint> configCheckBegun; ///< start of the latest read on request
+    wire::ConfigRead receivedAtConfigCheck; ///< datagrams that had been received by then; for the zone's reader
     wire::ListChange pendingListChange; ///< changes read by this VM and not forwarded yet
     ListChain listChain; ///< of the changes that this VM has forwarded as the owner
     std::int64_t unreadableRecords = 0; ///< records of the platform that could not be read
--- a/lacewing/entrynodeplacement.cpp
+++ b/lacewing/entrynodeplacement.cpp
@@ -250,7 +250,9 @@
         return;
     }
     this->shareRetryBudget();
+    const TimePoint begun = this->clock.now(); // not later than the heartbeat, even if the VM is frozen in between
     this->gossip.sendHeartbeat(this->dataPath.crashWatch().periodicUpdate());
+    recordHeartbeat(this->dataPath.configProof, this->gossip.lastNumber(), begun);
 }
 
 void EntryNode::onOwnerLeaving(const VmId &vm, const ZoneName &zone)
--- a/lacewing/gateway.h
+++ b/lacewing/gateway.h
@@ -25,6 +25,7 @@
 #include <vector>
 
 #include "adapterversions.h"
+#include "configproof.h"
 #include "coresettings.h"
 #include "crashwatch.h"
 #include "endpointlink.h"
@@ -46,6 +47,7 @@
     double retryShare = 0.2; ///< retries as a share of requests, for each VM
     double retryBurst = 1; ///< maximum unused retries that this VM accumulates for each service
     std::size_t maxConnections = 2000; ///< of callers
+    std::optional<Duration> revocationBound; ///< a key taken away is not used for longer; nothing: no proof is needed
     Duration versionBound = milliseconds(5000); ///< a new version is in force within this time after its acknowledgment
 };
 
@@ -146,6 +148,9 @@
     /// Applies another VM's update of an endpoint's request rate limit.
     void applyLimitUpdate(const wire::LimitNews &update);
 
+    /// How current the configuration is known to be.
+    ConfigProof configProof;
+
     /// Called with each update for other VMs of an endpoint's rate limit, and of requests sent to that endpoint.
     std::function<void(const wire::LimitNews &)> onLimitUpdate;
     /// Called with each report for other VMs that an endpoint fails or works.
--- a/lacewing/lacewing.thrift
+++ b/lacewing/lacewing.thrift
@@ -373,6 +373,34 @@
   5: i32 readMicroseconds = 0          // that it took, if it found the endpoint idle; 0: not known
 }
 
+/**
+ * How far the operators' changes went when the sender began to read them. The two lists name processes and the last
+ * datagram of each that the sender had received by then.
+ */
+struct ConfigRead {
+  1: i64 offset,
+  2: list<i64> incarnations,
+  3: list<i64> numbers
+}
+
+/** Asks for units of an organisation's quota. Without a ticket it only says that the sender relies on the receiver. */
+struct QuotaAsk {
+  1: i64 ticket = 0,                   // names the request among those of the sender; 0: none
+  2: string organisation,
+  3: double units = 0,                 // that a request needs now
+  4: double spare = 0                  // that the sender expects to need soon
+}
+
+/** Answers a request for units of a quota. */
+struct QuotaAnswer {
+  1: i64 ticket,
+  2: double granted = 0,               // 0: refused
+  3: i32 waitMilliseconds = 0          // if refused: when to ask again
+}
+
+/** The sender keeps a part of each quota for its zone. */
+struct QuotaLedgerNews { 1: bool active = true }
+
 /** One datagram. Exactly one of the optional bodies is set. */
 struct VmDatagram {
   1: string vm,
@@ -393,5 +421,9 @@
   16: optional NewsAsked newsAsked,
   17: optional EndpointNews endpointNews,
   18: optional CrashNews crashNews,
-  19: optional LimitNews limitNews
+  19: optional LimitNews limitNews,
+  20: optional ConfigRead configRead,
+  21: optional QuotaAsk quotaAsk,
+  22: optional QuotaAnswer quotaAnswer,
+  23: optional QuotaLedgerNews quotaLedger
 }
--- a/lacewing/relay.cpp
+++ b/lacewing/relay.cpp
@@ -23,6 +23,8 @@
 constexpr Duration pacingCheckInterval = milliseconds(20);
 /// Retry-After for callers of a VM that is starting or stopping: another VM can take the request at once.
 constexpr Duration otherVmRetryAfter = milliseconds(50);
+/// Retry-After where keys can't be proven: own reads of the configuration are a second apart.
+constexpr Duration unprovenRetryAfter = milliseconds(500);
 
 } // namespace
 
@@ -77,6 +79,9 @@
         this->sendGatewayAnswer(ResultCode::NotFound, Duration {0});
         return;
     }
+    if (!this->identify()) {
+        return;
+    }
     if (this->gateway.refusing) {
         this->sendGatewayAnswer(ResultCode::ShuttingDown, otherVmRetryAfter);
         return;
@@ -103,6 +108,28 @@
     this->place();
 }
 
+bool Relay::identify()
+{
+    if (!this->config->requiresKeys || this->route->isPublic) {
+        return true;
+    }
+    const bool present = this->info.keyHeader == KeyHeader::Present;
+    const auto holder = present ? findKey(this->config->keys, this->info.key) : std::nullopt;
+    const std::optional<Duration> age = proofAge(this->gateway.configProof, this->gateway.now());
+    switch (decideKey(holder.has_value(), age, this->gateway.settings.revocationBound)) {
+    case KeyDecision::Accepted:
+        this->organisation = &this->config->organisations[*holder];
+        return true;
+    case KeyDecision::Unknown:
+        this->sendGatewayAnswer(ResultCode::UnknownKey, Duration {0});
+        return false;
+    case KeyDecision::Unproven:
+        this->sendGatewayAnswer(ResultCode::KeyUnproven, unprovenRetryAfter);
+        return false;
+    }
+    return false;
+}
+
 void Relay::place()
 {
     if (this->refuseIfProvenCrashing()) {
@@ -293,6 +320,8 @@
     send.endpoint = choice.endpoint;
     send.version = this->info.adapter.empty() ? 0 : choice.version;
     send.urgency = this->route->rank;
+    send.hidesKey = this->config->requiresKeys;
+    send.organisation = this->organisation == nullptr ? OrganisationName() : this->organisation->name;
     this->gateway.format.writeRequest(sent, send);
     this->sentAt = now;
     this->history.sends += 1;
--- a/lacewing/relay.h
+++ b/lacewing/relay.h
@@ -68,6 +68,7 @@
 
 private:
     void begin();
+    bool identify();
     /// Runs a handler of this request. An exception ends this request only, not the process.
     void run(const std::function<void()> &part);
     /// Starts a timer. onEnd is not called if the request has ended by then.
@@ -103,6 +104,7 @@
     std::shared_ptr<CallerConnection> caller;
     std::shared_ptr<const RouteConfig> config;
     const ServiceRoute *route = nullptr;
+    const Organisation *organisation = nullptr; ///< on whose behalf the request is sent; null if unknown
     HttpRequestHead head;
     std::string body;
     RequestInfo info;
--- a/lacewing/relayend.cpp
+++ b/lacewing/relayend.cpp
@@ -167,8 +167,11 @@
     const ResultCode code = codeForHistory(wanted, this->history);
     const ResultCodeInfo &result = resultCodeInfo(code);
     this->gateway.counts.ownAnswers[code] += 1;
+    const std::optional<Duration> proof = proofAge(this->gateway.configProof, this->gateway.now());
     logEvent("request_refused",
              {{"id", this->info.id},
+              {"organisation", this->organisation == nullptr ? OrganisationName() : this->organisation->name},
+              {"proof_ms", proof ? inMilliseconds(*proof) : std::string("none")},
               {"code", std::to_string(static_cast<int>(code))},
               {"reason", std::string(result.type)},
               {"cause", std::string(resultCodeInfo(wanted).type)},
--- a/lacewing/requestformat.h
+++ b/lacewing/requestformat.h
@@ -9,17 +9,28 @@
 #include <optional>
 #include <string>
 
+#include "callerkeys.h"
 #include "httphead.h"
 #include "types.h"
 
 namespace lacewing {
 
+/// What a request presents to show on whose behalf it is sent.
+enum class KeyHeader {
+    Absent,
+    Malformed, ///< not exactly one key in the expected format
+    Present,
+};
+
 /// Metadata of a caller's request.
 struct RequestInfo {
     std::string id; ///< identifies this attempt of the caller
     std::optional<Duration> callerTimeout; ///< how long the caller waits for the answer
     std::string model;
     std::string adapter; ///< empty: the base model
+    KeyHeader keyHeader = KeyHeader::Absent;
+    KeyDigest key; ///< if present
+    bool hasTokenCount = false; ///< the numbers of tokens are stated
     std::int32_t promptTokens = 0;
     std::int32_t maxOutputTokens = 0;
     std::string sharedPromptPrefix; ///< last section of the prompt that is shared with other requests; empty: none
@@ -31,6 +42,8 @@
     EndpointName endpoint; ///< the only endpoint that may run the request
     std::int32_t version = 0; ///< of the adapter; 0: any
     std::int32_t urgency = 0; ///< 0 is the most urgent
+    bool hidesKey = false; ///< the configuration has organisations: their keys and names are not passed on as sent
+    std::string organisation; ///< on whose behalf the request is sent; empty: unknown, as on a public route
 };
 
 /// Metadata of an endpoint's answer.
--- a/lacewing/resultcode.h
+++ b/lacewing/resultcode.h
@@ -26,6 +26,7 @@
     NotFound = 108,
     InvalidKey = 109,
     CrashesEndpoints = 110,
+    UnknownKey = 111,
     // 2xx: refused for now, not run
     QueueFull = 200,
     MemberLimit = 201,
@@ -38,6 +39,9 @@
     LogUnavailable = 208,
     TooManyOpenRequests = 209,
     NoConfiguration = 210,
+    KeyUnproven = 211,
+    OverQuota = 212,
+    QuotaUnknown = 213,
     // 3xx: internal reasons for trying elsewhere
     NotOwner = 300,
     NotResident = 301,
--- a/lacewing/routeconfig.h
+++ b/lacewing/routeconfig.h
@@ -14,6 +14,8 @@
 #include <unordered_map>
 #include <vector>
 
+#include "callerkeys.h"
+#include "organisation.h"
 #include "types.h"
 
 namespace lacewing {
@@ -42,6 +44,7 @@
     std::int32_t rank = 0; ///< 0 is the most urgent
     std::int32_t mostAttempts = 1; ///< maximum endpoints that may run one attempt of the caller
     bool resumable = false; ///< a broken stream may continue at another endpoint
+    bool isPublic = false; ///< needs no key
     bool sticky = false; ///< the route's prompts share parts that endpoints cache
     Duration maxGap {0}; ///< maximum gap between two events of a stream that meets its target
     Duration silenceTimeout {0}; ///< callers abandon a stream without events for longer than this; 0: unknown
@@ -84,6 +87,9 @@
     std::vector<ServiceRoute> routes;
     std::map<ServiceName, ServiceSpec> services;
     CallerLimits limits;
+    bool requiresKeys = false; ///< requests on routes that are not public need the key of an organisation
+    std::vector<Organisation> organisations;
+    CallerKeys keys; ///< of the organisations
     std::unordered_map<std::string, std::vector<std::size_t>> routesByHost; ///< longest prefix first
 };
 
--- a/lacewing/testing/entrynodetest.cpp
+++ b/lacewing/testing/entrynodetest.cpp
@@ -198,7 +198,7 @@
     VmPair vms;
     std::int64_t told = 0;
     vms.two.onConfigBehind = [&told](std::int64_t offset) { told = offset; };
-    vms.one.configRead(7);
+    vms.one.configRead(7, TimePoint {});
     cr_assert(vms.runUntil([&] { return told == 7; }));
 }
 
--- a/lacewing/vmgossip.cpp
+++ b/lacewing/vmgossip.cpp
@@ -177,6 +177,9 @@
     if (datagram.configOffset > this->configOffset && this->onConfigOffset) {
         this->onConfigOffset(datagram.configOffset);
     }
+    if (datagram.__isset.configRead && datagram.zone == this->self.zone && this->onConfigRead) {
+        this->onConfigRead(datagram.configRead);
+    }
     if (datagram.__isset.prompt && this->onPromptUpdate) {
         this->onPromptUpdate(datagram.prompt);
     }
@@ -323,6 +326,35 @@
     }
 }
 
+void VmGossip::sendConfigRead(const wire::ConfigRead &read)
+{
+    wire::VmDatagram datagram = this->newDatagram();
+    datagram.__set_configRead(read);
+    this->sendToZone(datagram);
+}
+
+wire::ConfigRead VmGossip::receivedNumbers() const
+{
+    wire::ConfigRead received;
+    for (const auto &[name, vm] : this->knownVms) {
+        if (vm.zone == this->self.zone && isAlive(vm, this->clock.now())) {
+            received.incarnations.push_back(vm.incarnation);
+            received.numbers.push_back(vm.number);
+        }
+    }
+    return received;
+}
+
+std::int64_t VmGossip::lastNumber() const
+{
+    return this->nextNumber - 1;
+}
+
+std::int64_t VmGossip::ownIncarnation() const
+{
+    return this->incarnation;
+}
+
 void VmGossip::sendToZone(const wire::VmDatagram &datagram)
 {
     const std::string bytes = encode(datagram);
--- a/lacewing/vmgossip.h
+++ b/lacewing/vmgossip.h
@@ -65,6 +65,15 @@
     /// @param zoneOnly whether only VMs of this zone use the endpoint
     void sendLimitUpdate(const wire::LimitNews &news, bool zoneOnly);
 
+    /// Tells the VMs of this zone how far the operators' changes went.
+    void sendConfigRead(const wire::ConfigRead &read);
+    /// @return processes of this zone that are alive, with the number of the last datagram of each; no offset
+    wire::ConfigRead receivedNumbers() const;
+    /// @return number of the last datagram that this VM has sent
+    std::int64_t lastNumber() const;
+    /// @return what identifies this process among all VMs
+    std::int64_t ownIncarnation() const;
+
     /// @return whether the VM was heard within vmLifetime
     bool alive(const VmId &vm) const;
     const std::map<VmId, KnownVm> &vms() const;
@@ -100,6 +109,7 @@
     std::function<void(const wire::LimitNews &)> onLimitUpdate;
     std::function<void(const VmId &, const wire::ListChange &, Duration)>
         onList; ///< only for datagrams from VMs of this zone
+    std::function<void(const wire::ConfigRead &)> onConfigRead; ///< only for datagrams from VMs of this zone
     std::function<void(std::int64_t)> onConfigOffset; ///< another VM has read further than this one
 
 private:
