Quotas of organisations, kept by a ledger for each zone

Cause: no quota was kept.

Change: each zone has a part of each quota, kept by its largest VM that is heard; VMs ask for units before they place a request, at their own zone's ledger and where that refuses at those of other zones. Grants are counted in the window in which use is judged, and spread by a token bucket. A part is in proportion to the VMs that rely on the ledger; a new ledger assumes that the one before it granted as much as it could.

--- a/lacewing/entrynode.cpp
+++ b/lacewing/entrynode.cpp
@@ -72,6 +72,7 @@
       dataPath(ioContext, this->clock, gatewaySettings(this->settings), format),
       gossip(ioContext, this->clock, contactOf(this->settings), randomIncarnation()),
       owner(ioContext, this->clock, this->port, this->settings.zone),
+      quota(this->clock, this->quotaSettings(), this->quotaPorts()),
       readyServer(ioContext,
                   [this](std::string_view path) {
                       const bool asked = path == this->settings.readyPath;
@@ -138,6 +139,7 @@
         }
     };
     this->gossip.millicores = this->settings.millicores;
+    this->connectQuota();
 }
 
 NetError EntryNode::start()
@@ -187,6 +189,8 @@
         || next.readyAddress != old.readyAddress || next.datagramAddress != old.datagramAddress;
     this->settings.shutdownBound = next.shutdownBound;
     this->settings.claim = next.claim;
+    this->settings.revocationBound = next.revocationBound;
+    this->dataPath.setRevocationBound(next.revocationBound);
     this->settings.retryShare = next.retryShare;
     this->settings.retryBurst = next.retryBurst;
     this->shareRetryBudget();
@@ -215,6 +219,7 @@
 void EntryNode::setConfig(std::shared_ptr<const RouteConfig> config)
 {
     if (this->dataPath.setConfig(std::move(config))) {
+        this->quota.setConfig(this->dataPath.config());
         this->onFleetChanged();
     }
 }
@@ -276,6 +281,7 @@
         for (const VmContact &contact : *listed) {
             this->gossip.addContact(contact);
         }
+        this->quota.vmsListed();
         this->heartbeat();
     });
 }
@@ -316,6 +322,7 @@
     this->stopAsked = this->clock.now();
     this->gossip.leaving = true;
     this->stopOwning("stopping");
+    this->quota.beginStop();
     this->heartbeat(); // so that another VM takes over the zone at once
     this->after(leaveRepeatDelay, [this] { this->heartbeat(); }); // in case a datagram is lost
     this->port.withdraw(this->settings.vm);
--- a/lacewing/entrynode.h
+++ b/lacewing/entrynode.h
@@ -24,6 +24,7 @@
 #include "gateway.h"
 #include "placementowner.h"
 #include "platformport.h"
+#include "quotaexchange.h"
 #include "stalldetector.h"
 #include "statusserver.h"
 #include "updateprogress.h"
@@ -48,7 +49,7 @@
         = milliseconds(5000); ///< a new version of an adapter takes effect within this time after it was set
     std::optional<Duration> revocationBound; ///< a key taken away is not used for longer; nothing: not bounded
     std::int32_t zoneCount = 1; ///< zones that the organisations' quotas are divided among
-    double quotaSlack = 0; ///< units by which the VMs together may exceed an organisation's quota in a window
+    QuotaBounds quotaBounds;
     double retryShare = 0.2; ///< of all VMs together
     double retryBurst = 50; ///< of all VMs together
 };
@@ -162,6 +163,9 @@
     bool needsConfigProofs() const;
     void checkConfigProof();
     void passOnConfigRead(TimePoint begun);
+    void connectQuota();
+    QuotaSettings quotaSettings() const;
+    QuotaPorts quotaPorts();
     void receiveConfigRead(const wire::ConfigRead &read);
     void recordOwnDemand();
     wire::DemandReport demandFor(const ZoneName &ownerZone, const wire::DemandReport &all) const;
@@ -207,6 +211,7 @@
     Gateway dataPath;
     VmGossip gossip;
     PlacementOwner owner;
+    QuotaExchange quota;
     StatusServer readyServer;
     StatusServer metricsServer;
     ZoneClaim claim;
--- a/lacewing/gateway.cpp
+++ b/lacewing/gateway.cpp
@@ -198,6 +198,11 @@
     this->budgetSettings.retryBurst = burst;
 }
 
+void Gateway::setRevocationBound(std::optional<Duration> bound)
+{
+    this->settings.revocationBound = bound;
+}
+
 double Gateway::retryBurst() const
 {
     return this->budgetSettings.retryBurst;
--- a/lacewing/gateway.h
+++ b/lacewing/gateway.h
@@ -31,6 +31,7 @@
 #include "endpointlink.h"
 #include "fleet.h"
 #include "lacewing_types.h"
+#include "quotaexchange.h"
 #include "requestformat.h"
 #include "resultcode.h"
 #include "retrybudget.h"
@@ -96,6 +97,8 @@
     /// @param share retries as a share of requests
     /// @param burst maximum unused retries that this VM accumulates for each service
     void setRetryLimits(double share, double burst);
+    /// @param bound on the use of a key that was taken away; nothing: no proof is needed
+    void setRevocationBound(std::optional<Duration> bound);
     /// @return maximum unused retries that this VM accumulates for each service
     double retryBurst() const;
 
@@ -151,6 +154,11 @@
     /// How current the configuration is known to be.
     ConfigProof configProof;
 
+    /// Charges a request to the quota of its organisation; if not set, no quota is kept.
+    std::function<void(const Organisation &, double units, QuotaDone)> acquireQuota;
+    /// Returns the units of a request that has not run, asked for at a time.
+    std::function<void(const OrganisationName &, double units, TimePoint asked)> giveBackQuota;
+
     /// Called with each update for other VMs of an endpoint's rate limit, and of requests sent to that endpoint.
     std::function<void(const wire::LimitNews &)> onLimitUpdate;
     /// Called with each report for other VMs that an endpoint fails or works.
--- a/lacewing/knownvm.h
+++ b/lacewing/knownvm.h
@@ -28,6 +28,7 @@
     std::int64_t incarnation = 0;
     std::int64_t number = 0; ///< sequence number of its last datagram
     TimePoint heard; ///< when a datagram was last received directly from it
+    TimePoint knownSince; ///< when it was first heard or announced
     TimePoint lastAnnounced; ///< when the platform or another VM last announced it
     bool everHeard = false;
     bool leaving = false;
@@ -51,4 +52,13 @@
     return vm.everHeard && now - vm.heard < vmLifetime;
 }
 
+/// Unlike isForgotten(), doesn't count the platform's announcements, which also name VMs that were lost.
+/// @param vm another VM
+/// @param now time
+/// @return whether the VM may be running, heard or not
+inline bool mayBeRunning(const KnownVm &vm, TimePoint now)
+{
+    return !vm.leaving && now - (vm.everHeard ? vm.heard : vm.knownSince) < forgetAfter;
+}
+
 } // namespace lacewing
--- a/lacewing/relay.cpp
+++ b/lacewing/relay.cpp
@@ -105,7 +105,7 @@
     this->versionGrace = oldVersionGrace(this->gateway.settings.versionBound, maxTimeToFirstByte);
     this->setTimer(this->deadlineTimer, this->deadline - this->arrived, &Relay::onDeadline);
     noteFirstAttempt(this->gateway.budgetOf(this->service), this->gateway.budgetSettings, this->arrived);
-    this->place();
+    this->chargeQuota();
 }
 
 bool Relay::identify()
@@ -130,6 +130,50 @@
     return false;
 }
 
+void Relay::chargeQuota()
+{
+    const bool limited = this->organisation != nullptr && isLimited(this->organisation->quota);
+    if (!limited || !this->gateway.acquireQuota) {
+        this->place();
+        return;
+    }
+    this->quotaUnits = quotaCost(this->organisation->quota, this->info);
+    this->gateway.acquireQuota(*this->organisation, this->quotaUnits,
+                               [self = this->shared_from_this()](const QuotaOutcome &outcome) {
+                                   self->run([&] { self->onCharged(outcome); });
+                               });
+}
+
+void Relay::onCharged(const QuotaOutcome &outcome)
+{
+    if (outcome.result == QuotaResult::Granted) {
+        this->quotaAsked = outcome.asked;
+    }
+    if (this->done) { // it has ended while it waited for the units
+        this->giveBackQuota();
+        return;
+    }
+    switch (outcome.result) {
+    case QuotaResult::Granted:
+        this->place();
+        return;
+    case QuotaResult::OverQuota:
+        this->sendGatewayAnswer(ResultCode::OverQuota, outcome.retryAfter);
+        return;
+    case QuotaResult::Unknown:
+        this->sendGatewayAnswer(ResultCode::QuotaUnknown, outcome.retryAfter);
+        return;
+    }
+}
+
+void Relay::giveBackQuota()
+{
+    if (this->quotaAsked && this->gateway.giveBackQuota) {
+        this->gateway.giveBackQuota(this->organisation->name, this->quotaUnits, *this->quotaAsked);
+    }
+    this->quotaAsked.reset();
+}
+
 void Relay::place()
 {
     if (this->refuseIfProvenCrashing()) {
@@ -374,6 +418,9 @@
         this->link->close();
         this->link.reset();
     }
+    if (this->endpoint.empty() && this->history.mayHaveRun == 0) {
+        this->giveBackQuota();
+    }
     this->finish();
 }
 
--- a/lacewing/relay.h
+++ b/lacewing/relay.h
@@ -16,6 +16,7 @@
 #include "crashledger.h"
 #include "endpointchoice.h"
 #include "endpointlink.h"
+#include "quotaexchange.h"
 #include "requestdigest.h"
 #include "requestformat.h"
 #include "resultcode.h"
@@ -69,6 +70,9 @@
 private:
     void begin();
     bool identify();
+    void chargeQuota();
+    void onCharged(const QuotaOutcome &outcome);
+    void giveBackQuota();
     /// Runs a handler of this request. An exception ends this request only, not the process.
     void run(const std::function<void()> &part);
     /// Starts a timer. onEnd is not called if the request has ended by then.
@@ -108,6 +112,8 @@
     HttpRequestHead head;
     std::string body;
     RequestInfo info;
+    double quotaUnits = 0; ///< units of the organisation's quota that the request costs
+    std::optional<TimePoint> quotaAsked; ///< if the request is charged: when the units were asked for
     ServiceName service;
     std::string weights;
     RequestDigest digest = 0; ///< of the content that an endpoint executes
--- a/lacewing/relayanswer.cpp
+++ b/lacewing/relayanswer.cpp
@@ -4,6 +4,7 @@
 #include "relay.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "callerconnection.h"
 #include "eventlog.h"
@@ -135,6 +136,8 @@
         }
         logEvent("request_answered",
                  {{"id", this->info.id},
+                  {"organisation", this->organisation == nullptr ? OrganisationName() : this->organisation->name},
+                  {"quota_units", std::to_string(std::lround(this->quotaUnits))},
                   {"endpoint", this->endpoint},
                   {"status", std::to_string(answer.head.status)},
                   {"wait_ms", inMilliseconds(this->sentAt - this->arrived)},
--- a/lacewing/relayend.cpp
+++ b/lacewing/relayend.cpp
@@ -3,6 +3,8 @@
 
 #include "relay.h"
 
+#include <cmath>
+
 #include "callerconnection.h"
 #include "eventlog.h"
 #include "gateway.h"
@@ -176,9 +178,14 @@
               {"reason", std::string(result.type)},
               {"cause", std::string(resultCodeInfo(wanted).type)},
               {"digest", describe(this->digest)},
+              {"quota_units", std::to_string(std::lround(this->quotaUnits))},
+              {"retry_after_ms", inMilliseconds(retryAfter)},
               {"weights", this->weights},
               {"sends", std::to_string(this->history.sends)},
               {"age_ms", inMilliseconds(this->age())}});
+    if (!mayHaveRun(code)) {
+        this->giveBackQuota();
+    }
     HttpResponseHead answer;
     answer.status = result.httpStatus;
     answer.reason = result.type;
--- a/lacewing/resultcode.cpp
+++ b/lacewing/resultcode.cpp
@@ -92,6 +92,12 @@
     return known ? *found : resultCodeInfo(ResultCode::OutcomeUnknown);
 }
 
+bool mayHaveRun(ResultCode code)
+{
+    constexpr int firstThatMayHaveRun = 400;
+    return static_cast<int>(code) >= firstThatMayHaveRun;
+}
+
 const std::error_category &resultCategory()
 {
     static const ResultCategory category;
--- a/lacewing/resultcode.h
+++ b/lacewing/resultcode.h
@@ -76,6 +76,10 @@
     std::string_view message;
 };
 
+/// @param code of an answer to a caller
+/// @return whether the request may have run
+bool mayHaveRun(ResultCode code);
+
 /// @return all rows, ordered by number
 std::span<const ResultCodeInfo> resultCodes();
 
--- a/lacewing/vmgossip.cpp
+++ b/lacewing/vmgossip.cpp
@@ -60,7 +60,7 @@
     if (!address || contact.vm == this->self.vm) {
         return;
     }
-    KnownVm &vm = this->knownVms[contact.vm];
+    KnownVm &vm = this->knownVm(contact.vm);
     if (vm.everHeard && this->alive(contact.vm)) {
         return;
     }
@@ -69,6 +69,15 @@
     vm.lastAnnounced = this->clock.now();
 }
 
+KnownVm &VmGossip::knownVm(const VmId &vm)
+{
+    const auto [found, isNew] = this->knownVms.try_emplace(vm);
+    if (isNew) {
+        found->second.knownSince = this->clock.now();
+    }
+    return found->second;
+}
+
 void VmGossip::receive()
 {
     this->socket.async_receive_from(asio::buffer(this->receiveBuffer), this->sender,
@@ -100,7 +109,7 @@
 
 void VmGossip::receiveDirect(const wire::VmDatagram &datagram)
 {
-    KnownVm &vm = this->knownVms[datagram.vm];
+    KnownVm &vm = this->knownVm(datagram.vm);
     const bool sameProcess = vm.everHeard && vm.incarnation == datagram.incarnation;
     if (sameProcess && datagram.number <= vm.number) {
         return;
@@ -151,7 +160,7 @@
 
 void VmGossip::receivePassedOn(const wire::VmDatagram &datagram)
 {
-    KnownVm &vm = this->knownVms[datagram.vm];
+    KnownVm &vm = this->knownVm(datagram.vm);
     const auto address = parseAddress(datagram.address);
     if (!isAlive(vm, this->clock.now()) && address) {
         vm.address = Udp::endpoint(address->address(), address->port());
@@ -183,6 +192,15 @@
     if (datagram.__isset.prompt && this->onPromptUpdate) {
         this->onPromptUpdate(datagram.prompt);
     }
+    if (datagram.__isset.quotaAsk && this->onQuotaAsk) {
+        this->onQuotaAsk(datagram.vm, datagram.zone, datagram.quotaAsk);
+    }
+    if (datagram.__isset.quotaAnswer && this->onQuotaAnswer) {
+        this->onQuotaAnswer(datagram.quotaAnswer);
+    }
+    if (datagram.__isset.quotaLedger && this->onQuotaLedger) {
+        this->onQuotaLedger(datagram.vm, datagram.zone, datagram.quotaLedger);
+    }
     if (datagram.__isset.newsAsked && this->onUpdateRequest) {
         this->onUpdateRequest(datagram.vm, datagram.newsAsked);
     }
@@ -326,6 +344,39 @@
     }
 }
 
+void VmGossip::sendQuotaAsk(const VmId &vm, const wire::QuotaAsk &ask)
+{
+    wire::VmDatagram datagram = this->newDatagram();
+    datagram.__set_quotaAsk(ask);
+    this->sendToVm(vm, datagram);
+}
+
+void VmGossip::sendQuotaAnswer(const VmId &vm, const wire::QuotaAnswer &answer)
+{
+    wire::VmDatagram datagram = this->newDatagram();
+    datagram.__set_quotaAnswer(answer);
+    this->sendToVm(vm, datagram);
+}
+
+void VmGossip::sendQuotaLedgerToAll(const wire::QuotaLedgerNews &news)
+{
+    wire::VmDatagram datagram = this->newDatagram();
+    datagram.__set_quotaLedger(news);
+    this->sendToAll(std::move(datagram));
+}
+
+std::vector<ZoneVm> VmGossip::otherZoneVms() const
+{
+    const TimePoint now = this->clock.now();
+    std::vector<ZoneVm> vms;
+    for (const auto &[name, vm] : this->knownVms) {
+        if (vm.zone == this->self.zone && mayBeRunning(vm, now)) {
+            vms.push_back({name, vm.millicores, vm.everHeard && now - vm.heard < vmFreshness});
+        }
+    }
+    return vms;
+}
+
 void VmGossip::sendConfigRead(const wire::ConfigRead &read)
 {
     wire::VmDatagram datagram = this->newDatagram();
--- a/lacewing/vmgossip.h
+++ b/lacewing/vmgossip.h
@@ -27,6 +27,7 @@
 #include "knownvm.h"
 #include "lacewing_types.h"
 #include "platformport.h"
+#include "quotaexchange.h"
 #include "zoneclaim.h"
 
 namespace lacewing {
@@ -65,6 +66,11 @@
     /// @param zoneOnly whether only VMs of this zone use the endpoint
     void sendLimitUpdate(const wire::LimitNews &news, bool zoneOnly);
 
+    void sendQuotaAsk(const VmId &vm, const wire::QuotaAsk &ask);
+    void sendQuotaAnswer(const VmId &vm, const wire::QuotaAnswer &answer);
+    void sendQuotaLedgerToAll(const wire::QuotaLedgerNews &news);
+    /// @return the other VMs of this zone that may be running
+    std::vector<ZoneVm> otherZoneVms() const;
     /// Tells the VMs of this zone how far the operators' changes went.
     void sendConfigRead(const wire::ConfigRead &read);
     /// @return processes of this zone that are alive, with the number of the last datagram of each; no offset
@@ -105,6 +111,9 @@
     std::function<void(const wire::PromptSent &)> onPromptUpdate;
     std::function<void(const VmId &, const wire::NewsAsked &)> onUpdateRequest;
     std::function<void(const VmId &, const ZoneName &, const wire::EndpointNews &)> onEndpointUpdate;
+    std::function<void(const VmId &, const ZoneName &, const wire::QuotaAsk &)> onQuotaAsk;
+    std::function<void(const wire::QuotaAnswer &)> onQuotaAnswer;
+    std::function<void(const VmId &, const ZoneName &, const wire::QuotaLedgerNews &)> onQuotaLedger;
     std::function<void(const wire::CrashNews &)> onCrashUpdate;
     std::function<void(const wire::LimitNews &)> onLimitUpdate;
     std::function<void(const VmId &, const wire::ListChange &, Duration)>
@@ -114,6 +123,7 @@
 
 private:
     bool claimsBefore(const VmId &vm, std::int32_t vmMillicores) const;
+    KnownVm &knownVm(const VmId &vm);
     void receive();
     void onDatagram(std::size_t size);
     void receiveDirect(const wire::VmDatagram &datagram);
