A request waits for its VM to find the ledger; a new ledger assumes a full bucket was just granted

And a new ledger that assumed steady use before it could, after a burst, grant more than the window allows.

Kept for the bound, and as such refusals were not needed.

--- a/lacewing/quotaexchange.cpp
+++ b/lacewing/quotaexchange.cpp
@@ -22,6 +22,9 @@
 constexpr Duration ledgerLifetime = milliseconds(3500);
 /// Requests of a VM that was refused are refused without a further question for at least this time.
 constexpr Duration minRefusal = milliseconds(50);
+/// A VM that has just started finds the ledger within this time, so its first requests wait.
+constexpr Duration maxLedgerSearch = milliseconds(400);
+constexpr Duration searchInterval = milliseconds(50);
 constexpr Duration minRetryAfter = milliseconds(300);
 constexpr Duration unknownRetryAfter = milliseconds(200);
 
@@ -150,16 +153,15 @@
     }
     const auto refusal = this->refusals.find(organisation.name);
     if (refusal != this->refusals.end() && now < refusal->second.until && units >= refusal->second.units) {
-        done({QuotaResult::OverQuota, now,
-              quotaRetryAfter(refusal->second.until - now, uniform(this->random))});
+        done({QuotaResult::OverQuota, now, quotaRetryAfter(refusal->second.until - now, uniform(this->random))});
         return;
     }
     const std::int64_t ticket = ++this->lastTicket;
     PendingAsk &pending = this->pendingAsks[ticket];
     pending.organisation = organisation;
     pending.units = units;
+    pending.arrived = now;
     pending.asked = now;
-    pending.ledgers = this->ledgersToAsk();
     pending.done = std::move(done);
     this->askNext(ticket);
 }
@@ -180,6 +182,10 @@
 {
     PendingAsk &pending = this->pendingAsks.at(ticket);
     const TimePoint now = this->clock.now();
+    if (!pending.ledgersKnown) {
+        pending.ledgers = this->ledgersToAsk();
+        pending.ledgersKnown = true;
+    }
     while (!pending.ledgers.empty()) {
         const VmId next = pending.ledgers.back();
         pending.ledgers.pop_back();
@@ -228,8 +234,15 @@
 
 void QuotaExchange::refuse(std::int64_t ticket)
 {
-    const PendingAsk &pending = this->pendingAsks.at(ticket);
+    PendingAsk &pending = this->pendingAsks.at(ticket);
     const TimePoint now = this->clock.now();
+    if (!pending.refused && now - pending.arrived < maxLedgerSearch) {
+        pending.asked = now;
+        pending.due = now + searchInterval;
+        pending.ledgersKnown = false;
+        this->ports.wakeAfter(searchInterval);
+        return;
+    }
     if (!pending.refused) {
         this->finish(ticket, {QuotaResult::Unknown, now, quotaRetryAfter(unknownRetryAfter, uniform(this->random))});
         return;
@@ -264,7 +277,8 @@
         return nullptr;
     }
     const auto &all = this->config->organisations;
-    const auto found = std::find_if(all.begin(), all.end(), [&name](const Organisation &one) { return one.name == name; });
+    const auto found
+        = std::find_if(all.begin(), all.end(), [&name](const Organisation &one) { return one.name == name; });
     return found == all.end() ? nullptr : &*found;
 }
 
--- a/lacewing/quotaexchange.h
+++ b/lacewing/quotaexchange.h
@@ -117,8 +117,10 @@
     struct PendingAsk {
         Organisation organisation;
         double units = 0;
+        bool ledgersKnown = false;
         std::vector<VmId> ledgers; ///< still to be asked, the next one last
-        TimePoint asked; ///< first
+        TimePoint arrived;
+        TimePoint asked; ///< first, or since the ledgers were last looked up
         TimePoint due; ///< when the next ledger is asked
         bool refused = false; ///< a ledger has too few units
         Duration wait {0}; ///< shortest time until a ledger that refused may have enough
--- a/lacewing/quotaledger.cpp
+++ b/lacewing/quotaledger.cpp
@@ -1,6 +1,6 @@
 // The window that a ledger counts is longer than the one in which use is judged by the lifetime of granted units, which
-// may be spent that much later, and by one slice. Half of the overshoot and a quarter of the slack are left for VMs that
-// change between ledgers.
+// may be spent that much later, and by one slice. Half of the overshoot and a quarter of the slack are left for VMs
+// that change between ledgers.
 
 #include "quotaledger.h"
 
@@ -51,17 +51,19 @@
                            [](double sum, const GrantedSlice &slice) { return sum + slice.units; });
 }
 
-/// Fills the window as if it had been granted steadily.
+/// Fills the window as if all of it had been granted: a full bucket at once just now, the rest steadily before.
 void assumeUsed(QuotaStock &stock, const OrganisationQuota &quota, const LedgerPart &part, TimePoint now)
 {
     const Duration window = countedWindow(part.bounds);
     const auto slices = window / sliceLength;
-    const double units = windowLimit(quota, part) / static_cast<double>(slices);
+    const double atOnce = std::min(bucketCapacity(quota, part), windowLimit(quota, part));
+    const double units = (windowLimit(quota, part) - atOnce) / static_cast<double>(slices);
     stock = {};
     stock.refilled = now;
     for (TimePoint begin = now - slices * sliceLength; begin < now; begin += sliceLength) {
         stock.granted.push_back({begin, units});
     }
+    stock.granted.push_back({now, atOnce});
 }
 
 void recordGrant(QuotaStock &stock, double units, TimePoint now)
@@ -127,9 +129,8 @@
         const double refillSeconds = (need.units - stock.units) / std::max(1e-6, steadyRate(quota, part));
         const auto refill = std::chrono::ceil<Duration>(
             std::chrono::duration<double>(std::clamp(refillSeconds, 0.0, maxRefillSeconds)));
-        const Duration window = inWindow < need.units
-            ? timeUntilForgotten(stock, need.units - inWindow, part, now)
-            : Duration {0};
+        const Duration window
+            = inWindow < need.units ? timeUntilForgotten(stock, need.units - inWindow, part, now) : Duration {0};
         grant.wait = need.units > capacity ? hopelessWait : std::max(refill, window);
         return grant;
     }
--- a/lacewing/testing/quotaexchangetest.cpp
+++ b/lacewing/testing/quotaexchangetest.cpp
@@ -7,6 +7,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <limits>
+#include <numeric>
 #include <string>
 
 #include "quotamodel.h"
@@ -48,11 +49,12 @@
     QuotaLedger ledger;
     const Organisation organisation = makeOrganisation(3000);
     const LedgerPart part {1, {}};
-    const QuotaGrant first = grantUnits(ledger, organisation, {1000, 0}, part, start);
-    cr_assert_eq(first.units, 0);
-    cr_assert_gt(first.wait, milliseconds(250));
-    cr_assert_lt(first.wait, milliseconds(400));
-    cr_assert_eq(grantUnits(ledger, organisation, {1000, 0}, part, start + first.wait).units, 1000);
+    cr_assert_eq(grantUnits(ledger, organisation, {1000, 0}, part, start).units, 0);
+    cr_assert_eq(grantUnits(ledger, organisation, {1000, 0}, part, start + milliseconds(200)).units, 0);
+    const QuotaGrant later = grantUnits(ledger, organisation, {1000, 0}, part, start + milliseconds(250));
+    cr_assert_gt(later.wait, milliseconds(0));
+    cr_assert_leq(later.wait, milliseconds(400));
+    cr_assert_eq(grantUnits(ledger, organisation, {1000, 0}, part, start + milliseconds(250) + later.wait).units, 1000);
 }
 
 Test(quotaledger, timeInWhichTheLedgerDidNotRunAddsNothing)
@@ -84,9 +86,10 @@
             inWindow += grantedInSecond[index];
             cr_assert_geq(grantedInSecond[index], 700);
         }
-        cr_assert_geq(inWindow, 8000);
         cr_assert_leq(inWindow, windowLimit(organisation.quota, part));
     }
+    const double total = std::accumulate(grantedInSecond.begin(), grantedInSecond.end(), 0.0);
+    cr_assert_geq(total, organisation.quota.rate * static_cast<double>(grantedInSecond.size() - 1));
 }
 
 Test(quotaledger, spareUnitsAreGrantedFromTheUpperHalfOnly)
@@ -142,8 +145,7 @@
 
 /// One VM of which all that it sends is collected.
 struct LoneVm {
-    LoneVm()
-        : exchange(clock, settings(), ports())
+    LoneVm() : exchange(clock, settings(), ports())
     {
         clock.pause();
         RouteConfig made;
@@ -190,7 +192,6 @@
 {
     LoneVm vm;
     cr_assert(vm.exchange.zoneLedger().empty());
-    cr_assert_eq(vm.acquire(10), QuotaResult::Unknown);
     vm.exchange.vmsListed();
     cr_assert_eq(vm.exchange.zoneLedger(), "b");
     vm.exchange.beat();
@@ -233,11 +234,11 @@
         last = outcome;
         ended += 1;
     });
-    for (int step = 0; step < 3; ++step) {
+    for (int step = 0; step < 10; ++step) {
         vm.clock.advance(milliseconds(100));
         vm.exchange.expire();
     }
-    cr_assert_eq(vm.asks.size(), 2U);
+    cr_assert_geq(vm.asks.size(), 2U);
     cr_assert_eq(vm.asks[0].first, "c");
     cr_assert_eq(vm.asks[1].first, "x");
     cr_assert_eq(ended, 1);
@@ -249,6 +250,32 @@
     cr_assert_eq(ended, 1);
 }
 
+// Guards against refusals by a VM that has just started and does not know the other VMs yet.
+Test(quotaexchange, aRequestWaitsForTheVmToFindTheLedger)
+{
+    LoneVm vm;
+    QuotaResult result = QuotaResult::Unknown;
+    int ended = 0;
+    vm.exchange.acquire(makeOrganisation(3000), 10, [&](const QuotaOutcome &outcome) {
+        result = outcome.result;
+        ended += 1;
+    });
+    vm.clock.advance(milliseconds(100));
+    vm.exchange.expire();
+    cr_assert_eq(ended, 0);
+    vm.others = {{"c", 500, true}};
+    vm.exchange.vmsListed();
+    vm.clock.advance(milliseconds(50));
+    vm.exchange.expire();
+    cr_assert_eq(vm.asks.size(), 1U);
+    wire::QuotaAnswer answer;
+    answer.ticket = vm.asks[0].second.ticket;
+    answer.granted = 10;
+    vm.exchange.receiveAnswer(answer);
+    cr_assert_eq(ended, 1);
+    cr_assert_eq(result, QuotaResult::Granted);
+}
+
 Test(quotaexchange, malformedAsksAndAnswersGrantNothing)
 {
     LoneVm vm;
--- a/lacewing/testing/quotamodel.h
+++ b/lacewing/testing/quotamodel.h
@@ -1,5 +1,5 @@
-// A model of many VMs that share quotas, on a simulated clock: datagrams are delayed and lost, zones and VMs are cut off
-// in one or both directions, VMs stop, start again and are frozen, and demand moves between zones.
+// A model of many VMs that share quotas, on a simulated clock: datagrams are delayed and lost, zones and VMs are cut
+// off in one or both directions, VMs stop, start again and are frozen, and demand moves between zones.
 //
 //   QuotaModel model(settings, seed);
 //   model.run(milliseconds(20000));
