The priority of an organisation comes before that of the route

Requests wait, and are ordered at endpoints, by the pair of both priorities; the pairs are numbered without gaps, since endpoints distinguish ten levels.

--- a/lacewing/relay.cpp
+++ b/lacewing/relay.cpp
@@ -11,6 +11,7 @@
 #include "eventlog.h"
 #include "gateway.h"
 #include "handlerguard.h"
+#include "requestrank.h"
 #include "waitlimits.h"
 
 namespace lacewing {
@@ -21,6 +22,8 @@
 constexpr Duration answerMargin = milliseconds(20);
 /// Interval of the checks whether a paced prompt may be sent: this can change with time alone, without any update.
 constexpr Duration pacingCheckInterval = milliseconds(20);
+/// Levels of urgency that an endpoint distinguishes.
+constexpr std::int32_t urgencyLevels = 10;
 /// Retry-After for callers of a VM that is starting or stopping: another VM can take the request at once.
 constexpr Duration otherVmRetryAfter = milliseconds(50);
 /// Retry-After where keys can't be proven: own reads of the configuration are a second apart.
@@ -333,7 +336,7 @@
 
 std::int32_t Relay::rank() const
 {
-    return this->route == nullptr ? 0 : this->route->rank;
+    return this->route == nullptr ? 0 : requestRank(*this->config, this->organisation, *this->route);
 }
 
 void Relay::onWaitLimit()
@@ -363,7 +366,7 @@
     send.callerTimeout = std::min(callerTimeout, this->route->timeout) - (now - this->arrived);
     send.endpoint = choice.endpoint;
     send.version = this->info.adapter.empty() ? 0 : choice.version;
-    send.urgency = this->route->rank;
+    send.urgency = urgencyLevel(*this->config, this->rank(), urgencyLevels);
     send.hidesKey = this->config->requiresKeys;
     send.organisation = this->organisation == nullptr ? OrganisationName() : this->organisation->name;
     this->gateway.format.writeRequest(sent, send);
--- a/lacewing/routeconfig.cpp
+++ b/lacewing/routeconfig.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <set>
 
 namespace lacewing {
 
@@ -18,10 +19,22 @@
     return name;
 }
 
+void indexRanks(RouteConfig &config)
+{
+    std::set<RankPair> pairs;
+    for (const Organisation &organisation : config.organisations) {
+        for (const ServiceRoute &route : config.routes) {
+            pairs.emplace(organisation.rank, route.rank);
+        }
+    }
+    config.rankPairs.assign(pairs.begin(), pairs.end());
+}
+
 } // namespace
 
 void indexRoutes(RouteConfig &config)
 {
+    indexRanks(config);
     config.routesByHost.clear();
     for (std::size_t index = 0; index < config.routes.size(); ++index) {
         config.routesByHost[normalizeHost(config.routes[index].host)].push_back(index);
--- a/lacewing/routeconfig.h
+++ b/lacewing/routeconfig.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "callerkeys.h"
@@ -82,6 +83,9 @@
     Duration idleTimeout = milliseconds(15000);
 };
 
+/// Priority of an organisation, then of a route.
+using RankPair = std::pair<std::int32_t, std::int32_t>;
+
 struct RouteConfig {
     std::int64_t version = 0;
     std::vector<ServiceRoute> routes;
@@ -90,10 +94,11 @@
     bool requiresKeys = false; ///< requests on routes that are not public need the key of an organisation
     std::vector<Organisation> organisations;
     CallerKeys keys; ///< of the organisations
+    std::vector<RankPair> rankPairs; ///< of the organisations and routes, ascending; empty without organisations
     std::unordered_map<std::string, std::vector<std::size_t>> routesByHost; ///< longest prefix first
 };
 
-/// Fills routesByHost; call once after the routes are set.
+/// Fills routesByHost and rankPairs; call once after the routes and organisations are set.
 /// @param config changed
 void indexRoutes(RouteConfig &config);
 
