--- a/lacewing/entrynode.cpp
+++ b/lacewing/entrynode.cpp
@@ -13,6 +13,7 @@
 #include "entryexpiry.h"
 #include "eventlog.h"
 #include "handlerguard.h"
+#include "organisationmetrics.h"
 #include "stopprogress.h"
 
 namespace lacewing {
@@ -406,6 +407,7 @@
     datagramLines("sent_within_zone", this->gossip.counts.sentWithinZone);
     datagramLines("sent_to_other_zones", this->gossip.counts.sentToOtherZones);
     datagramLines("received", this->gossip.counts.received);
+    text += this->dataPath.organisationMetrics().text();
     if (this->extraMetrics) {
         text += this->extraMetrics();
     }
--- a/lacewing/gateway.cpp
+++ b/lacewing/gateway.cpp
@@ -4,6 +4,7 @@
 #include "gateway.h"
 
 #include <algorithm>
+#include <memory>
 #include <numeric>
 #include <utility>
 
@@ -11,6 +12,7 @@
 #include "clock.h"
 #include "eventlog.h"
 #include "handlerguard.h"
+#include "organisationmetrics.h"
 #include "relay.h"
 
 namespace lacewing {
@@ -25,6 +27,7 @@
       pool(ioContext),
       crashes(ioContext, runtimeClock),
       capacityTimer(ioContext),
+      metricsByOrganisation(std::make_unique<OrganisationMetrics>()),
       random(std::random_device {}())
 {
     this->crashes.onProven = [this] { this->endProvenRequests(); };
@@ -328,6 +331,16 @@
     return this->counts;
 }
 
+OrganisationMetrics &Gateway::organisationMetrics()
+{
+    return *this->metricsByOrganisation;
+}
+
+const OrganisationMetrics &Gateway::organisationMetrics() const
+{
+    return *this->metricsByOrganisation;
+}
+
 CrashWatch &Gateway::crashWatch()
 {
     return this->crashes;
--- a/lacewing/gateway.h
+++ b/lacewing/gateway.h
@@ -40,6 +40,7 @@
 namespace lacewing {
 
 class CallerConnection;
+class OrganisationMetrics;
 class Relay;
 class RuntimeClock;
 
@@ -134,6 +135,9 @@
     const Fleet &fleet() const;
     const AdapterVersions &versions() const;
     const GatewayCounters &counters() const;
+    /// @return counts and latencies by organisation
+    OrganisationMetrics &organisationMetrics();
+    const OrganisationMetrics &organisationMetrics() const;
     /// @return detection of requests that crash endpoints
     CrashWatch &crashWatch();
     const CrashWatch &crashWatch() const;
@@ -206,6 +210,7 @@
     std::unordered_set<std::shared_ptr<Relay>> relays;
     std::map<EndpointName, std::map<std::string, std::int32_t>> inUse; ///< requests in progress by endpoint and weights
     GatewayCounters counts;
+    std::unique_ptr<OrganisationMetrics> metricsByOrganisation;
     std::mt19937_64 random;
     bool stopping = false;
     bool refusing = false;
--- a/lacewing/relayanswer.cpp
+++ b/lacewing/relayanswer.cpp
@@ -9,6 +9,7 @@
 #include "callerconnection.h"
 #include "eventlog.h"
 #include "gateway.h"
+#include "organisationmetrics.h"
 #include "sizes.h"
 
 namespace lacewing {
@@ -131,6 +132,9 @@
     }
     if (answer.complete()) {
         this->gateway.counts.answered += 1;
+        if (this->organisation != nullptr) {
+            this->gateway.organisationMetrics().recordAnswer(this->organisation->name, this->timeToFirstByte);
+        }
         if (answer.head.status < 300) {
             this->gateway.crashes.recordCompletion(this->digest);
         }
--- a/lacewing/relayend.cpp
+++ b/lacewing/relayend.cpp
@@ -8,6 +8,7 @@
 #include "callerconnection.h"
 #include "eventlog.h"
 #include "gateway.h"
+#include "organisationmetrics.h"
 
 namespace lacewing {
 
@@ -169,6 +170,9 @@
     const ResultCode code = codeForHistory(wanted, this->history);
     const ResultCodeInfo &result = resultCodeInfo(code);
     this->gateway.counts.ownAnswers[code] += 1;
+    if (this->organisation != nullptr) {
+        this->gateway.organisationMetrics().recordRefusal(this->organisation->name, code);
+    }
     const std::optional<Duration> proof = proofAge(this->gateway.configProof, this->gateway.now());
     logEvent("request_refused",
              {{"id", this->info.id},
--- a/lacewing/testing/callerkeystest.cpp
+++ b/lacewing/testing/callerkeystest.cpp
@@ -23,9 +23,11 @@
     std::mt19937 random(7);
     for (int round = 0; round < 5000; ++round) {
         std::string guess = "key-" + std::to_string(random() % organisations);
-        guess[random() % guess.size()] ^= static_cast<char>(1U << (random() % 7));
+        char &letter = guess[random() % guess.size()];
+        letter = static_cast<char>(letter ^ (1 << (random() % 7)));
         const bool isKey = guess.starts_with("key-") && guess.find_first_not_of("0123456789", 4) == std::string::npos
-            && guess.size() > 4 && (guess.size() == 5 || guess[4] != '0') && std::stoul(guess.substr(4)) < organisations;
+            && guess.size() > 4 && (guess.size() == 5 || guess[4] != '0')
+            && std::stoul(guess.substr(4)) < organisations;
         cr_assert_eq(findKey(keys, digestOfKey(guess)).has_value(), isKey, "%s", guess.c_str());
     }
     cr_assert_not(findKey(keys, digestOfKey("")).has_value());
