A quota without a burst is used: the token bucket holds a second of the rate at least

The capacity of the bucket was the burst and a part of the slack; with neither, nothing was ever granted. The window keeps the bound.

--- a/lacewing/quotaledger.cpp
+++ b/lacewing/quotaledger.cpp
@@ -15,6 +15,8 @@
 
 constexpr double overshootInUse = 0.5;
 constexpr double slackInUse = 0.75;
+/// A quota without a burst still has to hold a request; the window keeps the bound.
+constexpr Duration minBurstTime = milliseconds(1000);
 constexpr Duration sliceLength = milliseconds(250);
 /// A ledger in use is refilled each second. After a longer time another VM may have been the ledger.
 constexpr Duration maxRefillTime = milliseconds(2500);
@@ -42,7 +44,8 @@
 
 double bucketCapacity(const OrganisationQuota &quota, const LedgerPart &part)
 {
-    return (quota.burst + slackInUse * part.bounds.slack) * part.share;
+    const double atOnce = std::max(quota.burst, quota.rate * inSeconds(minBurstTime));
+    return (atOnce + slackInUse * part.bounds.slack) * part.share;
 }
 
 double grantedInWindow(const QuotaStock &stock)
--- a/lacewing/testing/quotaexchangetest.cpp
+++ b/lacewing/testing/quotaexchangetest.cpp
@@ -102,6 +102,18 @@
     cr_assert_eq(grantUnits(ledger, organisation, {200, 1000}, part, start).units, 200);
 }
 
+Test(quotaledger, aQuotaWithoutABurstIsUsed)
+{
+    QuotaLedger ledger;
+    Organisation organisation = makeOrganisation(1000);
+    organisation.quota.burst = 0;
+    double granted = 0;
+    for (int step = 0; step < 1000; ++step) {
+        granted += grantUnits(ledger, organisation, {200, 0}, {1, {}}, start + milliseconds(20) * step).units;
+    }
+    cr_assert_geq(granted, 19000 * 0.9);
+}
+
 Test(quotaledger, aLowerQuotaHoldsAtOnce)
 {
     QuotaLedger ledger;
