--- a/lacewing/testing/configprooftest.cpp
+++ b/lacewing/testing/configprooftest.cpp
@@ -8,6 +8,7 @@
 #include <deque>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <criterion/criterion.h>
@@ -247,15 +248,14 @@
         for (std::size_t index = 0; index < vmCount; ++index) {
             disturb(vms[index]);
         }
-        std::deque<InTransit> later;
-        for (const InTransit &one : transit) {
+        const std::deque<InTransit> pending = std::exchange(transit, {}); // receive() adds to it
+        for (const InTransit &one : pending) {
             if (one.due > now || now < vms[one.to].frozenUntil) {
-                later.push_back(one);
+                transit.push_back(one);
             } else {
                 receive(one);
             }
         }
-        transit = std::move(later);
         for (std::size_t index = 0; index < vmCount; ++index) {
             if (now >= vms[index].frozenUntil) {
                 act(index);
