--- a/lacewing/configproof.cpp
+++ b/lacewing/configproof.cpp
@@ -13,7 +13,7 @@
 constexpr int partsWithoutOwnRead = 3;
 /// Time before the bound at which a key is no longer used; covers the rounding of timestamps on the way.
 constexpr Duration boundMargin = milliseconds(200);
-/// Covers the longest bound in use at one heartbeat a second.
+/// Heartbeats are a second apart; older ones than a bound of some seconds prove nothing.
 constexpr std::size_t maxHeartbeats = 16;
 
 } // namespace
