--- a/lacewing/callerkeys.h
+++ b/lacewing/callerkeys.h
@@ -2,7 +2,7 @@
 //
 //   CallerKeys keys;
 //   addKey(keys, digestOfKey(text), index);
-//   if (const auto organisation = findKey(keys, *request.key)) ...
+//   if (const auto organisation = findKey(keys, request.key)) ...
 //
 // A digest is an HMAC under a random secret of this process, so that neither memory nor a dump of it reveals a key, and
 // callers can't construct keys that collide in the table or learn from response times how much of a guess is right.
--- a/lacewing/gateway.h
+++ b/lacewing/gateway.h
@@ -31,7 +31,7 @@
 #include "endpointlink.h"
 #include "fleet.h"
 #include "lacewing_types.h"
-#include "quotaexchange.h"
+#include "quotaoutcome.h"
 #include "requestformat.h"
 #include "resultcode.h"
 #include "retrybudget.h"
--- a/lacewing/organisation.cpp
+++ b/lacewing/organisation.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "requestformat.h"
+
 namespace lacewing {
 
 bool isLimited(const OrganisationQuota &quota)
--- a/lacewing/organisation.h
+++ b/lacewing/organisation.h
@@ -5,11 +5,12 @@
 #include <cstdint>
 #include <string>
 
-#include "requestformat.h"
 #include "types.h"
 
 namespace lacewing {
 
+struct RequestInfo;
+
 using OrganisationName = std::string;
 
 /// Limit on the work of an organisation, for all VMs together.
--- a/lacewing/quotaexchange.h
+++ b/lacewing/quotaexchange.h
@@ -27,6 +27,7 @@
 #include "lacewing_types.h"
 #include "quotacredit.h"
 #include "quotaledger.h"
+#include "quotaoutcome.h"
 #include "zoneledger.h"
 
 namespace lacewing {
@@ -50,20 +51,6 @@
     std::function<void(Duration)> wakeAfter; ///< expire() is to be called after this time
 };
 
-enum class QuotaResult {
-    Granted,
-    OverQuota, ///< the ledgers that answered have too few units
-    Unknown, ///< no ledger answered
-};
-
-struct QuotaOutcome {
-    QuotaResult result = QuotaResult::Unknown;
-    TimePoint asked; ///< if granted: when the units were asked for
-    Duration retryAfter {0}; ///< otherwise: when the caller may return
-};
-
-using QuotaDone = std::function<void(const QuotaOutcome &)>;
-
 /// @param wait until a refused request could be granted
 /// @param draw uniformly distributed in [0, 1)
 /// @return time after which its caller may return; spread, since callers refused together would return together
--- a/lacewing/relay.h
+++ b/lacewing/relay.h
@@ -16,7 +16,6 @@
 #include "crashledger.h"
 #include "endpointchoice.h"
 #include "endpointlink.h"
-#include "quotaexchange.h"
 #include "requestdigest.h"
 #include "requestformat.h"
 #include "resultcode.h"
@@ -27,6 +26,7 @@
 
 class CallerConnection;
 class Gateway;
+struct QuotaOutcome;
 
 class Relay : public std::enable_shared_from_this<Relay>
 {
--- a/lacewing/vmgossip.h
+++ b/lacewing/vmgossip.h
@@ -27,8 +27,8 @@
 #include "knownvm.h"
 #include "lacewing_types.h"
 #include "platformport.h"
-#include "quotaexchange.h"
 #include "zoneclaim.h"
+#include "zoneledger.h"
 
 namespace lacewing {
 
@@ -73,7 +73,8 @@
     std::vector<ZoneVm> otherZoneVms() const;
     /// Tells the VMs of this zone how far the operators' changes went.
     void sendConfigRead(const wire::ConfigRead &read);
-    /// @return processes of this zone that are alive, with the number of the last datagram of each; no offset
+    /// @return processes of this zone that are alive, with the number of the last datagram of each; the offset is not
+    /// set
     wire::ConfigRead receivedNumbers() const;
     /// @return number of the last datagram that this VM has sent
     std::int64_t lastNumber() const;
