Log how the endpoint framed an answer

Nothing in the log told an answer that ended with its connection from one that ended by its length or by its last chunk. request_answered and answer_broken_off now state the framing of the endpoint's answer.

--- a/lacewing/httphead.cpp
+++ b/lacewing/httphead.cpp
@@ -115,6 +115,19 @@
     return text;
 }
 
+std::string_view toString(BodyFraming framing)
+{
+    switch (framing) {
+    case BodyFraming::Length:
+        return "length";
+    case BodyFraming::Chunked:
+        return "chunked";
+    case BodyFraming::Close:
+        break;
+    }
+    return "close";
+}
+
 std::string formatAnswerHead(const HttpResponseHead &head, BodyFraming framing, bool keepAlive)
 {
     std::string text = "HTTP/1.1 " + std::to_string(head.status) + " " + head.reason + "\r\n";
--- a/lacewing/httphead.h
+++ b/lacewing/httphead.h
@@ -70,6 +70,9 @@
     Close, ///< by the close of the connection
 };
 
+/// @return name of the framing for logs
+std::string_view toString(BodyFraming framing);
+
 /// @param head head of the answer, without framing headers
 /// @param framing framing of the body
 /// @param keepAlive whether the connection stays open
--- a/lacewing/httpreader.cpp
+++ b/lacewing/httpreader.cpp
@@ -150,6 +150,14 @@
     return this->is_done();
 }
 
+BodyFraming ResponseReader::framing() const
+{
+    if (this->chunked()) {
+        return BodyFraming::Chunked;
+    }
+    return this->need_eof() ? BodyFraming::Close : BodyFraming::Length;
+}
+
 std::string ResponseReader::takeBody()
 {
     return std::exchange(this->body, {});
--- a/lacewing/httpreader.h
+++ b/lacewing/httpreader.h
@@ -75,6 +75,9 @@
     bool headRead() const;
     bool complete() const;
 
+    /// @return how the sender marks the end of the body; valid when the head was read
+    BodyFraming framing() const;
+
     /// @return body bytes that arrived since the last call
     std::string takeBody();
 
--- a/lacewing/relay.h
+++ b/lacewing/relay.h
@@ -140,6 +140,7 @@
     std::int64_t ticket = 0; ///< identifies the prompt in that queue
     TimePoint pacedSince; ///< start of the pacing delay
     Duration pacingDelay {0}; ///< length of the pacing delay
+    BodyFraming endpointFraming = BodyFraming::Length; ///< of the endpoint's answer
     bool noPromptsAhead = false; ///< the queue was empty ahead of the prompt when it was sent
     bool countedAsSuspect = false; ///< counted in the endpoint's ownCrashSuspects
     bool answerBegun = false;
--- a/lacewing/relayanswer.cpp
+++ b/lacewing/relayanswer.cpp
@@ -91,6 +91,7 @@
     dropConnectionHeaders(relayedHead.headers);
     this->answerBegun = true;
     this->history.answerBegun = true;
+    this->endpointFraming = answer.framing();
     const bool bodyless = this->head.method == "HEAD" || relayedHead.status == 204 || relayedHead.status == 304;
     BodyFraming framing = this->head.http11 ? BodyFraming::Chunked : BodyFraming::Close;
     if (relayedHead.length) {
@@ -144,6 +145,7 @@
                   {"quota_units", std::to_string(std::lround(this->quotaUnits))},
                   {"endpoint", this->endpoint},
                   {"status", std::to_string(answer.head.status)},
+                  {"framing", std::string(toString(this->endpointFraming))},
                   {"wait_ms", inMilliseconds(this->sentAt - this->arrived)},
                   {"first_ms", inMilliseconds(this->timeToFirstByte)},
                   {"gap_ms", inMilliseconds(this->maxGap)},
--- a/lacewing/relayend.cpp
+++ b/lacewing/relayend.cpp
@@ -158,6 +158,7 @@
              {{"id", this->info.id},
               {"digest", describe(this->digest)},
               {"endpoint", this->endpoint},
+              {"framing", std::string(toString(this->endpointFraming))},
               {"reason", std::string(reason)},
               {"age_ms", inMilliseconds(this->age())}});
     const auto aborted = this->caller;
--- a/lacewing/testing/httpreadertest.cpp
+++ b/lacewing/testing/httpreadertest.cpp
@@ -102,6 +102,22 @@
     cr_assert(reader.complete());
 }
 
+Test(httpreader, theFramingOfAnAnswerIsReported)
+{
+    const auto framingOf = [](const std::string &head, bool toHeadRequest) {
+        ResponseReader reader(toHeadRequest);
+        ReadError error;
+        reader.read("HTTP/1.1 " + head + "\r\n", error);
+        cr_assert_not(error);
+        return reader.framing();
+    };
+    cr_assert_eq(framingOf("200 OK\r\nContent-Length: 3\r\n", false), BodyFraming::Length);
+    cr_assert_eq(framingOf("200 OK\r\nTransfer-Encoding: chunked\r\n", false), BodyFraming::Chunked);
+    cr_assert_eq(framingOf("200 OK\r\n", false), BodyFraming::Close);
+    cr_assert_eq(framingOf("200 OK\r\n", true), BodyFraming::Length, "the answer to HEAD has no body");
+    cr_assert_eq(framingOf("204 No Content\r\n", false), BodyFraming::Length);
+}
+
 Test(httpreader, aTruncatedAnswerIsNotComplete)
 {
     for (const std::string framing :
