A stream that ends inside an event is passed on as broken off

Callers got a stream that stops inside an event with its last chunk, so that it looked complete. An endpoint may end an answer without a length or chunks by closing its connection; when its process ends, the kernel closes the connection in the same way. The gateway took every orderly close as the end of the answer.

The message's own end decides now: an event stream is complete only behind the empty line of an event. It is followed for every answer that is not delimited by a length, since an endpoint's HTTP layer may also finish the chunks of a run that has ended early. What is truncated is handled like any other break: the caller's connection is aborted, the endpoint's failure and the suspicion of a crash are recorded.

--- a/lacewing/endpointlink.h
+++ b/lacewing/endpointlink.h
@@ -28,6 +28,7 @@
 enum class LinkFailure {
     NotConnected, ///< no byte of the request was sent
     Broken, ///< the connection failed or the answer was malformed
+    Truncated, ///< the answer ended as its framing says, but its event stream is incomplete
 };
 
 /// Timeout for connecting to an endpoint: two round trips over the slowest link between zones, and one lost packet that
--- a/lacewing/relay.h
+++ b/lacewing/relay.h
@@ -16,6 +16,7 @@
 #include "crashledger.h"
 #include "endpointchoice.h"
 #include "endpointlink.h"
+#include "eventstream.h"
 #include "requestdigest.h"
 #include "requestformat.h"
 #include "resultcode.h"
@@ -92,6 +93,7 @@
     void onProgress();
     void onHead();
     void relayBody();
+    void onAnswerComplete();
     void recordBodyBytes(bool received);
     void onFailure(LinkFailure failure);
     void attemptEnded(AttemptEnding ending, std::string_view reason);
@@ -141,6 +143,7 @@
     TimePoint pacedSince; ///< start of the pacing delay
     Duration pacingDelay {0}; ///< length of the pacing delay
     BodyFraming endpointFraming = BodyFraming::Length; ///< of the endpoint's answer
+    std::optional<EventStreamPosition> eventStream; ///< of the endpoint's answer, if it is a stream without a length
     bool noPromptsAhead = false; ///< the queue was empty ahead of the prompt when it was sent
     bool countedAsSuspect = false; ///< counted in the endpoint's ownCrashSuspects
     bool answerBegun = false;
--- a/lacewing/relayanswer.cpp
+++ b/lacewing/relayanswer.cpp
@@ -92,6 +92,10 @@
     this->answerBegun = true;
     this->history.answerBegun = true;
     this->endpointFraming = answer.framing();
+    const bool success = answer.head.status < 300;
+    if (success && this->endpointFraming != BodyFraming::Length && isEventStream(answer.head.headers)) {
+        this->eventStream.emplace();
+    }
     const bool bodyless = this->head.method == "HEAD" || relayedHead.status == 204 || relayedHead.status == 304;
     BodyFraming framing = this->head.http11 ? BodyFraming::Chunked : BodyFraming::Close;
     if (relayedHead.length) {
@@ -125,6 +129,9 @@
     ResponseReader &answer = this->link->answer();
     const std::string bytes = answer.takeBody();
     this->recordBodyBytes(!bytes.empty());
+    if (this->eventStream) {
+        readEventStream(*this->eventStream, bytes);
+    }
     if (this->head.method != "HEAD") {
         this->caller->writeBody(bytes);
     }
@@ -132,31 +139,7 @@
         return;
     }
     if (answer.complete()) {
-        this->gateway.counts.answered += 1;
-        if (this->organisation != nullptr) {
-            this->gateway.organisationMetrics().recordAnswer(this->organisation->name, this->timeToFirstByte);
-        }
-        if (answer.head.status < 300) {
-            this->gateway.crashes.recordCompletion(this->digest);
-        }
-        logEvent("request_answered",
-                 {{"id", this->info.id},
-                  {"organisation", this->organisation == nullptr ? OrganisationName() : this->organisation->name},
-                  {"quota_units", std::to_string(std::lround(this->quotaUnits))},
-                  {"endpoint", this->endpoint},
-                  {"status", std::to_string(answer.head.status)},
-                  {"framing", std::string(toString(this->endpointFraming))},
-                  {"wait_ms", inMilliseconds(this->sentAt - this->arrived)},
-                  {"first_ms", inMilliseconds(this->timeToFirstByte)},
-                  {"gap_ms", inMilliseconds(this->maxGap)},
-                  {"gap_at_ms", inMilliseconds(this->maxGapAt)},
-                  {"age_ms", inMilliseconds(this->age())}});
-        const auto used = this->link;
-        this->link.reset();
-        this->gateway.pool.returnLink(used, this->gateway.now());
-        const auto finished = this->caller;
-        this->finish();
-        finished->finishAnswer();
+        this->onAnswerComplete();
         return;
     }
     if (this->caller->pendingOutput() < maxPendingOutput) {
@@ -172,4 +155,39 @@
     });
 }
 
+void Relay::onAnswerComplete()
+{
+    if (this->eventStream && !endsAfterEvent(*this->eventStream)) {
+        this->link->close();
+        this->onFailure(LinkFailure::Truncated);
+        return;
+    }
+    const int status = this->link->answer().head.status;
+    this->gateway.counts.answered += 1;
+    if (this->organisation != nullptr) {
+        this->gateway.organisationMetrics().recordAnswer(this->organisation->name, this->timeToFirstByte);
+    }
+    if (status < 300) {
+        this->gateway.crashes.recordCompletion(this->digest);
+    }
+    logEvent("request_answered",
+             {{"id", this->info.id},
+              {"organisation", this->organisation == nullptr ? OrganisationName() : this->organisation->name},
+              {"quota_units", std::to_string(std::lround(this->quotaUnits))},
+              {"endpoint", this->endpoint},
+              {"status", std::to_string(status)},
+              {"framing", std::string(toString(this->endpointFraming))},
+              {"wait_ms", inMilliseconds(this->sentAt - this->arrived)},
+              {"first_ms", inMilliseconds(this->timeToFirstByte)},
+              {"gap_ms", inMilliseconds(this->maxGap)},
+              {"gap_at_ms", inMilliseconds(this->maxGapAt)},
+              {"age_ms", inMilliseconds(this->age())}});
+    const auto used = this->link;
+    this->link.reset();
+    this->gateway.pool.returnLink(used, this->gateway.now());
+    const auto finished = this->caller;
+    this->finish();
+    finished->finishAnswer();
+}
+
 } // namespace lacewing
--- a/lacewing/relayend.cpp
+++ b/lacewing/relayend.cpp
@@ -19,14 +19,14 @@
     }
     const std::string address = this->link ? this->link->address : std::string();
     this->link.reset();
-    if (failure == LinkFailure::Broken) {
+    if (failure != LinkFailure::NotConnected) {
         this->history.suspected = this->suspicion() != Suspicion::None; // evaluated before this failure is recorded
         this->recordBrokenConnection(address);
     }
     const auto kind = failure == LinkFailure::NotConnected ? EndpointFailure::Connect : EndpointFailure::Broken;
     this->gateway.recordEndpointFailure(this->endpoint, kind, this->info.id);
     if (this->answerBegun) {
-        this->abortAnswer("endpoint_broke_off");
+        this->abortAnswer(failure == LinkFailure::Truncated ? "stream_truncated" : "endpoint_broke_off");
         return;
     }
     const bool sent = failure != LinkFailure::NotConnected;
--- /dev/null
+++ b/lacewing/testing/eventstreamtest.cpp
@@ -0,0 +1,84 @@
+// Truncation of event streams, at each byte and for each kind of line end.
+
+#include <string>
+#include <vector>
+
+#include "eventstream.h"
+#include "httphead.h"
+
+#include <criterion/criterion.h>
+
+using namespace lacewing;
+
+namespace {
+
+bool isComplete(std::string_view stream)
+{
+    EventStreamPosition position;
+    readEventStream(position, stream);
+    return endsAfterEvent(position);
+}
+
+const std::vector<std::string> lineEnds {"\n", "\r", "\r\n"};
+
+/// @return lengths of the prefixes of a stream that end after an event
+std::vector<std::size_t> completeLengths(std::string_view stream)
+{
+    std::vector<std::size_t> lengths;
+    for (std::size_t length = 0; length <= stream.size(); ++length) {
+        if (isComplete(stream.substr(0, length))) {
+            lengths.push_back(length);
+        }
+    }
+    return lengths;
+}
+
+} // namespace
+
+Test(eventstream, aStreamIsCompleteOnlyBehindTheEmptyLineOfAnEvent)
+{
+    for (const std::string &end : lineEnds) {
+        const std::string first = "id: 1" + end + "data: one" + end + end;
+        const std::string second = "data: \xc3\xa9" + end + ":comment" + end + "data" + end + end;
+        const std::vector<std::size_t> expected {first.size(), first.size() + second.size()};
+        cr_expect(completeLengths(first + second) == expected);
+    }
+}
+
+Test(eventstream, anEventIsNeeded)
+{
+    for (const std::string &end : lineEnds) {
+        cr_expect(completeLengths(end + ": comment" + end + end + end).empty());
+    }
+}
+
+Test(eventstream, aCommentBehindAnEventEndsWithItsLine)
+{
+    cr_expect(isComplete("data: one\n\n: comment\n"));
+    cr_expect_not(isComplete("data: one\n\n: comment"));
+    cr_expect(isComplete("data: one\r\rdata: two\n\n"));
+}
+
+Test(eventstream, thePartsInWhichAStreamArrivesDoNotMatter)
+{
+    const std::string stream = "data: one\r\n\r\n: comment\r\rdata: two\n\n";
+    for (std::size_t cut = 0; cut <= stream.size(); ++cut) {
+        EventStreamPosition position;
+        readEventStream(position, stream.substr(0, cut));
+        readEventStream(position, stream.substr(cut));
+        cr_expect(endsAfterEvent(position), "cut at %zu", cut);
+    }
+}
+
+Test(eventstream, theMediaTypeMayHaveParameters)
+{
+    const auto isStream = [](const std::string &type) {
+        const HttpHeaders headers {{"Content-Type", type}};
+        return isEventStream(headers);
+    };
+    cr_expect(isStream("text/event-stream"));
+    cr_expect(isStream("Text/Event-Stream; charset=utf-8"));
+    cr_expect_not(isStream("text/event-streams"));
+    cr_expect_not(isStream("application/json"));
+    cr_expect_not(isEventStream(HttpHeaders {}));
+}
