--- a/lacewing/testing/eventstreamtest.cpp
+++ b/lacewing/testing/eventstreamtest.cpp
@@ -1,6 +1,8 @@
 // Truncation of event streams, at each byte and for each kind of line end.
 
+#include <initializer_list>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "eventstream.h"
@@ -21,6 +23,16 @@
 
 const std::vector<std::string> lineEnds {"\n", "\r", "\r\n"};
 
+/// @return the lines, each with the line end
+std::string joinLines(std::initializer_list<std::string_view> lines, std::string_view end)
+{
+    std::string text;
+    for (const std::string_view line : lines) {
+        text.append(line).append(end);
+    }
+    return text;
+}
+
 /// @return lengths of the prefixes of a stream that end after an event
 std::vector<std::size_t> completeLengths(std::string_view stream)
 {
@@ -38,8 +50,8 @@
 Test(eventstream, aStreamIsCompleteOnlyBehindTheEmptyLineOfAnEvent)
 {
     for (const std::string &end : lineEnds) {
-        const std::string first = "id: 1" + end + "data: one" + end + end;
-        const std::string second = "data: \xc3\xa9" + end + ":comment" + end + "data" + end + end;
+        const std::string first = joinLines({"id: 1", "data: one", ""}, end);
+        const std::string second = joinLines({"data: \xc3\xa9", ":comment", "data", ""}, end);
         const std::vector<std::size_t> expected {first.size(), first.size() + second.size()};
         cr_expect(completeLengths(first + second) == expected);
     }
@@ -48,7 +60,7 @@
 Test(eventstream, anEventIsNeeded)
 {
     for (const std::string &end : lineEnds) {
-        cr_expect(completeLengths(end + ": comment" + end + end + end).empty());
+        cr_expect(completeLengths(joinLines({"", ": comment", "", ""}, end)).empty());
     }
 }
 
