A truncated answer to an HTTP/1.0 caller ends with a reset

A caller of HTTP/1.0 gets an answer of unknown length without chunks, so the close of the connection ends it. When the endpoint broke off, the gateway and lacewingd closed the connection in order, and so did the kernel when the process itself ended: the truncated answer looked complete.

The connection is now set to be reset on close from the head of such an answer until all of it has been written. The option is set in the kernel, so it also covers the end of the process.

--- a/lacewing/calleranswer.cpp
+++ b/lacewing/calleranswer.cpp
@@ -311,7 +311,7 @@
         written = co_await this->writeChunk(events);
     }
     if (written) {
-        written = co_await this->writeLastChunk();
+        written = co_await this->writeAnswerEnd();
     }
     co_return written;
 }
--- a/lacewing/callerconnection.cpp
+++ b/lacewing/callerconnection.cpp
@@ -128,6 +128,9 @@
 {
     this->framing = bodyFraming;
     this->closeAfterAnswer = !keepAlive || bodyFraming == BodyFraming::Close || this->closing;
+    if (bodyFraming == BodyFraming::Close) {
+        setResetOnClose(this->socket, true); // an orderly close would complete the answer
+    }
     this->output += formatAnswerHead(head, bodyFraming, !this->closeAfterAnswer);
     this->flush();
 }
@@ -208,6 +211,7 @@
 
 void CallerConnection::shutDown()
 {
+    setResetOnClose(this->socket, false);
     NetError ignored; // the caller may have closed the connection already
     this->socket.shutdown(Tcp::socket::shutdown_send, ignored);
     this->armTimer(lingerTimeout);
--- a/lacewing/callersession.cpp
+++ b/lacewing/callersession.cpp
@@ -73,6 +73,7 @@
     this->headRequest = false;
     this->chunked = false;
     this->noBody = false;
+    this->closeDelimited = false;
     this->eventStream = false;
     this->requestId.clear();
     const bool whole = co_await this->readRequest(parser);
--- a/lacewing/callersession.h
+++ b/lacewing/callersession.h
@@ -69,7 +69,7 @@
     asio::awaitable<bool> writeOutput(AnswerStream &answer);
     asio::awaitable<bool> writeHead(const AnswerStream &answer);
     asio::awaitable<bool> writeChunk(std::string_view bytes);
-    asio::awaitable<bool> writeLastChunk();
+    asio::awaitable<bool> writeAnswerEnd();
     asio::awaitable<bool> writeWhole(unsigned status, std::string &body, Duration retryAfter);
     asio::awaitable<bool> refuse(ResultCode code, std::string_view detail);
     asio::awaitable<bool> writeFailure(const FinishRequest &end);
@@ -96,6 +96,7 @@
     bool headRequest = false; ///< the current request's method is HEAD
     bool chunked = false; ///< the current answer is sent in chunks
     bool noBody = false; ///< the current answer may have none
+    bool closeDelimited = false; ///< only the close of the connection ends the answer
     bool eventStream = false; ///< the current answer is a stream of events
     bool headSent = false;
     bool idle = false; ///< waiting for the next request
--- a/lacewing/callerwrite.cpp
+++ b/lacewing/callerwrite.cpp
@@ -52,6 +52,9 @@
     response.set("X-Request-Id", view(this->requestId));
     this->keepAlive = this->mayKeepAlive();
     response.keep_alive(this->keepAlive);
+    if (this->closeDelimited) {
+        setResetOnClose(this->stream.socket(), true); // an orderly close would complete the answer
+    }
     http::response_serializer<http::empty_body> serializer(response);
     this->stream.expires_after(this->face.settings.writeTimeout);
     co_await http::async_write_header(this->stream, serializer, awaitInto(this->error));
@@ -65,6 +68,7 @@
     response.set(http::field::content_type, "text/event-stream; charset=utf-8");
     response.set(http::field::cache_control, "no-cache");
     this->chunked = this->httpVersion >= http11;
+    this->closeDelimited = !this->chunked;
     this->keepAlive = this->keepAlive && this->chunked;
     if (this->chunked) {
         response.chunked(true);
@@ -90,7 +94,8 @@
     }
     this->noBody = this->headRequest || statusHasNoBody(status);
     this->chunked = !sized && !this->noBody && this->httpVersion >= http11;
-    this->keepAlive = this->keepAlive && (sized || this->noBody || this->chunked);
+    this->closeDelimited = !sized && !this->noBody && !this->chunked;
+    this->keepAlive = this->keepAlive && !this->closeDelimited;
     if (this->chunked) {
         response.chunked(true);
     }
@@ -113,12 +118,15 @@
     co_return !this->error;
 }
 
-asio::awaitable<bool> CallerSession::writeLastChunk()
+asio::awaitable<bool> CallerSession::writeAnswerEnd()
 {
     if (this->chunked) {
         const auto chunk = http::make_chunk_last();
         co_await asio::async_write(this->stream, chunk, awaitInto(this->error));
     }
+    if (this->closeDelimited) {
+        setResetOnClose(this->stream.socket(), false);
+    }
     co_return !this->error;
 }
 
--- a/lacewing/netaddress.cpp
+++ b/lacewing/netaddress.cpp
@@ -71,6 +71,14 @@
     socket.set_option(TcpOption<TCP_USER_TIMEOUT>(userTimeoutMilliseconds), ignored);
 }
 
+void setResetOnClose(Tcp::socket &socket, bool reset)
+{
+    // Not set through Asio, whose sockets drop the option when they are destroyed.
+    const linger option {reset ? 1 : 0, 0};
+    // Fails only for a socket that is no longer connected, which can't be ended in any other way.
+    ::setsockopt(socket.native_handle(), SOL_SOCKET, SO_LINGER, &option, sizeof option);
+}
+
 NetError listenOn(Tcp::acceptor &acceptor, std::string_view address)
 {
     const auto endpoint = parseAddress(address);
--- a/lacewing/netaddress.h
+++ b/lacewing/netaddress.h
@@ -45,6 +45,11 @@
 /// @param socket a connected socket
 void tuneSocket(Tcp::socket &socket);
 
+/// Selects how the close of a connection ends it, also if the process ends first.
+/// @param socket a connected socket
+/// @param reset whether the connection is reset; unsent data is then lost
+void setResetOnClose(Tcp::socket &socket, bool reset);
+
 /// Opens a listening socket.
 /// @param acceptor opened on success
 /// @param address numeric address and port
--- a/lacewing/testing/runtimetest.cpp
+++ b/lacewing/testing/runtimetest.cpp
@@ -211,9 +211,10 @@
         asio::write(this->socket, asio::buffer(text), ignored);
     }
 
-    void post(const std::string &path, const std::string &body, const std::string &headers = "")
+    void post(const std::string &path, const std::string &body, const std::string &headers = "",
+              const std::string &version = "1.1")
     {
-        this->send("POST " + path + " HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer secret\r\n" + headers
+        this->send("POST " + path + " HTTP/" + version + "\r\nHost: x\r\nAuthorization: Bearer secret\r\n" + headers
                    + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
     }
 
@@ -426,6 +427,21 @@
     cr_assert(caller.error, "a failed stream is not ended as if whole");
 }
 
+// Without chunks the orderly close of the connection is the end of an answer, so only a reset shows a truncated one.
+Test(runtime, aCallerOfHttp10SeesATruncatedAnswer)
+{
+    for (const bool breaks : {true, false}) {
+        TwoVms vms(true);
+        vms.engine.breakEachTime = breaks;
+        vms.engine.tokens = breaks ? 100 : 3;
+        Caller caller(vms.port());
+        caller.post("/v1/completions", streamed, "", "1.0");
+        const auto answer = caller.read();
+        cr_expect(joinedText(answer.body()) == " 0 1 2", "%s", answer.body().c_str());
+        cr_expect(static_cast<bool>(caller.error) == breaks, "%s", caller.error.message().c_str());
+    }
+}
+
 Test(runtime, aPlannedStopFinishesTheRequestAndClosesTheConnection)
 {
     TwoVms vms(true);
