lacewingd: a service's stream that ends inside an event is passed on as broken off

The same fault as in the gateway: EngineRun took the orderly close of a service's connection as the end of an answer without a length, also inside an event. Streams of models were not affected, since they have an end event of their own.

Evidence: aStreamOfAServiceThatEndsInsideAnEventIsNotComplete failed for the truncated stream before and passes now.

--- a/lacewing/enginerun.cpp
+++ b/lacewing/enginerun.cpp
@@ -281,7 +281,8 @@
             this->reportEnd(); // what is left to read matters only for keeping the connection
         }
     }
-    if (!this->isModel() && parser.is_done() && !this->error) {
+    const bool truncated = this->eventStream && !endsAfterEvent(*this->eventStream);
+    if (!this->isModel() && parser.is_done() && !this->error && !truncated) {
         this->setEnd(AttemptOutcome::Completed, ResultCode::Ok);
     }
 }
@@ -301,6 +302,11 @@
     if (this->isModel()) {
         return;
     }
+    const bool success = parser.get().result_int() < firstErrorStatus;
+    const bool lengthStated = !parser.chunked() && !parser.need_eof();
+    if (success && !lengthStated && isEventStream(view(parser.get()[http::field::content_type]))) {
+        this->eventStream.emplace();
+    }
     wire::DataFrame frame;
     frame.attempt = this->job.offer.attempt;
     frame.position = this->position;
@@ -325,6 +331,9 @@
     if (bytes.empty() || this->over) {
         return;
     }
+    if (this->eventStream) {
+        readEventStream(*this->eventStream, bytes);
+    }
     wire::DataFrame frame;
     frame.attempt = this->job.offer.attempt;
     frame.position = this->position;
--- a/lacewing/enginerun.h
+++ b/lacewing/enginerun.h
@@ -8,10 +8,12 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "action.h"
 #include "engineevents.h"
+#include "eventstream.h"
 #include "types.h"
 
 namespace lacewing {
@@ -88,6 +90,7 @@
     std::unique_ptr<HttpConnection> connection;
     asio::steady_timer creditTimer;
     EngineEventReader reader;
+    std::optional<EventStreamPosition> eventStream; ///< of a service's answer, if it is a stream without a length
     NetError error; ///< of the last operation
     wire::AttemptResult result;
     std::int64_t position = 0;
--- a/lacewing/eventstream.cpp
+++ b/lacewing/eventstream.cpp
@@ -40,12 +40,10 @@
 
 } // namespace
 
-bool isEventStream(std::span<const HttpHeader> headers)
+bool isEventStream(std::string_view contentType)
 {
-    constexpr std::string_view mediaType = "text/event-stream";
-    const std::string_view type = findHeader(headers, "content-type");
-    const std::string_view essence = type.substr(0, type.find_first_of("; \t"));
-    return equalIgnoringCase(essence, mediaType);
+    const std::string_view mediaType = contentType.substr(0, contentType.find_first_of("; \t"));
+    return equalIgnoringCase(mediaType, "text/event-stream");
 }
 
 void readEventStream(EventStreamPosition &position, std::string_view bytes)
--- a/lacewing/eventstream.h
+++ b/lacewing/eventstream.h
@@ -6,13 +6,10 @@
 
 #pragma once
 
-#include <span>
 #include <string_view>
 
 namespace lacewing {
 
-struct HttpHeader;
-
 /// Place in an event stream up to which it was read. The default is the start of the stream.
 struct EventStreamPosition {
     bool eventEnded = false; ///< an event has been ended by its empty line
@@ -23,9 +20,9 @@
     bool linesEndWithCrLf = false; ///< a line has been ended by CR LF
 };
 
-/// @param headers headers of an answer
+/// @param contentType value of an answer's Content-Type header
 /// @return whether its body is an event stream
-bool isEventStream(std::span<const HttpHeader> headers);
+bool isEventStream(std::string_view contentType);
 
 /// @param position moved behind the bytes
 /// @param bytes next part of the stream
--- a/lacewing/relayanswer.cpp
+++ b/lacewing/relayanswer.cpp
@@ -93,7 +93,8 @@
     this->history.answerBegun = true;
     this->endpointFraming = answer.framing();
     const bool success = answer.head.status < 300;
-    if (success && this->endpointFraming != BodyFraming::Length && isEventStream(answer.head.headers)) {
+    if (success && this->endpointFraming != BodyFraming::Length
+        && isEventStream(findHeader(answer.head.headers, "content-type"))) {
         this->eventStream.emplace();
     }
     const bool bodyless = this->head.method == "HEAD" || relayedHead.status == 204 || relayedHead.status == 304;
--- a/lacewing/testing/eventstreamtest.cpp
+++ b/lacewing/testing/eventstreamtest.cpp
@@ -6,7 +6,6 @@
 #include <vector>
 
 #include "eventstream.h"
-#include "httphead.h"
 
 #include <criterion/criterion.h>
 
@@ -84,13 +83,9 @@
 
 Test(eventstream, theMediaTypeMayHaveParameters)
 {
-    const auto isStream = [](const std::string &type) {
-        const HttpHeaders headers {{"Content-Type", type}};
-        return isEventStream(headers);
-    };
-    cr_expect(isStream("text/event-stream"));
-    cr_expect(isStream("Text/Event-Stream; charset=utf-8"));
-    cr_expect_not(isStream("text/event-streams"));
-    cr_expect_not(isStream("application/json"));
-    cr_expect_not(isEventStream(HttpHeaders {}));
+    cr_expect(isEventStream("text/event-stream"));
+    cr_expect(isEventStream("Text/Event-Stream; charset=utf-8"));
+    cr_expect_not(isEventStream("text/event-streams"));
+    cr_expect_not(isEventStream("application/json"));
+    cr_expect_not(isEventStream(""));
 }
--- a/lacewing/testing/fakeengine.cpp
+++ b/lacewing/testing/fakeengine.cpp
@@ -85,6 +85,9 @@
         this->requests += 1;
         if (request.target().starts_with("/v1/")) {
             more = this->answerModel(socket, request.body());
+        } else if (!this->serviceAnswer.empty()) {
+            writeAll(socket, this->serviceAnswer);
+            more = false;
         } else {
             const std::string body
                 = std::string(request.method_string()) + " " + std::string(request.target()) + " " + request.body();
--- a/lacewing/testing/fakeengine.h
+++ b/lacewing/testing/fakeengine.h
@@ -31,6 +31,8 @@
     std::atomic<bool> hang {false}; ///< send the head, then nothing until the other side closes
     std::atomic<int> requests {0};
     std::atomic<int> closedEarly {0}; ///< connections that were closed while hanging
+    std::string serviceAnswer; ///< bytes of each answer of a service, behind which the connection is closed; set before
+                               ///< the first request; empty: the request is echoed
     std::string refuseCode = "not_loaded"; ///< set before the first request
 
 private:
--- a/lacewing/testing/runtimetest.cpp
+++ b/lacewing/testing/runtimetest.cpp
@@ -370,6 +370,21 @@
     cr_assert(answer.body() == "POST /orders/7?x=1 lobster", "%s", answer.body().c_str());
 }
 
+// A service's answer without a length ends with its connection, also when the service's process ends.
+Test(runtime, aStreamOfAServiceThatEndsInsideAnEventIsNotComplete)
+{
+    for (const bool truncated : {true, false}) {
+        TwoVms vms(true);
+        vms.engine.serviceAnswer = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: one\n\ndata: two";
+        vms.engine.serviceAnswer += truncated ? "" : "\n\n";
+        Caller caller(vms.port());
+        caller.post("/services/order-app/orders/7", "lobster");
+        const auto answer = caller.read();
+        cr_expect_eq(answer.result_int(), 200U);
+        cr_expect(static_cast<bool>(caller.error) == truncated, "%s", caller.error.message().c_str());
+    }
+}
+
 Test(runtime, mintsKeysAndListsModels)
 {
     TwoVms vms(false);
