--- a/lacewing/gateway.h
+++ b/lacewing/gateway.h
@@ -60,6 +60,8 @@
     std::int64_t repeats = 0;
     std::int64_t callersGone = 0;
     std::int64_t brokenAnswers = 0; ///< truncated after they had started
+    std::int64_t connectionsMade = 0; ///< new ones, to endpoints
+    std::int64_t connectionsFailed = 0; ///< to endpoints, not established
     std::int64_t limitsIgnored = 0; ///< implausible limits sent by endpoints
     std::map<ResultCode, std::int64_t> ownAnswers;
 };
--- a/lacewing/relayend.cpp
+++ b/lacewing/relayend.cpp
@@ -23,6 +23,7 @@
         this->history.suspected = this->suspicion() != Suspicion::None; // evaluated before this failure is recorded
         this->recordBrokenConnection(address);
     }
+    this->gateway.counts.connectionsFailed += failure == LinkFailure::NotConnected ? 1 : 0;
     const auto kind = failure == LinkFailure::NotConnected ? EndpointFailure::Connect : EndpointFailure::Broken;
     this->gateway.recordEndpointFailure(this->endpoint, kind, this->info.id);
     if (this->answerBegun) {
@@ -74,6 +75,7 @@
 
 void Relay::onConnected()
 {
+    this->gateway.counts.connectionsMade += 1;
     const Fleet &fleet = this->gateway.fleetState;
     const bool present = isIncarnation(fleet, this->endpoint, this->incarnationStart);
     if (present && !isLeaving(fleet, this->endpoint, this->incarnationStart)) {
--- a/lacewing/testing/entrynodefixture.cpp
+++ b/lacewing/testing/entrynodefixture.cpp
@@ -9,11 +9,7 @@
 
 namespace lacewing::testing {
 
-namespace {
-
-/// A loopback address that only this process uses: on a shared address, a port that was found free may be taken by
-/// another test before it is bound.
-std::string ownAddress()
+std::string freeAddress()
 {
     constexpr std::uint32_t loopback = 0x7f000000;
     constexpr std::uint32_t hostBits = 0x00ffffff;
@@ -24,8 +20,6 @@
     return address.to_string() + ":" + std::to_string(next++);
 }
 
-} // namespace
-
 PlatformPort FakePlatform::port(const VmId &vm)
 {
     PlatformPort made;
@@ -87,7 +81,7 @@
     settings.callerAddress = "127.0.0.1:0";
     settings.readyAddress = "127.0.0.1:0";
     settings.readyPath = "/ready";
-    settings.datagramAddress = ownAddress();
+    settings.datagramAddress = freeAddress();
     settings.claim.ownerChangeDelay = Duration {0};
     return settings;
 }
--- a/lacewing/testing/entrynodefixture.h
+++ b/lacewing/testing/entrynodefixture.h
@@ -26,6 +26,11 @@
     PlatformPort port(const VmId &vm);
 };
 
+/// A loopback address that only this process uses: on a shared address, a port that was found free may be taken by
+/// another test before it is bound.
+/// @return numeric host:port
+std::string freeAddress();
+
 /// @param vm name of a VM of zone "z"
 /// @return settings with free addresses
 EntryNodeSettings settingsOf(const VmId &vm);
