A VM that reaches no endpoint of a service forwards its callers' requests to other VMs

Callers of a VM that had lost its links to all endpoints were refused, though every other VM could have served them. The VM ascribed each failed connection to one endpoint, tried the next ones, and refused the request when it had run out of them or of time.

The connections of requests now add up: two endpoints that refuse, one that does not reply, or a service that owes an answer and is silent start a round of connections to further endpoints. If none is made, the VM is cut off from the service (endpointreach, reachwatch), and its heartbeats say so. It then forwards requests over kept connections to VMs that are not cut off, spread by their processor time (forwarding, relayforward). The receiver handles a forwarded request as a caller's, with the sender's age, attempts left and choice of the service; deadline, number of attempts, quota and at-most-once hold over both VMs. A request is forwarded once; a VM that can't take it says so, and another one is tried. The receiver's token, announced through the platform, keeps others than VMs out.

--- a/lacewing/codec.cpp
+++ b/lacewing/codec.cpp
@@ -94,6 +94,16 @@
     return decodeMessage(bytes, message);
 }
 
+std::string encode(const wire::ForwardedRequest &message)
+{
+    return encodeMessage(message);
+}
+
+std::error_code decode(std::string_view bytes, wire::ForwardedRequest &message)
+{
+    return decodeMessage(bytes, message);
+}
+
 std::error_code decode(std::string_view bytes, wire::ControlMessage &message)
 {
     return decodeMessage(bytes, message);
--- a/lacewing/codec.h
+++ b/lacewing/codec.h
@@ -23,6 +23,7 @@
 std::string encode(const wire::PeerFrame &message);
 std::string encode(const wire::ControlMessage &message);
 std::string encode(const wire::VmDatagram &message);
+std::string encode(const wire::ForwardedRequest &message);
 
 /// @param bytes one whole message
 /// @param message filled from the bytes; unspecified on error
@@ -31,5 +32,6 @@
 std::error_code decode(std::string_view bytes, wire::PeerFrame &message);
 std::error_code decode(std::string_view bytes, wire::ControlMessage &message);
 std::error_code decode(std::string_view bytes, wire::VmDatagram &message);
+std::error_code decode(std::string_view bytes, wire::ForwardedRequest &message);
 
 } // namespace lacewing
--- a/lacewing/endpointlink.cpp
+++ b/lacewing/endpointlink.cpp
@@ -71,6 +71,7 @@
     this->connectTimer.async_wait([weak](const NetError &error) {
         const auto self = weak.lock();
         if (!error && self && !self->connected) {
+            self->timedOut = true;
             self->failExchange(LinkFailure::NotConnected);
         }
     });
@@ -227,6 +228,11 @@
     return this->exchangeCount > 1;
 }
 
+bool EndpointLink::connectTimedOut() const
+{
+    return this->timedOut;
+}
+
 bool EndpointLink::answerStarted() const
 {
     return this->reader != nullptr && this->reader->started();
--- a/lacewing/endpointlink.h
+++ b/lacewing/endpointlink.h
@@ -72,6 +72,8 @@
     bool reusable() const;
     /// @return whether the connection was used before the current request
     bool reused() const;
+    /// @return whether the connection could not be established because there was no reply
+    bool connectTimedOut() const;
     /// @return whether any byte of the current answer has arrived
     bool answerStarted() const;
 
@@ -101,6 +103,7 @@
     std::function<void()> onIdleClosed;
     bool headRequest = false;
     bool connected = false;
+    bool timedOut = false; ///< while connecting
     bool written = false;
     bool closed = false;
     bool reading = false;
--- /dev/null
+++ b/lacewing/endpointreach.cpp
@@ -0,0 +1,92 @@
+// A round that finds any endpoint clears the failures: they were those of single endpoints.
+
+#include "endpointreach.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lacewing {
+
+namespace {
+
+bool isSilent(const EndpointReach &reach, TimePoint now)
+{
+    return reach.exchanges > 0 && now - reach.heard >= silenceToVerify;
+}
+
+void clearFailures(EndpointReach &reach)
+{
+    reach.failed.clear();
+    reach.timedOut = false;
+}
+
+} // namespace
+
+void recordConnected(EndpointReach &reach)
+{
+    clearFailures(reach);
+}
+
+void recordNotConnected(EndpointReach &reach, const EndpointName &endpoint, bool timedOut)
+{
+    reach.failed.insert(endpoint);
+    reach.timedOut = reach.timedOut || timedOut;
+}
+
+void recordExchangeBegin(EndpointReach &reach, TimePoint now)
+{
+    if (reach.exchanges == 0) {
+        reach.heard = now;
+    }
+    reach.exchanges += 1;
+}
+
+void recordBytes(EndpointReach &reach, TimePoint now)
+{
+    reach.heard = now;
+}
+
+void recordExchangeEnd(EndpointReach &reach)
+{
+    reach.exchanges = std::max(0, reach.exchanges - 1);
+}
+
+bool shouldVerify(const EndpointReach &reach, std::size_t endpoints, TimePoint now)
+{
+    if (reach.verifying || endpoints == 0 || now - reach.lastRound < roundInterval) {
+        return false;
+    }
+    const bool failing = reach.timedOut || reach.failed.size() >= std::min(failuresToVerify, endpoints);
+    return reach.unreachable || failing || isSilent(reach, now);
+}
+
+void beginRound(EndpointReach &reach, TimePoint now)
+{
+    reach.verifying = true;
+    reach.lastRound = now;
+}
+
+bool finishRound(EndpointReach &reach, std::size_t attempted, std::size_t established)
+{
+    reach.verifying = false;
+    if (attempted == 0) {
+        return false;
+    }
+    const bool before = reach.unreachable;
+    if (established < attempted) {
+        reach.goodRounds = 0;
+    }
+    if (!before) {
+        reach.unreachable = established == 0;
+    } else if (established == attempted) {
+        reach.goodRounds += 1;
+        reach.unreachable = reach.goodRounds < roundsToReturn;
+    }
+    if (!reach.unreachable) {
+        clearFailures(reach);
+        reach.goodRounds = 0;
+    }
+    return reach.unreachable != before;
+}
+
+} // namespace lacewing
--- /dev/null
+++ b/lacewing/endpointreach.h
@@ -0,0 +1,84 @@
+// Decides whether this VM is cut off from all endpoints of a service, from the connections that it opens.
+//
+// Load pattern: a network partition separates a VM from every endpoint while callers, the platform and the other VMs
+// still reach it. Connections are reset, hang, or go on while new ones are refused. Ascribed to one endpoint after the
+// other, the failures end in refusals of all requests.
+//
+//   recordConnected(reach); recordNotConnected(reach, endpoint, timedOut);
+//   if (shouldVerify(reach, endpointCount, now)) ... open connections to some endpoints ...
+//   finishRound(reach, attempted, established, now);
+//
+// - Failed connections alone prove nothing, as endpoints may have crashed. They start a round of verification, in which
+//   the VM opens connections to other endpoints of the service. Only if none is established is the VM cut off.
+// - Answers on connections opened earlier do not count: they may go on while new connections are refused.
+// - The VM is connected again after roundsToReturn rounds in a row in which all connections were established, so that a
+//   partition that comes and goes does not move the requests back each time.
+
+#pragma once
+
+#include <cstddef>
+#include <set>
+
+#include "types.h"
+
+namespace lacewing {
+
+/// Endpoints to which connections must fail before a round of verification. A connection that times out suffices by
+/// itself, since the next one would cost a request another timeout.
+constexpr std::size_t failuresToVerify = 2;
+/// Endpoints to which a round opens connections: several, as some may have crashed.
+constexpr std::size_t endpointsPerRound = 4;
+/// Minimum time between the starts of two rounds.
+constexpr Duration roundInterval = milliseconds(500);
+/// Consecutive rounds with all connections established after which the VM is connected again.
+constexpr int roundsToReturn = 2;
+/// Time without any bytes from a service that owes an answer, after which a round starts. Sound engines are silent for
+/// up to a prompt's processing time.
+constexpr Duration silenceToVerify = milliseconds(600);
+
+/// What this VM knows of its connection to the endpoints of one service.
+struct EndpointReach {
+    std::set<EndpointName> failed; ///< endpoints to which connections failed since one was established
+    bool timedOut = false; ///< one of these failures was a timeout
+    bool unreachable = false; ///< the VM is cut off from the service
+    bool verifying = false; ///< a round is in progress
+    int goodRounds = 0; ///< consecutive, while unreachable
+    TimePoint lastRound; ///< start of the latest round
+    int exchanges = 0; ///< requests sent that are not answered completely
+    TimePoint heard; ///< latest bytes of an answer, or start of the first exchange in progress
+};
+
+/// A connection to an endpoint was established for a request.
+void recordConnected(EndpointReach &reach);
+
+/// A connection to an endpoint could not be established.
+/// @param reach updated
+/// @param endpoint that was tried
+/// @param timedOut whether there was no reply at all
+void recordNotConnected(EndpointReach &reach, const EndpointName &endpoint, bool timedOut);
+
+/// A request was sent to an endpoint of the service.
+void recordExchangeBegin(EndpointReach &reach, TimePoint now);
+/// Bytes of an answer were received.
+void recordBytes(EndpointReach &reach, TimePoint now);
+/// A request that was sent has ended.
+void recordExchangeEnd(EndpointReach &reach);
+
+/// @param reach of a service
+/// @param endpoints number of endpoints of the service
+/// @param now current time
+/// @return whether to start a round of verification
+bool shouldVerify(const EndpointReach &reach, std::size_t endpoints, TimePoint now);
+
+/// @param reach updated
+/// @param now current time
+void beginRound(EndpointReach &reach, TimePoint now);
+
+/// Evaluates a round whose connections have all been established or failed.
+/// @param reach updated
+/// @param attempted number of connections
+/// @param established number of these that were established
+/// @return whether unreachable has changed
+bool finishRound(EndpointReach &reach, std::size_t attempted, std::size_t established);
+
+} // namespace lacewing
--- a/lacewing/entrynode.cpp
+++ b/lacewing/entrynode.cpp
@@ -51,6 +51,7 @@
 GatewaySettings gatewaySettings(const EntryNodeSettings &settings)
 {
     GatewaySettings gateway;
+    gateway.vm = settings.vm;
     gateway.zone = settings.zone;
     gateway.versionBound = settings.versionBound;
     gateway.revocationBound = settings.revocationBound;
@@ -58,9 +59,9 @@
     return gateway;
 }
 
-VmContact contactOf(const EntryNodeSettings &settings)
+VmContact contactOf(const EntryNodeSettings &settings, std::string token)
 {
-    return {settings.vm, settings.zone, settings.datagramAddress};
+    return {settings.vm, settings.zone, settings.datagramAddress, std::move(token)};
 }
 
 } // namespace
@@ -71,7 +72,7 @@
       settings(std::move(nodeSettings)),
       port(std::move(platformPort)),
       dataPath(ioContext, this->clock, gatewaySettings(this->settings), format),
-      gossip(ioContext, this->clock, contactOf(this->settings), randomIncarnation()),
+      gossip(ioContext, this->clock, contactOf(this->settings, {}), randomIncarnation()),
       owner(ioContext, this->clock, this->port, this->settings.zone),
       quota(this->clock, this->quotaSettings(), this->quotaPorts()),
       readyServer(ioContext,
@@ -141,6 +142,7 @@
     };
     this->gossip.millicores = this->settings.millicores;
     this->connectQuota();
+    this->connectForwarding();
 }
 
 NetError EntryNode::start()
@@ -152,6 +154,9 @@
     if (!error) {
         error = this->gossip.open();
     }
+    if (!error) {
+        error = this->dataPath.listenForVms(this->settings.datagramAddress, this->token);
+    }
     if (error) {
         return error;
     }
@@ -164,7 +169,10 @@
     this->announce();
     beginClaim(this->claim, this->clock.now());
     this->every(claimInterval, [this] { this->checkClaim(); });
-    this->every(reportInterval, [this] { this->reportDemand(); });
+    this->every(reportInterval, [this] {
+        this->reportDemand();
+        this->dataPath.reachWatch().check();
+    });
     this->every(heartbeatInterval, [this] { this->heartbeat(); });
     this->every(noticeInterval, [this] { this->sendNotice(); });
     this->every(configProofInterval, [this] { this->checkConfigProof(); });
@@ -262,7 +270,7 @@
 
 void EntryNode::announce()
 {
-    this->port.announce(contactOf(this->settings), [this](bool stored) {
+    this->port.announce(contactOf(this->settings, this->token), [this](bool stored) {
         if (!stored && !this->stopping) {
             this->after(listVmsRetry, [this] { this->announce(); });
         }
@@ -279,8 +287,10 @@
             this->after(listVmsRetry, [this] { this->refreshVms(); });
             return;
         }
+        this->contacts.clear();
         for (const VmContact &contact : *listed) {
             this->gossip.addContact(contact);
+            this->contacts[contact.vm] = contact;
         }
         this->quota.vmsListed();
         this->heartbeat();
--- a/lacewing/entrynode.h
+++ b/lacewing/entrynode.h
@@ -198,6 +198,9 @@
     void beginStop();
     void checkStop();
     void shareRetryBudget();
+    void connectForwarding();
+    void refreshContacts();
+    std::vector<ForwardingPeer> forwardingPeers(const ServiceName &service) const;
     bool ready() const;
     std::string metricsText() const;
     void logTraffic();
@@ -208,6 +211,7 @@
     RuntimeClock clock;
     EntryNodeSettings settings;
     PlatformPort port;
+    std::string token = makeToken(); ///< that other VMs have to present with forwarded requests
     Gateway dataPath;
     VmGossip gossip;
     PlacementOwner owner;
@@ -215,6 +219,8 @@
     StatusServer readyServer;
     StatusServer metricsServer;
     ZoneClaim claim;
+    std::map<VmId, VmContact> contacts; ///< of all VMs, as announced through the platform
+    TimePoint contactsRead; ///< when the contacts were last asked for
     std::map<ZoneName, ZoneOwner> owners;
     std::map<std::string, RequestedZone> requestedZones; ///< by adapter that requests of this VM wait for
     std::map<ZoneName, SentDemand> sentDemand; ///< last reports to the owners of other zones
--- a/lacewing/entrynodemetrics.cpp
+++ b/lacewing/entrynodemetrics.cpp
@@ -23,6 +23,8 @@
     for (const auto &[code, count] : counters.ownAnswers) {
         line("own_answers_total{type=\"" + std::string(resultCodeInfo(code).type) + "\"}", count);
     }
+    line("requests_forwarded_total", counters.forwarded);
+    line("requests_taken_over_total", counters.takenOver);
     line("endpoint_connections_made_total", counters.connectionsMade);
     line("endpoint_connections_failed_total", counters.connectionsFailed);
     line("limits_ignored_total", counters.limitsIgnored);
--- a/lacewing/gateway.cpp
+++ b/lacewing/gateway.cpp
@@ -24,13 +24,18 @@
       settings(std::move(gatewaySettings)),
       format(requestFormat),
       acceptor(ioContext),
+      vmAcceptor(ioContext),
       pool(ioContext),
+      peerPool(ioContext),
+      reach(ioContext, runtimeClock, [this](const ServiceName &service) { return this->reachCandidates(service); }),
       crashes(ioContext, runtimeClock),
       capacityTimer(ioContext),
       metricsByOrganisation(std::make_unique<OrganisationMetrics>()),
       random(std::random_device {}())
 {
     this->crashes.onProven = [this] { this->endProvenRequests(); };
+    this->reach.onChanged
+        = [this](const ServiceName &service, bool unreachable) { this->onReachChanged(service, unreachable); };
     this->budgetSettings.retryFloor = 0;
     this->setRetryLimits(this->settings.retryShare, this->settings.retryBurst);
 }
@@ -41,36 +46,50 @@
 {
     const NetError error = listenOn(this->acceptor, address);
     if (!error) {
-        this->accept();
+        this->accept(this->acceptor, Sender::Caller);
     }
     return error;
 }
 
-void Gateway::accept()
+NetError Gateway::listenForVms(std::string_view address, std::string ownToken)
 {
-    this->acceptor.async_accept([this](const NetError &error, Tcp::socket socket) {
+    this->token = std::move(ownToken);
+    const NetError error = listenOn(this->vmAcceptor, address);
+    if (!error) {
+        this->accept(this->vmAcceptor, Sender::Vm);
+    }
+    return error;
+}
+
+void Gateway::accept(Tcp::acceptor &listener, Sender sender)
+{
+    listener.async_accept([this, &listener, sender](const NetError &error, Tcp::socket socket) {
         if (!error) {
-            this->addCaller(std::move(socket));
+            this->addCaller(std::move(socket), sender);
         }
-        if (this->acceptor.is_open()) {
-            this->accept();
+        if (listener.is_open()) {
+            this->accept(listener, sender);
         }
     });
 }
 
-void Gateway::addCaller(Tcp::socket socket)
+void Gateway::addCaller(Tcp::socket socket, Sender sender)
 {
     if (this->callers.size() >= this->settings.maxConnections) {
         return;
     }
-    const CallerLimits limits = this->configInForce ? this->configInForce->limits : CallerLimits {};
+    CallerLimits limits = this->configInForce ? this->configInForce->limits : CallerLimits {};
+    limits.headBytes += sender == Sender::Vm ? maxForwardingHeaderBytes : 0;
     const auto caller = std::make_shared<CallerConnection>(std::move(socket), limits);
     caller->closing = this->stopping;
     this->callers[caller] = {};
     const std::weak_ptr<CallerConnection> weak = caller;
     CallerConnection::Handlers handlers;
-    handlers.onRequest = [this, weak](HttpRequestHead head, std::string body) {
-        if (const auto from = weak.lock()) {
+    handlers.onRequest = [this, weak, sender](HttpRequestHead head, std::string body) {
+        const auto from = weak.lock();
+        if (from && sender == Sender::Vm) {
+            this->onForwardedRequest(from, std::move(head), std::move(body));
+        } else if (from) {
             this->onRequest(from, std::move(head), std::move(body));
         }
     };
@@ -104,8 +123,15 @@
 void Gateway::onRequest(const std::shared_ptr<CallerConnection> &caller, HttpRequestHead head, std::string body)
 {
     this->counts.requests += 1;
+    this->startRequest(caller, std::move(head), std::move(body), std::nullopt);
+}
+
+void Gateway::startRequest(const std::shared_ptr<CallerConnection> &caller, HttpRequestHead head, std::string body,
+                           std::optional<wire::ForwardedRequest> forwarded)
+{
     const bool started = runGuarded("request", [&] {
-        const auto relay = std::make_shared<Relay>(*this, caller, std::move(head), std::move(body));
+        const auto relay
+            = std::make_shared<Relay>(*this, caller, std::move(head), std::move(body), std::move(forwarded));
         this->callers[caller] = relay;
         this->relays.insert(relay);
         relay->start();
@@ -235,7 +261,11 @@
 {
     std::vector<Tcp::socket> backlog = lacewing::closeListener(this->acceptor);
     for (Tcp::socket &socket : backlog) {
-        this->addCaller(std::move(socket));
+        this->addCaller(std::move(socket), Sender::Caller);
+    }
+    std::vector<Tcp::socket> vmBacklog = lacewing::closeListener(this->vmAcceptor);
+    for (Tcp::socket &socket : vmBacklog) {
+        this->addCaller(std::move(socket), Sender::Vm);
     }
     for (const auto &[caller, request] : this->callers) {
         caller->closeWhenIdle();
@@ -274,6 +304,7 @@
 {
     NetError ignored; // the process ends
     this->acceptor.close(ignored);
+    this->vmAcceptor.close(ignored);
     const auto all = this->callers; // copied, as each aborted connection removes itself from the map
     for (const auto &[caller, request] : all) {
         caller->abort();
@@ -341,6 +372,11 @@
     return *this->metricsByOrganisation;
 }
 
+ReachWatch &Gateway::reachWatch()
+{
+    return this->reach;
+}
+
 CrashWatch &Gateway::crashWatch()
 {
     return this->crashes;
--- a/lacewing/gateway.h
+++ b/lacewing/gateway.h
@@ -19,6 +19,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <span>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -30,8 +31,10 @@
 #include "crashwatch.h"
 #include "endpointlink.h"
 #include "fleet.h"
+#include "forwarding.h"
 #include "lacewing_types.h"
 #include "quotaoutcome.h"
+#include "reachwatch.h"
 #include "requestformat.h"
 #include "resultcode.h"
 #include "retrybudget.h"
@@ -45,6 +48,7 @@
 class RuntimeClock;
 
 struct GatewaySettings {
+    VmId vm;
     ZoneName zone;
     double retryShare = 0.2; ///< retries as a share of requests, for each VM
     double retryBurst = 1; ///< maximum unused retries that this VM accumulates for each service
@@ -60,6 +64,8 @@
     std::int64_t repeats = 0;
     std::int64_t callersGone = 0;
     std::int64_t brokenAnswers = 0; ///< truncated after they had started
+    std::int64_t forwarded = 0; ///< requests sent to another VM
+    std::int64_t takenOver = 0; ///< requests that other VMs have forwarded
     std::int64_t connectionsMade = 0; ///< new ones, to endpoints
     std::int64_t connectionsFailed = 0; ///< to endpoints, not established
     std::int64_t limitsIgnored = 0; ///< implausible limits sent by endpoints
@@ -84,6 +90,12 @@
     /// @return what failed, if anything
     NetError listen(std::string_view address);
 
+    /// Starts to accept requests that other VMs forward.
+    /// @param address numeric host:port
+    /// @param token that the other VMs have to present
+    /// @return what failed, if anything
+    NetError listenForVms(std::string_view address, std::string token);
+
     /// @param next configuration; applied if its version is higher than that of the current one
     /// @return whether the configuration was applied
     bool setConfig(std::shared_ptr<const RouteConfig> next);
@@ -157,6 +169,16 @@
     /// Applies another VM's update of an endpoint's request rate limit.
     void applyLimitUpdate(const wire::LimitNews &update);
 
+    /// @return watch on the connection to the endpoints of each service
+    ReachWatch &reachWatch();
+
+    /// Returns the VMs that may take over requests to a service; if not set, none is forwarded.
+    std::function<std::vector<ForwardingPeer>(const ServiceName &)> forwardingPeers;
+    /// Called when this VM was cut off from a service, or is connected to it again.
+    std::function<void()> onReachUpdate;
+    /// Called when the address or token of a VM seems to be out of date.
+    std::function<void()> onPeersOutdated;
+
     /// How current the configuration is known to be.
     ConfigProof configProof;
 
@@ -177,9 +199,23 @@
 private:
     friend class Relay;
 
-    void accept();
-    void addCaller(Tcp::socket socket);
+    /// Who is at the other end of an accepted connection.
+    enum class Sender {
+        Caller,
+        Vm, ///< has to show the token
+    };
+
+    void accept(Tcp::acceptor &listener, Sender sender);
+    void addCaller(Tcp::socket socket, Sender sender);
     void onRequest(const std::shared_ptr<CallerConnection> &caller, HttpRequestHead head, std::string body);
+    void onForwardedRequest(const std::shared_ptr<CallerConnection> &caller, HttpRequestHead head, std::string body);
+    void startRequest(const std::shared_ptr<CallerConnection> &caller, HttpRequestHead head, std::string body,
+                      std::optional<wire::ForwardedRequest> forwarded);
+    std::vector<ForwardingPeer> availablePeers(const ServiceName &service, std::span<const VmId> tried) const;
+    void avoidPeer(const VmId &vm, bool outdated);
+    void recordNotConnected(const ServiceName &service, const EndpointName &endpoint, bool timedOut);
+    std::vector<ReachWatch::Candidate> reachCandidates(const ServiceName &service) const;
+    void onReachChanged(const ServiceName &service, bool unreachable);
     void wakeWaiting();
     void scheduleWakeup(Duration delay);
     void endProvenRequests();
@@ -200,10 +236,16 @@
     RequestFormat format;
     CoreSettings budgetSettings;
     Tcp::acceptor acceptor;
+    Tcp::acceptor vmAcceptor; ///< for requests that other VMs forward
+    std::string token; ///< that the other VMs have to present
     std::shared_ptr<const RouteConfig> configInForce;
     Fleet fleetState;
     AdapterVersions versionsNamed;
     EndpointPool pool;
+    EndpointPool peerPool; ///< connections to other VMs
+    ReachWatch reach;
+    std::map<VmId, std::int32_t> forwardedTo; ///< requests in progress at other VMs
+    std::map<VmId, TimePoint> avoidedUntil; ///< VMs that refused a request or could not be connected to
     CrashWatch crashes;
     asio::steady_timer capacityTimer; ///< until an endpoint at its rate limit accepts a request
     std::optional<TimePoint> capacityTimerDue;
--- /dev/null
+++ b/lacewing/gatewayforwarding.cpp
@@ -0,0 +1,96 @@
+// Requests that other VMs forward, the VMs that this one forwards to, and what follows when it is cut off from a
+// service.
+
+#include "gateway.h"
+
+#include <algorithm>
+
+#include "callerconnection.h"
+#include "clock.h"
+#include "eventlog.h"
+
+namespace lacewing {
+
+void Gateway::onForwardedRequest(const std::shared_ptr<CallerConnection> &caller, HttpRequestHead head,
+                                 std::string body)
+{
+    auto forwarded = takeForwarding(head.headers);
+    if (!forwarded || !equalSecrets(forwarded->token, this->token)) {
+        logEvent("forwarded_request_rejected", {{"token", forwarded ? "wrong" : "absent"}});
+        const ResultCodeInfo &result = resultCodeInfo(ResultCode::ForwardRefused);
+        HttpResponseHead answer;
+        answer.status = result.httpStatus;
+        answer.reason = result.type;
+        answer.length = 0;
+        writeForwardingResult(answer.headers, {result.code, Duration {0}});
+        caller->beginAnswer(answer, BodyFraming::Length, false);
+        caller->finishAnswer();
+        return;
+    }
+    this->counts.takenOver += 1;
+    this->startRequest(caller, std::move(head), std::move(body), std::move(forwarded));
+}
+
+std::vector<ForwardingPeer> Gateway::availablePeers(const ServiceName &service, std::span<const VmId> tried) const
+{
+    std::vector<ForwardingPeer> peers;
+    if (this->forwardingPeers) {
+        peers = this->forwardingPeers(service);
+    }
+    const TimePoint now = this->now();
+    std::erase_if(peers, [&](const ForwardingPeer &peer) {
+        const auto avoided = this->avoidedUntil.find(peer.vm);
+        return std::find(tried.begin(), tried.end(), peer.vm) != tried.end()
+            || (avoided != this->avoidedUntil.end() && now < avoided->second);
+    });
+    for (ForwardingPeer &peer : peers) {
+        const auto inProgress = this->forwardedTo.find(peer.vm);
+        peer.forwarded = inProgress == this->forwardedTo.end() ? 0 : inProgress->second;
+    }
+    return peers;
+}
+
+void Gateway::avoidPeer(const VmId &vm, bool outdated)
+{
+    const TimePoint now = this->now();
+    std::erase_if(this->avoidedUntil, [now](const auto &entry) { return entry.second <= now; });
+    this->avoidedUntil[vm] = now + peerAvoidance;
+    if (outdated && this->onPeersOutdated) {
+        this->onPeersOutdated();
+    }
+}
+
+void Gateway::recordNotConnected(const ServiceName &service, const EndpointName &endpoint, bool timedOut)
+{
+    this->counts.connectionsFailed += 1;
+    lacewing::recordNotConnected(this->reach.of(service), endpoint, timedOut);
+    this->reach.check();
+}
+
+std::vector<ReachWatch::Candidate> Gateway::reachCandidates(const ServiceName &service) const
+{
+    std::vector<ReachWatch::Candidate> candidates;
+    for (const EndpointName &id : endpointsOf(this->fleetState, service)) {
+        const EndpointEntry &entry = this->fleetState.endpoints.at(id).entry;
+        if (!entry.leaving) {
+            candidates.push_back({id, entry.address});
+        }
+    }
+    return candidates;
+}
+
+void Gateway::onReachChanged(const ServiceName &service, bool unreachable)
+{
+    if (unreachable) {
+        // Connections that were kept may be silent for good.
+        for (const EndpointName &id : endpointsOf(this->fleetState, service)) {
+            this->pool.drop(id);
+        }
+    }
+    if (this->onReachUpdate) {
+        this->onReachUpdate();
+    }
+    this->wakeWaiting();
+}
+
+} // namespace lacewing
--- a/lacewing/knownvm.h
+++ b/lacewing/knownvm.h
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <vector>
 
 #include <boost/asio/ip/udp.hpp>
 
@@ -33,9 +34,21 @@
     bool everHeard = false;
     bool leaving = false;
     std::int32_t millicores = 0;
+    std::vector<ServiceName> unreachableServices; ///< that it said it is cut off from
+    TimePoint unreachableUntil; ///< end of that statement, unless it is repeated
     DatagramDelay delay;
 };
 
+/// @param vm another VM
+/// @param service name of a service
+/// @param now time
+/// @return whether the VM has said that it is cut off from the service
+inline bool saysUnreachable(const KnownVm &vm, const ServiceName &service, TimePoint now)
+{
+    const auto &services = vm.unreachableServices;
+    return now < vm.unreachableUntil && std::find(services.begin(), services.end(), service) != services.end();
+}
+
 /// @param vm another VM
 /// @param now time
 /// @return whether the VM is no longer sent to
--- a/lacewing/lacewing.thrift
+++ b/lacewing/lacewing.thrift
@@ -401,6 +401,16 @@
 /** The sender keeps a part of each quota for its zone. */
 struct QuotaLedgerNews { 1: bool active = true }
 
+/** What a VM adds to a request that it forwards to another one. */
+struct ForwardedRequest {
+  1: binary token,                     // of the receiver
+  2: string vm,                        // the sender
+  3: i64 configVersion,                // of the sender
+  4: i64 ageMicroseconds,              // since the caller's request arrived
+  5: i32 attemptsLeft,                 // endpoints on which it may still run
+  6: string serviceName
+}
+
 /** One datagram. Exactly one of the optional bodies is set. */
 struct VmDatagram {
   1: string vm,
@@ -425,5 +435,6 @@
   20: optional ConfigRead configRead,
   21: optional QuotaAsk quotaAsk,
   22: optional QuotaAnswer quotaAnswer,
-  23: optional QuotaLedgerNews quotaLedger
+  23: optional QuotaLedgerNews quotaLedger,
+  24: optional list<string> unreachableServices  // with a heartbeat: the sender is cut off from their endpoints
 }
--- a/lacewing/platformport.h
+++ b/lacewing/platformport.h
@@ -49,7 +49,8 @@
 struct VmContact {
     VmId vm;
     ZoneName zone;
-    std::string address; ///< host:port for datagrams
+    std::string address; ///< host:port for datagrams, and over TCP for forwarded requests
+    std::string token = {}; ///< that a VM has to present with a forwarded request; empty: none are taken
 };
 
 struct PlatformPort {
--- a/lacewing/relay.cpp
+++ b/lacewing/relay.cpp
@@ -27,7 +27,7 @@
 } // namespace
 
 Relay::Relay(Gateway &owner, std::shared_ptr<CallerConnection> connection, HttpRequestHead requestHead,
-             std::string requestBody)
+             std::string requestBody, std::optional<wire::ForwardedRequest> forwardedRequest)
     : gateway(owner),
       caller(std::move(connection)),
       config(owner.config()),
@@ -35,10 +35,14 @@
       body(std::move(requestBody)),
       info(owner.format.readRequest(this->head)),
       arrived(owner.now()),
+      forwarded(std::move(forwardedRequest)),
       deadlineTimer(owner.context),
       waitTimer(owner.context),
       paceTimer(owner.context)
 {
+    if (this->forwarded) {
+        this->arrived -= Duration {std::max<std::int64_t>(0, this->forwarded->ageMicroseconds)};
+    }
 }
 
 void Relay::run(const std::function<void()> &part)
@@ -68,7 +72,11 @@
 
 void Relay::place()
 {
-    if (this->refuseIfProvenCrashing()) {
+    if (this->refuseIfProvenCrashing() || this->forward()) {
+        return;
+    }
+    if (this->forwarded && this->gateway.reach.isUnreachable(this->service)) {
+        this->sendGatewayAnswer(ResultCode::ForwardRefused, refusedRetryAfter);
         return;
     }
     const TimePoint now = this->gateway.now();
@@ -244,6 +252,7 @@
     this->endpoint = choice.endpoint;
     this->incarnationStart = target.entry.born;
     target.ownRunning += 1;
+    recordExchangeBegin(this->gateway.reach.of(this->service), now);
     this->countedAsSuspect = this->suspicion() == Suspicion::Suspected;
     target.ownCrashSuspects += this->countedAsSuspect ? 1 : 0;
     this->gateway.recordSend(choice.endpoint);
@@ -262,6 +271,27 @@
     this->sentAt = now;
     this->history.sends += 1;
     this->link = this->gateway.pool.take(choice.endpoint, target.entry.address, now, !mayRepeat(this->history));
+    logEvent("request_sent",
+             {{"id", this->info.id},
+              {"digest", describe(this->digest)},
+              {"route", this->route->name},
+              {"endpoint", choice.endpoint},
+              {"weights", this->weights},
+              {"version", std::to_string(choice.version)},
+              {"running", std::to_string(estimateRunning(target))},
+              {"tokens", std::to_string(this->info.promptTokens)},
+              {"ahead", std::to_string(tokensAhead(target.prompts, this->ticket))},
+              {"turn_ms", inMilliseconds(this->pacingDelay)},
+              {"send", std::to_string(this->history.sends)},
+              {"list_age_ms", inMilliseconds(now - this->gateway.fleetState.list.current)},
+              {"list_source", this->gateway.fleetState.list.source},
+              {"config", std::to_string(this->config->version)},
+              {"age_ms", inMilliseconds(this->age())}});
+    this->link->send(formatRequest(sent, this->body), sent.method == "HEAD", this->linkHandlers());
+}
+
+EndpointLink::Handlers Relay::linkHandlers()
+{
     const std::weak_ptr<Relay> weak = this->weak_from_this();
     EndpointLink::Handlers handlers;
     handlers.onConnected = [weak] {
@@ -279,23 +309,7 @@
             self->run([&self, failure] { self->onFailure(failure); });
         }
     };
-    logEvent("request_sent",
-             {{"id", this->info.id},
-              {"digest", describe(this->digest)},
-              {"route", this->route->name},
-              {"endpoint", choice.endpoint},
-              {"weights", this->weights},
-              {"version", std::to_string(choice.version)},
-              {"running", std::to_string(estimateRunning(target))},
-              {"tokens", std::to_string(this->info.promptTokens)},
-              {"ahead", std::to_string(tokensAhead(target.prompts, this->ticket))},
-              {"turn_ms", inMilliseconds(this->pacingDelay)},
-              {"send", std::to_string(this->history.sends)},
-              {"list_age_ms", inMilliseconds(now - this->gateway.fleetState.list.current)},
-              {"list_source", this->gateway.fleetState.list.source},
-              {"config", std::to_string(this->config->version)},
-              {"age_ms", inMilliseconds(this->age())}});
-    this->link->send(formatRequest(sent, this->body), sent.method == "HEAD", std::move(handlers));
+    return handlers;
 }
 
 void Relay::cancel()
@@ -305,12 +319,15 @@
     }
     this->gateway.counts.callersGone += 1;
     logEvent("caller_left",
-             {{"id", this->info.id}, {"endpoint", this->endpoint}, {"age_ms", inMilliseconds(this->age())}});
+             {{"id", this->info.id},
+              {"endpoint", this->endpoint},
+              {"vm", this->peer},
+              {"age_ms", inMilliseconds(this->age())}});
     if (this->link) {
         this->link->close();
         this->link.reset();
     }
-    if (this->endpoint.empty() && this->history.mayHaveRun == 0) {
+    if (this->endpoint.empty() && this->peer.empty() && this->history.mayHaveRun == 0) {
         this->giveBackQuota();
     }
     this->finish();
@@ -322,6 +339,7 @@
     if (this->endpoint.empty()) {
         return;
     }
+    recordExchangeEnd(this->gateway.reach.of(this->service));
     if (isIncarnation(this->gateway.fleetState, this->endpoint, this->incarnationStart)) {
         FleetEndpoint &released = this->gateway.fleetState.endpoints.at(this->endpoint);
         released.ownRunning = std::max(0, released.ownRunning - 1);
@@ -350,6 +368,7 @@
         this->link.reset();
     }
     this->releaseEndpoint();
+    this->releasePeer();
     const auto self = this->shared_from_this();
     this->gateway.relays.erase(self);
 }
--- a/lacewing/relay.h
+++ b/lacewing/relay.h
@@ -17,6 +17,7 @@
 #include "endpointchoice.h"
 #include "endpointlink.h"
 #include "eventstream.h"
+#include "forwarding.h"
 #include "requestdigest.h"
 #include "requestformat.h"
 #include "resultcode.h"
@@ -36,8 +37,9 @@
     /// @param connection connection to the caller
     /// @param requestHead head of the request as received
     /// @param requestBody complete body
+    /// @param forwardedRequest set if another VM has forwarded the request
     Relay(Gateway &owner, std::shared_ptr<CallerConnection> connection, HttpRequestHead requestHead,
-          std::string requestBody);
+          std::string requestBody, std::optional<wire::ForwardedRequest> forwardedRequest);
 
     /// Selects the route and starts to place the request.
     void start();
@@ -89,9 +91,19 @@
     void announcePrompt(bool ended, Duration took);
     QueuedPrompt queuedPrompt() const;
     void sendTo(const EndpointChoice &choice);
+    EndpointLink::Handlers linkHandlers();
+    bool forward();
+    void forwardTo(const ForwardingPeer &chosen);
+    std::int32_t attemptsLeft() const;
+    void onPeerHead();
+    void onPeerResult(const ForwardingResult &result);
+    void onPeerFailure(LinkFailure failure);
+    void releasePeer();
+    bool mayTakeOver() const;
     void onConnected();
     void onProgress();
     void onHead();
+    void beginAnswer();
     void relayBody();
     void onAnswerComplete();
     void recordBodyBytes(bool received);
@@ -132,6 +144,9 @@
     AttemptHistory history;
     std::shared_ptr<EndpointLink> link;
     EndpointName endpoint; ///< that currently runs the request; empty if none does
+    std::optional<wire::ForwardedRequest> forwarded; ///< set if another VM has forwarded the request
+    VmId peer; ///< that the request is forwarded to; empty if it is not
+    std::vector<VmId> triedPeers;
     std::int64_t incarnationStart = 0; ///< of the endpoint that runs the request
     asio::steady_timer deadlineTimer;
     asio::steady_timer waitTimer;
--- a/lacewing/relayadmission.cpp
+++ b/lacewing/relayadmission.cpp
@@ -37,11 +37,21 @@
         this->sendGatewayAnswer(ResultCode::ShuttingDown, otherVmRetryAfter);
         return;
     }
+    if (this->forwarded && !this->mayTakeOver()) {
+        this->sendGatewayAnswer(ResultCode::ForwardRefused, otherVmRetryAfter);
+        return;
+    }
     this->history.kind = this->route->kind;
     this->history.resumable = this->route->resumable;
     this->history.mostAttempts = this->route->mostAttempts;
     const double draw = std::uniform_real_distribution<double>(0, 1)(this->gateway.random);
     this->service = chooseService(*this->route, draw);
+    if (this->forwarded) {
+        this->history.mostAttempts = std::min(this->history.mostAttempts, this->forwarded->attemptsLeft);
+        if (hasService(*this->route, this->forwarded->serviceName)) {
+            this->service = this->forwarded->serviceName;
+        }
+    }
     const ServiceSpec *spec = findService(*this->config, this->service);
     if (spec != nullptr && spec->engine && !this->info.model.empty()) {
         this->gapLimits = {this->route->maxGap, spec->engine->tokensPerEvent};
@@ -55,6 +65,10 @@
     const Duration maxTimeToFirstByte = silenceLimit.count() > 0 ? silenceLimit : this->deadline - this->arrived;
     this->versionGrace = oldVersionGrace(this->gateway.settings.versionBound, maxTimeToFirstByte);
     this->setTimer(this->deadlineTimer, this->deadline - this->arrived, &Relay::onDeadline);
+    if (this->forwarded) { // counted and charged by the VM that the caller has sent it to
+        this->place();
+        return;
+    }
     noteFirstAttempt(this->gateway.budgetOf(this->service), this->gateway.budgetSettings, this->arrived);
     this->chargeQuota();
 }
--- a/lacewing/relayanswer.cpp
+++ b/lacewing/relayanswer.cpp
@@ -26,8 +26,11 @@
     if (this->done || !this->link) {
         return;
     }
+    if (this->peer.empty()) {
+        recordBytes(this->gateway.reach.of(this->service), this->gateway.now());
+    }
     if (!this->answerBegun) {
-        this->onHead();
+        this->peer.empty() ? this->onHead() : this->onPeerHead();
         return;
     }
     this->relayBody();
@@ -87,8 +90,15 @@
     if (failed && this->retryFailed(answer.head.status)) {
         return;
     }
+    this->beginAnswer();
+}
+
+void Relay::beginAnswer()
+{
+    const ResponseReader &answer = this->link->answer();
     HttpResponseHead relayedHead = answer.head;
     dropConnectionHeaders(relayedHead.headers);
+    dropForwardingResult(relayedHead.headers);
     this->answerBegun = true;
     this->history.answerBegun = true;
     this->endpointFraming = answer.framing();
@@ -168,7 +178,7 @@
     if (this->organisation != nullptr) {
         this->gateway.organisationMetrics().recordAnswer(this->organisation->name, this->timeToFirstByte);
     }
-    if (status < 300) {
+    if (status < 300 && this->peer.empty()) {
         this->gateway.crashes.recordCompletion(this->digest);
     }
     logEvent("request_answered",
@@ -176,6 +186,7 @@
               {"organisation", this->organisation == nullptr ? OrganisationName() : this->organisation->name},
               {"quota_units", std::to_string(std::lround(this->quotaUnits))},
               {"endpoint", this->endpoint},
+              {"vm", this->peer},
               {"status", std::to_string(status)},
               {"framing", std::string(toString(this->endpointFraming))},
               {"wait_ms", inMilliseconds(this->sentAt - this->arrived)},
@@ -185,7 +196,8 @@
               {"age_ms", inMilliseconds(this->age())}});
     const auto used = this->link;
     this->link.reset();
-    this->gateway.pool.returnLink(used, this->gateway.now());
+    EndpointPool &pool = this->peer.empty() ? this->gateway.pool : this->gateway.peerPool;
+    pool.returnLink(used, this->gateway.now());
     const auto finished = this->caller;
     this->finish();
     finished->finishAnswer();
--- a/lacewing/relayend.cpp
+++ b/lacewing/relayend.cpp
@@ -18,12 +18,19 @@
         return;
     }
     const std::string address = this->link ? this->link->address : std::string();
+    const bool timedOut = this->link && this->link->connectTimedOut();
     this->link.reset();
+    if (!this->peer.empty()) {
+        this->onPeerFailure(failure);
+        return;
+    }
     if (failure != LinkFailure::NotConnected) {
         this->history.suspected = this->suspicion() != Suspicion::None; // evaluated before this failure is recorded
         this->recordBrokenConnection(address);
     }
-    this->gateway.counts.connectionsFailed += failure == LinkFailure::NotConnected ? 1 : 0;
+    if (failure == LinkFailure::NotConnected) {
+        this->gateway.recordNotConnected(this->service, this->endpoint, timedOut);
+    }
     const auto kind = failure == LinkFailure::NotConnected ? EndpointFailure::Connect : EndpointFailure::Broken;
     this->gateway.recordEndpointFailure(this->endpoint, kind, this->info.id);
     if (this->answerBegun) {
@@ -75,7 +82,11 @@
 
 void Relay::onConnected()
 {
+    if (!this->peer.empty()) {
+        return;
+    }
     this->gateway.counts.connectionsMade += 1;
+    recordConnected(this->gateway.reach.of(this->service));
     const Fleet &fleet = this->gateway.fleetState;
     const bool present = isIncarnation(fleet, this->endpoint, this->incarnationStart);
     if (present && !isLeaving(fleet, this->endpoint, this->incarnationStart)) {
@@ -117,7 +128,9 @@
               {"digest", describe(this->digest)},
               {"endpoint", this->endpoint},
               {"reason", std::string(reason)}});
-    this->triedEndpoints.push_back(this->endpoint);
+    if (!this->endpoint.empty()) {
+        this->triedEndpoints.push_back(this->endpoint);
+    }
     this->releaseEndpoint();
     this->place();
 }
@@ -132,14 +145,19 @@
         this->sendAgain(reason, repeat);
         return;
     }
-    const bool budgetSpent = step == NextStep::SendAgain;
-    this->sendGatewayAnswer(budgetSpent ? ResultCode::RetryBudgetSpent : ResultCode::QueueFull, refusedRetryAfter);
+    ResultCode refusal = ResultCode::QueueFull;
+    if (step == NextStep::SendAgain) {
+        refusal = ResultCode::RetryBudgetSpent;
+    } else if (this->forwarded && ending == AttemptEnding::NotSent) {
+        refusal = ResultCode::NoEndpoint; // the VM that has forwarded the request may try another one
+    }
+    this->sendGatewayAnswer(refusal, refusedRetryAfter);
 }
 
 void Relay::onDeadline()
 {
-    const bool sent = this->history.mayHaveRun > 0 || !this->endpoint.empty();
-    if (this->link && !this->answerBegun) {
+    const bool sent = this->history.mayHaveRun > 0 || !this->endpoint.empty() || !this->peer.empty();
+    if (this->link && !this->answerBegun && this->peer.empty()) {
         this->gateway.recordEndpointFailure(this->endpoint, EndpointFailure::TimedOut, this->info.id);
     }
     if (this->link) {
@@ -197,6 +215,9 @@
     answer.status = result.httpStatus;
     answer.reason = result.type;
     answer.headers = this->gateway.format.ownAnswerHeaders(this->info, code == wanted ? retryAfter : Duration {0});
+    if (this->forwarded) {
+        writeForwardingResult(answer.headers, {code, code == wanted ? retryAfter : Duration {0}});
+    }
     const std::string text = std::string(result.message) + "\n";
     answer.length = text.size();
     const auto answered = this->caller;
--- a/lacewing/resultcode.cpp
+++ b/lacewing/resultcode.cpp
@@ -48,6 +48,7 @@
     ResultCodeInfo {ResultCode::Preempted, 503, "preempted", "urgent work took the place"},
     ResultCodeInfo {ResultCode::StaleFencing, 503, "stale_fencing", "the endpoint refused an old fencing number"},
     ResultCodeInfo {ResultCode::PeerUnreachable, 503, "peer_unreachable", "the owner could not be reached"},
+    ResultCodeInfo {ResultCode::ForwardRefused, 503, "forward_refused", "the other VM can't take the request over"},
     ResultCodeInfo {ResultCode::OutcomeUnknown, 502, "outcome_unknown", "the request may or may not have run"},
     ResultCodeInfo {ResultCode::EndpointError, 502, "endpoint_error", "the endpoint answered with an error"},
     ResultCodeInfo {ResultCode::StreamBroken, 502, "stream_broken", "the answer broke off"},
--- a/lacewing/resultcode.h
+++ b/lacewing/resultcode.h
@@ -50,6 +50,7 @@
     Preempted = 304,
     StaleFencing = 305,
     PeerUnreachable = 306,
+    ForwardRefused = 307,
     // 4xx: ended after it may have run
     OutcomeUnknown = 400,
     EndpointError = 401,
--- a/lacewing/routeconfig.cpp
+++ b/lacewing/routeconfig.cpp
@@ -78,6 +78,12 @@
     return route.services.back().service;
 }
 
+bool hasService(const ServiceRoute &route, const ServiceName &service)
+{
+    const auto isService = [&service](const ServiceShare &share) { return share.service == service; };
+    return std::any_of(route.services.begin(), route.services.end(), isService);
+}
+
 const ServiceSpec *findService(const RouteConfig &config, std::string_view service)
 {
     const auto found = config.services.find(std::string(service));
--- a/lacewing/routeconfig.h
+++ b/lacewing/routeconfig.h
@@ -99,6 +99,11 @@
 };
 
 /// Fills routesByHost and rankPairs; call once after the routes and organisations are set.
+/// @param route a route
+/// @param service name of a service
+/// @return whether requests of the route may go to the service
+bool hasService(const ServiceRoute &route, const ServiceName &service);
+
 /// @param config changed
 void indexRoutes(RouteConfig &config);
 
--- a/lacewing/vmgossip.cpp
+++ b/lacewing/vmgossip.cpp
@@ -130,6 +130,10 @@
     vm.everHeard = true;
     vm.leaving = datagram.leaving;
     vm.millicores = datagram.millicores;
+    if (datagram.__isset.unreachableServices) {
+        vm.unreachableServices = datagram.unreachableServices;
+        vm.unreachableUntil = now + vmFreshness;
+    }
     if (datagram.leaving && this->onLeaving) {
         this->onLeaving(datagram.vm, datagram.zone);
     }
@@ -283,6 +287,9 @@
     if (!news.suspects.empty()) {
         datagram.__set_crashNews(news);
     }
+    if (!this->unreachableServices.empty()) {
+        datagram.__set_unreachableServices(this->unreachableServices);
+    }
     const std::string bytes = encode(datagram);
     const TimePoint now = this->clock.now();
     if (this->leaving) { // a VM that is not notified would continue to rely on this VM
--- a/lacewing/vmgossip.h
+++ b/lacewing/vmgossip.h
@@ -20,6 +20,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <vector>
 
 #include <boost/asio/ip/udp.hpp>
 
@@ -103,6 +104,8 @@
     bool leaving = false;
     std::int64_t configOffset = 0;
     std::int32_t millicores = 0;
+    /// Services that this VM is cut off from; sent with heartbeats.
+    std::vector<ServiceName> unreachableServices;
 
     /// The last argument is the excess transit time of the datagram (datagramdelay.h).
     std::function<void(const VmId &, const wire::PlacementNotice &, Duration)> onPlacement;
