A placement owner that is cut off from the endpoints yields its zone

The owner of a zone that reached no endpoint kept the zone, since its claim is a matter of the platform's store alone: its orders did not arrive, and no adapters were loaded in the zone until the links were back.

It now yields as to a larger VM, if a VM of its zone is heard that does not say that it is cut off, and claims the zone last.

Evidence: anOwnerThatIsCutOffYieldsToAVmThatIsNot, which fails without the change.

--- a/lacewing/entrynodeplacement.cpp
+++ b/lacewing/entrynodeplacement.cpp
@@ -58,7 +58,7 @@
     } else if (shouldConfirm(this->claim, this->settings.claim, view, now)) {
         this->confirmClaim();
     } else if (shouldYield(this->claim, view, now)) {
-        this->yieldZone("larger_vm");
+        this->yieldZone(view.cutOff ? "cut_off" : "larger_vm");
     }
 }
 
--- a/lacewing/knownvm.h
+++ b/lacewing/knownvm.h
@@ -39,6 +39,14 @@
     DatagramDelay delay;
 };
 
+/// @param vm another VM
+/// @param now time
+/// @return whether the VM has said that it is cut off from a service
+inline bool saysUnreachable(const KnownVm &vm, TimePoint now)
+{
+    return now < vm.unreachableUntil && !vm.unreachableServices.empty();
+}
+
 /// @param vm another VM
 /// @param service name of a service
 /// @param now time
--- a/lacewing/testing/zoneclaimtest.cpp
+++ b/lacewing/testing/zoneclaimtest.cpp
@@ -296,6 +296,22 @@
     cr_assert_not(shouldClaim(claim, view, start + minTenure));
 }
 
+// The orders of an owner that reaches no endpoint do not arrive.
+Test(zoneclaim, anOwnerThatIsCutOffYieldsToAVmThatIsNot)
+{
+    ZoneClaim claim = ownerOf(5, {}, start);
+    ZoneView view = wholeZone;
+    view.cutOff = true;
+    cr_assert_not(shouldYield(claim, view, start + minTenure), "the others are cut off, too");
+    view.connected = 1;
+    cr_assert(shouldYield(claim, view, start + minTenure));
+    recordYield(claim, start + minTenure);
+    recordOwnerLeaving(claim);
+    cr_assert_not(shouldClaim(claim, view, start + minTenure + claimTurnInterval), "the others claim first");
+    view.cutOff = false;
+    cr_assert(shouldClaim(claim, view, start + minTenure + claimTurnInterval));
+}
+
 Test(zoneclaim, withoutFaultsThereIsOnlyOneClaim)
 {
     Simulation zone(1);
--- a/lacewing/vmgossip.cpp
+++ b/lacewing/vmgossip.cpp
@@ -466,15 +466,18 @@
 {
     const TimePoint now = this->clock.now();
     ZoneView view;
+    view.cutOff = !this->unreachableServices.empty();
     for (const auto &[name, vm] : this->knownVms) {
         if (vm.zone != this->self.zone || vm.leaving || isForgotten(vm, now)) {
             continue;
         }
         view.inUse += 1;
         if (vm.everHeard && now - vm.heard < vmFreshness) {
+            const bool vmConnected = !saysUnreachable(vm, now);
             view.heard += 1;
-            view.ahead += this->claimsBefore(name, vm.millicores) ? 1 : 0;
-            view.hasLargerVm = view.hasLargerVm || vm.millicores >= yieldFactor * this->millicores;
+            view.connected += vmConnected ? 1 : 0;
+            view.ahead += vmConnected && this->claimsBefore(name, vm.millicores) ? 1 : 0;
+            view.hasLargerVm = view.hasLargerVm || (vmConnected && vm.millicores >= yieldFactor * this->millicores);
         }
     }
     return view;
--- a/lacewing/zoneclaim.cpp
+++ b/lacewing/zoneclaim.cpp
@@ -13,11 +13,17 @@
     return view.heard * 2 < view.inUse;
 }
 
+bool othersReachMore(const ZoneView &view)
+{
+    return view.cutOff && view.connected > 0;
+}
+
 Duration claimDelay(const ZoneClaim &claim, const ZoneView &view)
 {
     const Duration silence = claim.ownerLeft ? Duration {0} : ownerTimeout;
     const auto turns = static_cast<std::int64_t>(std::min(view.ahead, maxClaimTurns));
-    return silence + claimTurnInterval * turns + (isIsolated(view) ? isolatedClaimDelay : Duration {0});
+    const bool asLast = isIsolated(view) || othersReachMore(view);
+    return silence + claimTurnInterval * turns + (asLast ? isolatedClaimDelay : Duration {0});
 }
 
 bool recordNewerClaim(ZoneClaim &claim, std::int64_t fencing, TimePoint now)
@@ -117,7 +123,8 @@
 
 bool shouldYield(const ZoneClaim &claim, const ZoneView &view, TimePoint now)
 {
-    return claim.held && view.hasLargerVm && !isIsolated(view) && now - claim.gained >= minTenure;
+    const bool betterOwner = view.hasLargerVm || othersReachMore(view);
+    return claim.held && betterOwner && !isIsolated(view) && now - claim.gained >= minTenure;
 }
 
 void recordYield(ZoneClaim &claim, TimePoint now)
--- a/lacewing/zoneclaim.h
+++ b/lacewing/zoneclaim.h
@@ -73,6 +73,8 @@
     std::size_t heard = 0; ///< VMs heard within vmFreshness that are not leaving
     std::size_t ahead = 0; ///< heard VMs whose turn to claim is before that of this VM
     bool hasLargerVm = false; ///< a heard VM has at least yieldFactor times the processor time of this VM
+    bool cutOff = false; ///< this VM is cut off from a service, so that its orders reach no endpoint
+    std::size_t connected = 0; ///< heard VMs that do not say that they are cut off
 };
 
 struct ZoneClaim {
@@ -152,7 +154,8 @@
 /// @param claim of this VM
 /// @param view of the zone
 /// @param now time
-/// @return whether this VM is to give up the zone, so that a VM with more processor time claims it
+/// @return whether this VM is to give up the zone, so that a VM with more processor time, or one that reaches the
+/// endpoints, claims it
 bool shouldYield(const ZoneClaim &claim, const ZoneView &view, TimePoint now);
 
 /// Records that this VM has given up the zone.
