A request waits for the verification that follows failed connections

The first requests of a VM that was just cut off used up their attempts at endpoints that could not be connected to, while the verification that their failures had started was in progress. A request that may go on elsewhere now waits for its end, at most a connect timeout, and then goes to an endpoint or to another VM.

--- a/lacewing/gateway.cpp
+++ b/lacewing/gateway.cpp
@@ -36,6 +36,7 @@
     this->crashes.onProven = [this] { this->endProvenRequests(); };
     this->reach.onChanged
         = [this](const ServiceName &service, bool unreachable) { this->onReachChanged(service, unreachable); };
+    this->reach.onVerified = [this](const ServiceName &service) { this->resumeVerified(service); };
     this->budgetSettings.retryFloor = 0;
     this->setRetryLimits(this->settings.retryShare, this->settings.retryBurst);
 }
--- a/lacewing/gateway.h
+++ b/lacewing/gateway.h
@@ -216,6 +216,7 @@
     void recordNotConnected(const ServiceName &service, const EndpointName &endpoint, bool timedOut);
     std::vector<ReachWatch::Candidate> reachCandidates(const ServiceName &service) const;
     void onReachChanged(const ServiceName &service, bool unreachable);
+    void resumeVerified(const ServiceName &service);
     void wakeWaiting();
     void scheduleWakeup(Duration delay);
     void endProvenRequests();
--- a/lacewing/gatewayforwarding.cpp
+++ b/lacewing/gatewayforwarding.cpp
@@ -8,6 +8,7 @@
 #include "callerconnection.h"
 #include "clock.h"
 #include "eventlog.h"
+#include "relay.h"
 
 namespace lacewing {
 
@@ -93,4 +94,12 @@
     this->wakeWaiting();
 }
 
+void Gateway::resumeVerified(const ServiceName &service)
+{
+    const std::vector<std::shared_ptr<Relay>> open(this->relays.begin(), this->relays.end());
+    for (const auto &relay : open) {
+        relay->onVerified(service);
+    }
+}
+
 } // namespace lacewing
--- a/lacewing/reachwatch.cpp
+++ b/lacewing/reachwatch.cpp
@@ -35,6 +35,12 @@
     return found != this->reaches.end() && found->second.unreachable;
 }
 
+bool ReachWatch::isVerifying(const ServiceName &service) const
+{
+    const auto found = this->reaches.find(service);
+    return found != this->reaches.end() && found->second.verifying;
+}
+
 std::vector<ServiceName> ReachWatch::unreachableServices() const
 {
     std::vector<ServiceName> services;
@@ -106,15 +112,17 @@
 void ReachWatch::endRound(const std::shared_ptr<Round> &round)
 {
     EndpointReach &reach = this->reaches.at(round->service);
-    if (!finishRound(reach, round->attempted, round->established)) {
-        return;
+    if (finishRound(reach, round->attempted, round->established)) {
+        logEvent(reach.unreachable ? "service_unreachable" : "service_reachable",
+                 {{"service", round->service},
+                  {"attempted", std::to_string(round->attempted)},
+                  {"established", std::to_string(round->established)}});
+        if (this->onChanged) {
+            this->onChanged(round->service, reach.unreachable);
+        }
     }
-    logEvent(reach.unreachable ? "service_unreachable" : "service_reachable",
-             {{"service", round->service},
-              {"attempted", std::to_string(round->attempted)},
-              {"established", std::to_string(round->established)}});
-    if (this->onChanged) {
-        this->onChanged(round->service, reach.unreachable);
+    if (this->onVerified) {
+        this->onVerified(round->service);
     }
 }
 
--- a/lacewing/reachwatch.h
+++ b/lacewing/reachwatch.h
@@ -44,6 +44,9 @@
     /// @param service name of a service
     /// @return whether this VM is cut off from its endpoints
     bool isUnreachable(const ServiceName &service) const;
+    /// @param service name of a service
+    /// @return whether a round of verification is in progress
+    bool isVerifying(const ServiceName &service) const;
     /// @return services that this VM is cut off from
     std::vector<ServiceName> unreachableServices() const;
 
@@ -52,6 +55,8 @@
 
     /// Called when the VM was cut off from a service, or is connected to it again.
     std::function<void(const ServiceName &, bool unreachable)> onChanged;
+    /// Called at the end of each round, after onChanged.
+    std::function<void(const ServiceName &)> onVerified;
 
 private:
     struct Round;
--- a/lacewing/relay.h
+++ b/lacewing/relay.h
@@ -60,6 +60,10 @@
     /// @return endpoint whose prompt queue delays this request; empty if it is not delayed
     const EndpointName &pacedEndpoint() const;
 
+    /// Goes on with a request that waits until a verification shows whether this VM is cut off from its service.
+    /// @param verified service that was verified
+    void onVerified(const ServiceName &verified);
+
     /// @return weights that the request waits for; empty if it does not wait
     const std::string &waitingFor() const;
     /// @param other another waiting request
@@ -161,6 +165,7 @@
     std::optional<EventStreamPosition> eventStream; ///< of the endpoint's answer, if it is a stream without a length
     bool noPromptsAhead = false; ///< the queue was empty ahead of the prompt when it was sent
     bool countedAsSuspect = false; ///< counted in the endpoint's ownCrashSuspects
+    bool awaitsVerification = false; ///< of the connection to the service, after connections could not be made
     bool answerBegun = false;
     bool done = false;
 };
--- a/lacewing/relayend.cpp
+++ b/lacewing/relayend.cpp
@@ -132,7 +132,20 @@
         this->triedEndpoints.push_back(this->endpoint);
     }
     this->releaseEndpoint();
-    this->place();
+    // A round ends within a connect timeout. Meanwhile the request would use up its attempts at endpoints that can't be
+    // connected to.
+    this->awaitsVerification = !reachesServiceAgain && this->gateway.reach.isVerifying(this->service);
+    if (!this->awaitsVerification) {
+        this->place();
+    }
+}
+
+void Relay::onVerified(const ServiceName &verified)
+{
+    if (!this->done && this->awaitsVerification && verified == this->service) {
+        this->awaitsVerification = false;
+        this->run([this] { this->place(); });
+    }
 }
 
 void Relay::attemptEnded(AttemptEnding ending, std::string_view reason)
