--- a/lacewing/entrynodemetrics.cpp
+++ b/lacewing/entrynodemetrics.cpp
@@ -27,6 +27,7 @@
     line("requests_taken_over_total", counters.takenOver);
     line("endpoint_connections_made_total", counters.connectionsMade);
     line("endpoint_connections_failed_total", counters.connectionsFailed);
+    line("reach_rounds_total", this->dataPath.reachWatch().roundsStarted);
     line("limits_ignored_total", counters.limitsIgnored);
     const CrashCounters &crashes = this->dataPath.crashWatch().counts;
     line("endpoint_crashes_total", crashes.crashes);
@@ -75,7 +76,8 @@
              {{"sent_within_zone", describe(counts.sentWithinZone)},
               {"sent_to_other_zones", describe(counts.sentToOtherZones)},
               {"received", describe(counts.received)},
-              {"store_calls", this->describeStoreCalls ? this->describeStoreCalls() : std::string()}});
+              {"store_calls", this->describeStoreCalls ? this->describeStoreCalls() : std::string()},
+              {"reach_rounds", std::to_string(this->dataPath.reachWatch().roundsStarted)}});
 }
 
 } // namespace lacewing
--- a/lacewing/gateway.cpp
+++ b/lacewing/gateway.cpp
@@ -378,6 +378,11 @@
     return this->reach;
 }
 
+const ReachWatch &Gateway::reachWatch() const
+{
+    return this->reach;
+}
+
 CrashWatch &Gateway::crashWatch()
 {
     return this->crashes;
--- a/lacewing/gateway.h
+++ b/lacewing/gateway.h
@@ -171,6 +171,7 @@
 
     /// @return watch on the connection to the endpoints of each service
     ReachWatch &reachWatch();
+    const ReachWatch &reachWatch() const;
 
     /// Returns the VMs that may take over requests to a service; if not set, none is forwarded.
     std::function<std::vector<ForwardingPeer>(const ServiceName &)> forwardingPeers;
--- a/lacewing/reachwatch.cpp
+++ b/lacewing/reachwatch.cpp
@@ -69,8 +69,9 @@
 {
     EndpointReach &reach = this->reaches.at(service);
     beginRound(reach, this->clock.now());
-    this->turn += 1;
-    std::rotate(known.begin(), known.begin() + static_cast<std::ptrdiff_t>(this->turn % known.size()), known.end());
+    this->roundsStarted += 1; // successive rounds start with different endpoints
+    const auto first = static_cast<std::ptrdiff_t>(static_cast<std::size_t>(this->roundsStarted) % known.size());
+    std::rotate(known.begin(), known.begin() + first, known.end());
     // Endpoints that have failed are tried last: they may have crashed.
     std::stable_partition(known.begin(), known.end(),
                           [&reach](const Candidate &one) { return !reach.failed.contains(one.id); });
--- a/lacewing/reachwatch.h
+++ b/lacewing/reachwatch.h
@@ -10,6 +10,7 @@
 
 #include "netaddress.h"
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -53,6 +54,8 @@
     /// Starts the verifications that are due.
     void check();
 
+    std::int64_t roundsStarted = 0; ///< of verification, since the start
+
     /// Called when the VM was cut off from a service, or is connected to it again.
     std::function<void(const ServiceName &, bool unreachable)> onChanged;
     /// Called at the end of each round, after onChanged.
@@ -69,7 +72,6 @@
     RuntimeClock &clock;
     std::function<std::vector<Candidate>(const ServiceName &)> candidates;
     std::map<ServiceName, EndpointReach> reaches;
-    std::uint64_t turn = 0; ///< of the rounds, so that they try different endpoints
 };
 
 } // namespace lacewing
