--- a/lacewing/endpointreach.cpp
+++ b/lacewing/endpointreach.cpp
@@ -9,6 +9,11 @@
 
 namespace {
 
+bool isFailing(const EndpointReach &reach, std::size_t endpoints)
+{
+    return reach.timedOut || reach.failed.size() >= std::min(failuresToVerify, endpoints);
+}
+
 bool isSilent(const EndpointReach &reach, TimePoint now)
 {
     return reach.exchanges > 0 && now - reach.heard >= silenceToVerify;
@@ -51,19 +56,22 @@
     reach.exchanges = std::max(0, reach.exchanges - 1);
 }
 
-bool shouldVerify(const EndpointReach &reach, std::size_t endpoints, TimePoint now)
+std::size_t connectionsToVerify(const EndpointReach &reach, std::size_t endpoints, TimePoint now)
 {
     if (reach.verifying || endpoints == 0 || now - reach.lastRound < roundInterval) {
-        return false;
+        return 0;
     }
-    const bool failing = reach.timedOut || reach.failed.size() >= std::min(failuresToVerify, endpoints);
-    return reach.unreachable || failing || isSilent(reach, now);
+    if (reach.unreachable || isFailing(reach, endpoints)) {
+        return std::min(endpoints, endpointsPerRound);
+    }
+    return isSilent(reach, now) ? 1 : 0;
 }
 
-void beginRound(EndpointReach &reach, TimePoint now)
+void beginRound(EndpointReach &reach, std::size_t endpoints, TimePoint now)
 {
     reach.verifying = true;
     reach.lastRound = now;
+    reach.afterSilence = !reach.unreachable && !isFailing(reach, endpoints);
 }
 
 bool finishRound(EndpointReach &reach, std::size_t attempted, std::size_t established)
@@ -72,6 +80,11 @@
     if (attempted == 0) {
         return false;
     }
+    if (reach.afterSilence) {
+        reach.timedOut = established == 0;
+        reach.heard = reach.lastRound;
+        return false;
+    }
     const bool before = reach.unreachable;
     if (established < attempted) {
         reach.goodRounds = 0;
--- a/lacewing/endpointreach.h
+++ b/lacewing/endpointreach.h
@@ -5,7 +5,7 @@
 // other, the failures end in refusals of all requests.
 //
 //   recordConnected(reach); recordNotConnected(reach, endpoint, timedOut);
-//   if (shouldVerify(reach, endpointCount, now)) ... open connections to some endpoints ...
+//   const std::size_t wanted = connectionsToVerify(reach, endpointCount, now);   // then to be opened
 //   finishRound(reach, attempted, established, now);
 //
 // - Failed connections alone prove nothing, as endpoints may have crashed. They start a round of verification, in which
@@ -32,9 +32,9 @@
 constexpr Duration roundInterval = milliseconds(500);
 /// Consecutive rounds with all connections established after which the VM is connected again.
 constexpr int roundsToReturn = 2;
-/// Time without any bytes from a service that owes an answer, after which a round starts. Sound engines are silent for
-/// up to a prompt's processing time.
-constexpr Duration silenceToVerify = milliseconds(600);
+/// Time without any bytes from a service that owes an answer, after which one connection is opened. Only if it fails, a
+/// round follows: sound endpoints may be silent for about a second.
+constexpr Duration silenceToVerify = milliseconds(1000);
 
 /// What this VM knows of its connection to the endpoints of one service.
 struct EndpointReach {
@@ -42,6 +42,7 @@
     bool timedOut = false; ///< one of these failures was a timeout
     bool unreachable = false; ///< the VM is cut off from the service
     bool verifying = false; ///< a round is in progress
+    bool afterSilence = false; ///< the latest round was started by silence alone; its failure leads to a full round
     int goodRounds = 0; ///< consecutive, while unreachable
     TimePoint lastRound; ///< start of the latest round
     int exchanges = 0; ///< requests sent that are not answered completely
@@ -67,12 +68,13 @@
 /// @param reach of a service
 /// @param endpoints number of endpoints of the service
 /// @param now current time
-/// @return whether to start a round of verification
-bool shouldVerify(const EndpointReach &reach, std::size_t endpoints, TimePoint now);
+/// @return number of connections to open now; 0: none
+std::size_t connectionsToVerify(const EndpointReach &reach, std::size_t endpoints, TimePoint now);
 
 /// @param reach updated
+/// @param endpoints number of endpoints of the service
 /// @param now current time
-void beginRound(EndpointReach &reach, TimePoint now);
+void beginRound(EndpointReach &reach, std::size_t endpoints, TimePoint now);
 
 /// Evaluates a round whose connections have all been established or failed.
 /// @param reach updated
--- a/lacewing/reachwatch.cpp
+++ b/lacewing/reachwatch.cpp
@@ -56,19 +56,21 @@
 {
     const TimePoint now = this->clock.now();
     for (const auto &[service, reach] : this->reaches) {
-        if (shouldVerify(reach, 1, now)) {
-            std::vector<Candidate> known = this->candidates(service);
-            if (shouldVerify(reach, known.size(), now)) {
-                this->verify(service, std::move(known));
-            }
+        if (connectionsToVerify(reach, 1, now) == 0) { // fewer failures suffice with one endpoint
+            continue;
+        }
+        std::vector<Candidate> known = this->candidates(service);
+        const std::size_t connections = connectionsToVerify(reach, known.size(), now);
+        if (connections > 0) {
+            this->verify(service, std::move(known), connections);
         }
     }
 }
 
-void ReachWatch::verify(const ServiceName &service, std::vector<Candidate> known)
+void ReachWatch::verify(const ServiceName &service, std::vector<Candidate> known, std::size_t connections)
 {
     EndpointReach &reach = this->reaches.at(service);
-    beginRound(reach, this->clock.now());
+    beginRound(reach, known.size(), this->clock.now());
     this->roundsStarted += 1; // successive rounds start with different endpoints
     const auto first = static_cast<std::ptrdiff_t>(static_cast<std::size_t>(this->roundsStarted) % known.size());
     std::rotate(known.begin(), known.begin() + first, known.end());
@@ -77,8 +79,8 @@
                           [&reach](const Candidate &one) { return !reach.failed.contains(one.id); });
     const auto round = std::make_shared<Round>();
     round->service = service;
-    round->attempted = std::min(known.size(), endpointsPerRound);
-    known.resize(round->attempted);
+    round->attempted = connections;
+    known.resize(connections);
     for (const Candidate &candidate : known) {
         this->connect(round, candidate.address);
     }
--- a/lacewing/reachwatch.h
+++ b/lacewing/reachwatch.h
@@ -64,7 +64,7 @@
 private:
     struct Round;
 
-    void verify(const ServiceName &service, std::vector<Candidate> candidates);
+    void verify(const ServiceName &service, std::vector<Candidate> known, std::size_t connections);
     void connect(const std::shared_ptr<Round> &round, const std::string &address);
     void endRound(const std::shared_ptr<Round> &round);
 
--- a/lacewing/testing/endpointreachtest.cpp
+++ b/lacewing/testing/endpointreachtest.cpp
@@ -1,5 +1,6 @@
 // When a VM counts as cut off from a service, replayed from connections that were made and failed.
 
+#include <algorithm>
 #include <string>
 
 #include "endpointreach.h"
@@ -17,9 +18,10 @@
 /// @return whether the VM is cut off afterwards
 bool runRound(EndpointReach &reach, TimePoint now, std::size_t established)
 {
-    if (shouldVerify(reach, endpointCount, now)) {
-        beginRound(reach, now);
-        finishRound(reach, endpointsPerRound, established);
+    const std::size_t connections = connectionsToVerify(reach, endpointCount, now);
+    if (connections > 0) {
+        beginRound(reach, endpointCount, now);
+        finishRound(reach, connections, std::min(connections, established));
     }
     return reach.unreachable;
 }
@@ -41,9 +43,9 @@
     EndpointReach reach;
     recordNotConnected(reach, "i-1", false);
     recordNotConnected(reach, "i-1", false);
-    cr_expect_not(shouldVerify(reach, endpointCount, start), "one endpoint may have crashed");
+    cr_expect_eq(connectionsToVerify(reach, endpointCount, start), 0U, "one endpoint may have crashed");
     recordNotConnected(reach, "i-2", false);
-    cr_expect(shouldVerify(reach, endpointCount, start));
+    cr_expect_eq(connectionsToVerify(reach, endpointCount, start), endpointsPerRound);
     cr_expect(runRound(reach, start, 0));
 }
 
@@ -51,15 +53,15 @@
 {
     EndpointReach reach;
     recordNotConnected(reach, "i-1", true);
-    cr_expect(shouldVerify(reach, endpointCount, start));
+    cr_expect_gt(connectionsToVerify(reach, endpointCount, start), 0U);
 }
 
 Test(endpointreach, theOnlyEndpointOfAServiceSuffices)
 {
     EndpointReach reach;
     recordNotConnected(reach, "i-1", false);
-    cr_expect(shouldVerify(reach, 1, start));
-    cr_expect_not(shouldVerify(reach, 0, start), "nothing to verify with");
+    cr_expect_gt(connectionsToVerify(reach, 1, start), 0U);
+    cr_expect_eq(connectionsToVerify(reach, 0, start), 0U, "nothing to verify with");
 }
 
 // A third of the endpoints crash, and connections to three of them fail in a row.
@@ -70,7 +72,7 @@
         recordNotConnected(reach, endpoint, false);
     }
     cr_expect_not(runRound(reach, start, 1));
-    cr_expect_not(shouldVerify(reach, endpointCount, start + roundInterval), "the failures are explained");
+    cr_expect_eq(connectionsToVerify(reach, endpointCount, start + roundInterval), 0U, "the failures are explained");
 }
 
 Test(endpointreach, aConnectionThatIsMadeClearsFailures)
@@ -79,7 +81,7 @@
     recordNotConnected(reach, "i-1", false);
     recordConnected(reach);
     recordNotConnected(reach, "i-2", false);
-    cr_expect_not(shouldVerify(reach, endpointCount, start));
+    cr_expect_eq(connectionsToVerify(reach, endpointCount, start), 0U);
 }
 
 Test(endpointreach, answersOnOldConnectionsDoNotClearFailures)
@@ -89,19 +91,32 @@
     recordNotConnected(reach, "i-1", false);
     recordNotConnected(reach, "i-2", false);
     recordBytes(reach, start);
-    cr_expect(shouldVerify(reach, endpointCount, start));
+    cr_expect_gt(connectionsToVerify(reach, endpointCount, start), 0U);
 }
 
 Test(endpointreach, silenceIsVerifiedWhileAnAnswerIsOwed)
 {
     EndpointReach reach;
     recordExchangeBegin(reach, start);
-    cr_expect_not(shouldVerify(reach, endpointCount, start + silenceToVerify / 2));
     recordBytes(reach, start + silenceToVerify / 2);
-    cr_expect_not(shouldVerify(reach, endpointCount, start + silenceToVerify));
-    cr_expect(shouldVerify(reach, endpointCount, start + silenceToVerify * 3 / 2));
+    cr_expect_eq(connectionsToVerify(reach, endpointCount, start + silenceToVerify), 0U);
+    const TimePoint silent = start + silenceToVerify * 3 / 2;
+    cr_expect_eq(connectionsToVerify(reach, endpointCount, silent), 1U, "one connection, as endpoints may be busy");
+    cr_expect_not(runRound(reach, silent, 1));
+    cr_expect_eq(connectionsToVerify(reach, endpointCount, silent + roundInterval), 0U);
     recordExchangeEnd(reach);
-    cr_expect_not(shouldVerify(reach, endpointCount, start + silenceToVerify * 3 / 2));
+    cr_expect_eq(connectionsToVerify(reach, endpointCount, silent + silenceToVerify), 0U);
+}
+
+// Connections transfer nothing more, and new ones hang.
+Test(endpointreach, silenceLeadsToAFullRound)
+{
+    EndpointReach reach;
+    recordExchangeBegin(reach, start);
+    const TimePoint silent = start + silenceToVerify;
+    cr_expect_not(runRound(reach, silent, 0), "the endpoint may have crashed");
+    cr_expect_eq(connectionsToVerify(reach, endpointCount, silent + roundInterval), endpointsPerRound);
+    cr_expect(runRound(reach, silent + roundInterval, 0));
 }
 
 // A partition that ends for one round in two does not move the requests back.
@@ -123,12 +138,12 @@
         now += roundInterval;
         cr_expect_eq(runRound(reach, now, endpointsPerRound), round < roundsToReturn);
     }
-    cr_expect_not(shouldVerify(reach, endpointCount, now + roundInterval), "no connections on calm days");
+    cr_expect_eq(connectionsToVerify(reach, endpointCount, now + roundInterval), 0U, "no connections on calm days");
 }
 
 Test(endpointreach, roundsAreSpaced)
 {
     EndpointReach reach = unreachableSince();
-    cr_expect_not(shouldVerify(reach, endpointCount, start + roundInterval / 2));
-    cr_expect(shouldVerify(reach, endpointCount, start + roundInterval));
+    cr_expect_eq(connectionsToVerify(reach, endpointCount, start + roundInterval / 2), 0U);
+    cr_expect_gt(connectionsToVerify(reach, endpointCount, start + roundInterval), 0U);
 }
