A VM with an older configuration refuses no forwarded request for good

The route was looked up and the key checked before the versions of the two configurations were compared, so that a request on a route that was just added ended with 404 at a VM that did not know it yet.

Evidence: aVmWithAnOlderConfigurationRefusesNothingForGood failed before.

--- a/lacewing/relayadmission.cpp
+++ b/lacewing/relayadmission.cpp
@@ -25,6 +25,10 @@
         this->sendGatewayAnswer(ResultCode::NoConfiguration, otherVmRetryAfter);
         return;
     }
+    if (this->forwarded && !this->mayTakeOver()) {
+        this->sendGatewayAnswer(ResultCode::ForwardRefused, otherVmRetryAfter);
+        return;
+    }
     this->route = findRoute(*this->config, findHeader(this->head.headers, "host"), this->head.target);
     if (this->route == nullptr) {
         this->sendGatewayAnswer(ResultCode::NotFound, Duration {0});
@@ -37,10 +41,6 @@
         this->sendGatewayAnswer(ResultCode::ShuttingDown, otherVmRetryAfter);
         return;
     }
-    if (this->forwarded && !this->mayTakeOver()) {
-        this->sendGatewayAnswer(ResultCode::ForwardRefused, otherVmRetryAfter);
-        return;
-    }
     this->history.kind = this->route->kind;
     this->history.resumable = this->route->resumable;
     this->history.mostAttempts = this->route->mostAttempts;
