A forwarded request that was not taken costs no retry

A VM that refuses a forwarded request has sent it to no endpoint, so passing it to the next VM is no repeat at the service. Nor does the request wait for a verification, whose result is known while this VM is cut off.

--- a/lacewing/relayend.cpp
+++ b/lacewing/relayend.cpp
@@ -134,7 +134,9 @@
     this->releaseEndpoint();
     // A round ends within a connect timeout. Meanwhile the request would use up its attempts at endpoints that can't be
     // connected to.
-    this->awaitsVerification = !reachesServiceAgain && this->gateway.reach.isVerifying(this->service);
+    const ReachWatch &reach = this->gateway.reach;
+    this->awaitsVerification
+        = !reachesServiceAgain && reach.isVerifying(this->service) && !reach.isUnreachable(this->service);
     if (!this->awaitsVerification) {
         this->place();
     }
--- a/lacewing/relayforward.cpp
+++ b/lacewing/relayforward.cpp
@@ -90,7 +90,7 @@
     if (!uncertain && mayTryAnotherPeer(result.code)) {
         this->gateway.avoidPeer(this->peer, result.code == ResultCode::ForwardRefused);
         this->releasePeer();
-        this->attemptEnded(AttemptEnding::NotRun, resultCodeInfo(result.code).type);
+        this->attemptEnded(AttemptEnding::NotSent, resultCodeInfo(result.code).type); // it has reached no endpoint
         return;
     }
     this->releasePeer();
