--- a/lacewing/relayanswer.cpp
+++ b/lacewing/relayanswer.cpp
@@ -26,14 +26,17 @@
     if (this->done || !this->link) {
         return;
     }
-    if (this->peer.empty()) {
+    const bool fromPeer = !this->peer.empty();
+    if (!fromPeer) {
         recordBytes(this->gateway.reach.of(this->service), this->gateway.now());
     }
-    if (!this->answerBegun) {
-        this->peer.empty() ? this->onHead() : this->onPeerHead();
-        return;
+    if (this->answerBegun) {
+        this->relayBody();
+    } else if (fromPeer) {
+        this->onPeerHead();
+    } else {
+        this->onHead();
     }
-    this->relayBody();
 }
 
 void Relay::onHead()
