A request is forwarded only to the address at which the VM is heard

Address and token of a receiver came from the list that the platform keeps, and its life from datagrams that could come from another address. A VM that was replaced or moved could so leave its old address to another process, which would then have got a request with its caller's key until the list was read again. The announced address must now be the one that the datagrams come from.

--- a/lacewing/entrynodeforwarding.cpp
+++ b/lacewing/entrynodeforwarding.cpp
@@ -4,6 +4,7 @@
 // network, and requests may carry callers' keys.
 
 #include "entrynode.h"
+#include "peereligibility.h"
 
 namespace lacewing {
 
@@ -42,8 +43,7 @@
     std::vector<ForwardingPeer> peers;
     for (const auto &[name, vm] : this->gossip.vms()) {
         const auto contact = this->contacts.find(name);
-        const bool takesRequests = contact != this->contacts.end() && !contact->second.token.empty();
-        if (takesRequests && isAlive(vm, now) && !vm.leaving && !saysUnreachable(vm, service, now)) {
+        if (contact != this->contacts.end() && mayForwardTo(vm, contact->second, service, now)) {
             peers.push_back({name, contact->second.address, contact->second.token, vm.millicores});
         }
     }
--- a/lacewing/forwarding.cpp
+++ b/lacewing/forwarding.cpp
@@ -64,6 +64,11 @@
     return best;
 }
 
+bool mayTakeOver(const wire::ForwardedRequest &request, std::int64_t configVersion, bool unreachable)
+{
+    return request.configVersion <= configVersion && !unreachable;
+}
+
 bool mayTryAnotherPeer(ResultCode code)
 {
     switch (code) {
--- a/lacewing/forwarding.h
+++ b/lacewing/forwarding.h
@@ -48,6 +48,13 @@
 /// @return the one with the fewest requests of this VM for its processor time; null if there is none
 const ForwardingPeer *choosePeer(std::span<const ForwardingPeer> peers, std::uint64_t draw);
 
+/// @param request as the other VM has forwarded it
+/// @param configVersion of this VM
+/// @param unreachable whether this VM is cut off from the service of the request
+/// @return whether this VM may take the request. One with an older configuration would refuse for good what the sender
+/// allows, or send it where the sender does not.
+bool mayTakeOver(const wire::ForwardedRequest &request, std::int64_t configVersion, bool unreachable);
+
 /// @param code with which a VM has ended a forwarded request
 /// @return whether the reason lies with that VM, so that another one may take the request
 bool mayTryAnotherPeer(ResultCode code);
--- a/lacewing/gateway.cpp
+++ b/lacewing/gateway.cpp
@@ -52,16 +52,6 @@
     return error;
 }
 
-NetError Gateway::listenForVms(std::string_view address, std::string ownToken)
-{
-    this->token = std::move(ownToken);
-    const NetError error = listenOn(this->vmAcceptor, address);
-    if (!error) {
-        this->accept(this->vmAcceptor, Sender::Vm);
-    }
-    return error;
-}
-
 void Gateway::accept(Tcp::acceptor &listener, Sender sender)
 {
     listener.async_accept([this, &listener, sender](const NetError &error, Tcp::socket socket) {
--- a/lacewing/gatewayforwarding.cpp
+++ b/lacewing/gatewayforwarding.cpp
@@ -12,6 +12,16 @@
 
 namespace lacewing {
 
+NetError Gateway::listenForVms(std::string_view address, std::string ownToken)
+{
+    this->token = std::move(ownToken);
+    const NetError error = listenOn(this->vmAcceptor, address);
+    if (!error) {
+        this->accept(this->vmAcceptor, Sender::Vm);
+    }
+    return error;
+}
+
 void Gateway::onForwardedRequest(const std::shared_ptr<CallerConnection> &caller, HttpRequestHead head,
                                  std::string body)
 {
--- a/lacewing/relayforward.cpp
+++ b/lacewing/relayforward.cpp
@@ -133,8 +133,8 @@
 
 bool Relay::mayTakeOver() const
 {
-    return this->forwarded->configVersion <= this->config->version
-        && !this->gateway.reach.isUnreachable(this->forwarded->serviceName);
+    const bool unreachable = this->gateway.reach.isUnreachable(this->forwarded->serviceName);
+    return lacewing::mayTakeOver(*this->forwarded, this->config->version, unreachable);
 }
 
 } // namespace lacewing
--- a/lacewing/testing/peerchoicetest.cpp
+++ b/lacewing/testing/peerchoicetest.cpp
@@ -4,6 +4,9 @@
 #include <vector>
 
 #include "forwarding.h"
+#include "knownvm.h"
+#include "peereligibility.h"
+#include "platformport.h"
 
 #include <criterion/criterion.h>
 
@@ -84,3 +87,54 @@
     cr_expect(equalSecrets(token, std::string(token)));
     cr_expect_not(equalSecrets(token, token.substr(1)));
 }
+
+namespace {
+
+constexpr TimePoint now {milliseconds(1000000)};
+
+KnownVm makeVm()
+{
+    KnownVm vm;
+    vm.address = asio::ip::udp::endpoint(asio::ip::make_address("10.0.0.1"), 7380);
+    vm.heard = now;
+    vm.everHeard = true;
+    return vm;
+}
+
+} // namespace
+
+// A VM that was replaced leaves its address to another process, which must not get a caller's key.
+Test(peerchoice, nothingGoesToAnAddressAtWhichTheVmIsNotHeard)
+{
+    const VmContact contact {"vm1", "z", "10.0.0.1:7380", "token"};
+    cr_expect(mayForwardTo(makeVm(), contact, "s", now));
+    cr_expect_not(mayForwardTo(makeVm(), {"vm1", "z", "10.0.0.2:7380", "token"}, "s", now));
+    cr_expect_not(mayForwardTo(makeVm(), {"vm1", "z", "10.0.0.1:7381", "token"}, "s", now));
+    cr_expect_not(mayForwardTo(makeVm(), {"vm1", "z", "unreadable", "token"}, "s", now));
+}
+
+Test(peerchoice, aVmThatStopsOrIsCutOffOrSilentGetsNothing)
+{
+    const VmContact contact {"vm1", "z", "10.0.0.1:7380", "token"};
+    KnownVm leaving = makeVm();
+    leaving.leaving = true;
+    cr_expect_not(mayForwardTo(leaving, contact, "s", now));
+    KnownVm cutOff = makeVm();
+    cutOff.unreachableServices = {"s"};
+    cutOff.unreachableUntil = now + vmFreshness;
+    cr_expect_not(mayForwardTo(cutOff, contact, "s", now));
+    cr_expect(mayForwardTo(cutOff, contact, "other", now));
+    cr_expect(mayForwardTo(cutOff, contact, "s", now + vmFreshness), "it has not repeated the statement");
+    cr_expect_not(mayForwardTo(makeVm(), contact, "s", now + vmLifetime));
+    cr_expect_not(mayForwardTo(makeVm(), {"vm1", "z", "10.0.0.1:7380"}, "s", now), "it takes no requests");
+}
+
+Test(peerchoice, theReceiversConfigurationIsAtLeastAsNew)
+{
+    wire::ForwardedRequest request;
+    request.configVersion = 9;
+    cr_expect_not(mayTakeOver(request, 8, false));
+    cr_expect(mayTakeOver(request, 9, false));
+    cr_expect(mayTakeOver(request, 10, false));
+    cr_expect_not(mayTakeOver(request, 10, true), "it is cut off, too");
+}
