Log requests that arrive on a closed connection, and requests that the process ends

A request that is read after the VM has closed its side of an idle connection was discarded without a line, so its end could not be told from a request that never came. Its id and the time since the close are logged and counted now. Requests that end with the process were logged as caller_left, as if their callers had gone; they are request_cut.

--- a/lacewing/callerconnection.cpp
+++ b/lacewing/callerconnection.cpp
@@ -65,6 +65,7 @@
         return;
     }
     if (this->closeAfterAnswer) { // only the caller's close is awaited
+        this->readDiscarded({this->readBuffer.data(), size});
         this->startRead();
         return;
     }
@@ -124,6 +125,27 @@
     this->handlers.onMalformedRequest(status);
 }
 
+void CallerConnection::readDiscarded(std::string_view bytes)
+{
+    if (this->shutDownAt == std::chrono::steady_clock::time_point {}) {
+        return;
+    }
+    if (!this->discardedReader) {
+        this->discardedReader = std::make_unique<RequestReader>(this->limits.headBytes, this->limits.bodyBytes);
+    }
+    if (this->discardedReader->complete()) {
+        return;
+    }
+    this->input += bytes;
+    ReadError malformed; // such input is not a request that could be reported
+    this->input.erase(0, this->discardedReader->read(this->input, malformed));
+    if (!malformed && this->discardedReader->complete() && this->handlers.onDiscardedRequest) {
+        const auto sinceClose = std::chrono::steady_clock::now() - this->shutDownAt;
+        this->handlers.onDiscardedRequest(this->discardedReader->head,
+                                          std::chrono::duration_cast<Duration>(sinceClose));
+    }
+}
+
 void CallerConnection::beginAnswer(const HttpResponseHead &head, BodyFraming bodyFraming, bool keepAlive)
 {
     this->framing = bodyFraming;
@@ -214,6 +236,7 @@
     setResetOnClose(this->socket, false);
     NetError ignored; // the caller may have closed the connection already
     this->socket.shutdown(Tcp::socket::shutdown_send, ignored);
+    this->shutDownAt = std::chrono::steady_clock::now();
     this->armTimer(lingerTimeout);
     this->startRead();
 }
--- a/lacewing/callerconnection.h
+++ b/lacewing/callerconnection.h
@@ -33,6 +33,9 @@
         std::function<void(HttpRequestHead, std::string body)> onRequest;
         /// A request is malformed, too large or incomplete at its timeout; status is the HTTP status of the answer.
         std::function<void(int status)> onMalformedRequest;
+        /// A complete request arrived after this side of the connection was closed, and can't be answered.
+        /// @param sinceClose time since the close
+        std::function<void(const HttpRequestHead &, Duration sinceClose)> onDiscardedRequest;
         /// The connection has ended; no other handler is called afterwards.
         std::function<void()> onClosed;
     };
@@ -79,6 +82,7 @@
     void onBytes(const NetError &error, std::size_t size);
     void parse();
     void rejectMalformed(const ReadError &error);
+    void readDiscarded(std::string_view bytes);
     void flush();
     void armTimer(Duration limit);
     void armTimerAt(std::chrono::steady_clock::time_point end);
@@ -103,6 +107,8 @@
     bool writing = false;
     bool requestInProgress = false; ///< a request was passed to the handlers and is not answered yet
     bool closeAfterAnswer = false; ///< no further requests are read
+    std::chrono::steady_clock::time_point shutDownAt; ///< when this side was closed for sending
+    std::unique_ptr<RequestReader> discardedReader; ///< set once input arrives after that
     bool closed = false;
 };
 
--- a/lacewing/entrynodemetrics.cpp
+++ b/lacewing/entrynodemetrics.cpp
@@ -19,6 +19,7 @@
     line("requests_answered_total", counters.answered);
     line("requests_repeated_total", counters.repeats);
     line("callers_gone_total", counters.callersGone);
+    line("requests_discarded_total", counters.discarded);
     line("answers_broken_total", counters.brokenAnswers);
     for (const auto &[code, count] : counters.ownAnswers) {
         line("own_answers_total{type=\"" + std::string(resultCodeInfo(code).type) + "\"}", count);
--- a/lacewing/gateway.cpp
+++ b/lacewing/gateway.cpp
@@ -95,13 +95,20 @@
             from->finishAnswer();
         }
     };
+    handlers.onDiscardedRequest = [this](const HttpRequestHead &head, Duration sinceClose) {
+        this->counts.discarded += 1;
+        logEvent("request_discarded",
+                 {{"id", this->format.readRequest(head).id},
+                  {"stopping", this->stopping ? "yes" : "no"},
+                  {"since_close_ms", inMilliseconds(sinceClose)}});
+    };
     handlers.onClosed = [this, weak] {
         const auto from = weak.lock();
         if (!from) {
             return;
         }
         if (const auto open = this->callers[from].lock()) {
-            open->cancel();
+            open->cancel(this->ending ? CancelCause::ProcessEnds : CancelCause::CallerLeft);
         }
         this->callers.erase(from);
     };
@@ -293,6 +300,7 @@
 
 void Gateway::close()
 {
+    this->ending = true;
     NetError ignored; // the process ends
     this->acceptor.close(ignored);
     this->vmAcceptor.close(ignored);
--- a/lacewing/gateway.h
+++ b/lacewing/gateway.h
@@ -63,6 +63,7 @@
     std::int64_t answered = 0; ///< with an endpoint's answer
     std::int64_t repeats = 0;
     std::int64_t callersGone = 0;
+    std::int64_t discarded = 0; ///< requests that arrived on a connection that this VM had closed
     std::int64_t brokenAnswers = 0; ///< truncated after they had started
     std::int64_t forwarded = 0; ///< requests sent to another VM
     std::int64_t takenOver = 0; ///< requests that other VMs have forwarded
@@ -260,6 +261,7 @@
     std::mt19937_64 random;
     bool stopping = false;
     bool refusing = false;
+    bool ending = false; ///< the process ends, and all connections with it
 };
 
 } // namespace lacewing
--- a/lacewing/relay.cpp
+++ b/lacewing/relay.cpp
@@ -312,13 +312,14 @@
     return handlers;
 }
 
-void Relay::cancel()
+void Relay::cancel(CancelCause cause)
 {
     if (this->done) {
         return;
     }
-    this->gateway.counts.callersGone += 1;
-    logEvent("caller_left",
+    const bool left = cause == CancelCause::CallerLeft;
+    this->gateway.counts.callersGone += left ? 1 : 0;
+    logEvent(left ? "caller_left" : "request_cut",
              {{"id", this->info.id},
               {"endpoint", this->endpoint},
               {"vm", this->peer},
--- a/lacewing/relay.h
+++ b/lacewing/relay.h
@@ -30,6 +30,12 @@
 class Gateway;
 struct QuotaOutcome;
 
+/// Why a request is cancelled.
+enum class CancelCause {
+    CallerLeft, ///< the caller closed its connection
+    ProcessEnds,
+};
+
 class Relay : public std::enable_shared_from_this<Relay>
 {
 public:
@@ -45,8 +51,9 @@
     void start();
     /// Tries again to place a request that waits for its weights; called when the state of the endpoints has changed.
     void retryPlacement();
-    /// Ends the request because the caller closed its connection.
-    void cancel();
+    /// Ends the request because its connection is closed.
+    /// @param cause of the close
+    void cancel(CancelCause cause);
     /// Ends the request if the crash ledger has proven that it crashes endpoints.
     void endIfProvenToCrash();
     /// Ends the request with an answer that the gateway generates.
