Connections of callers are closed only once their callers may no longer reuse them

Callers saw a whole request on a kept connection end without an answer or a refusal (LOST), during a planned stop.

Cause: the VM closed an idle connection when its own idle time was over, without regard to what its caller may still send. The caller learns of the close only when it has arrived. What it sends until then is read after the VM has shut its side down, and discarded. That window is as long as the link is slow in delivering the close: a round trip usually, 0.7 s where the VM's link is saturated, as it was at a VM that had just taken over the placement of its zone. A stop closes connections that have been idle for 300 ms, all at once.

Each answer now states for how long its connection may be reused (Keep-Alive, 2 s or less), and a connection is closed 1 s after that at the earliest, also during a stop. The time is that for which a stop listens anyway.

--- a/lacewing/callerconnection.cpp
+++ b/lacewing/callerconnection.cpp
@@ -22,7 +22,6 @@
 constexpr std::size_t drainThreshold = 16 * kibibyte; ///< unsent output below which the drained callback is called
 constexpr std::size_t maxPipelinedBytes = 64 * kibibyte; ///< of pipelined requests, in bytes
 constexpr Duration lingerTimeout = milliseconds(1000); ///< for the caller to close its side after our shutdown
-constexpr Duration drainingIdleTimeout = milliseconds(300); ///< time for a request that is in transit
 
 } // namespace
 
@@ -30,7 +29,8 @@
     : socket(std::move(accepted)),
       timer(this->socket.get_executor()),
       limits(callerLimits),
-      idleTimeout(callerLimits.idleTimeout)
+      keepAliveLimits(keepAliveTimes(callerLimits.idleTimeout)),
+      idleTimeout(keepAliveLimits.idleClose)
 {
     tuneSocket(this->socket);
 }
@@ -153,7 +153,7 @@
     if (bodyFraming == BodyFraming::Close) {
         setResetOnClose(this->socket, true); // an orderly close would complete the answer
     }
-    this->output += formatAnswerHead(head, bodyFraming, !this->closeAfterAnswer);
+    this->output += formatAnswerHead(head, bodyFraming, {!this->closeAfterAnswer, this->keepAliveLimits.reuse});
     this->flush();
 }
 
@@ -277,7 +277,7 @@
 void CallerConnection::closeWhenIdle()
 {
     this->closing = true;
-    const Duration before = std::exchange(this->idleTimeout, std::min(this->idleTimeout, drainingIdleTimeout));
+    const Duration before = std::exchange(this->idleTimeout, this->keepAliveLimits.stopClose);
     const bool idle = !this->closed && !this->requestInProgress && !this->closeAfterAnswer && !this->reader->started();
     if (idle) {
         this->armTimerAt(this->timer.expiry() - before + this->idleTimeout);
--- a/lacewing/callerconnection.h
+++ b/lacewing/callerconnection.h
@@ -20,6 +20,7 @@
 #include <string>
 #include <string_view>
 
+#include "callerkeepalive.h"
 #include "httpreader.h"
 #include "routeconfig.h"
 
@@ -70,8 +71,8 @@
     /// answer and the caller has not closed the connection
     bool isDelivering() const;
 
-    /// Closes the connection soon after its current answer by shortening the idle timeout. A connection that has
-    /// already been idle for longer than the shortened timeout is closed now.
+    /// Closes the connection once its caller may no longer reuse it, by shortening the idle timeout. A connection that
+    /// has already been idle for longer than the shortened timeout is closed now.
     void closeWhenIdle();
 
     /// Set when the process is stopping: answers then announce that the connection closes.
@@ -93,6 +94,7 @@
     Tcp::socket socket;
     asio::steady_timer timer;
     CallerLimits limits;
+    KeepAliveTimes keepAliveLimits;
     Duration idleTimeout; ///< maximum idle time between two requests
     Handlers handlers;
     std::string input;
--- a/lacewing/httphead.cpp
+++ b/lacewing/httphead.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <chrono>
 
 namespace lacewing {
 
@@ -128,7 +129,7 @@
     return "close";
 }
 
-std::string formatAnswerHead(const HttpResponseHead &head, BodyFraming framing, bool keepAlive)
+std::string formatAnswerHead(const HttpResponseHead &head, BodyFraming framing, Persistence persistence)
 {
     std::string text = "HTTP/1.1 " + std::to_string(head.status) + " " + head.reason + "\r\n";
     appendHeaders(text, head.headers);
@@ -137,8 +138,11 @@
     } else if (framing == BodyFraming::Length) {
         text += "Content-Length: " + std::to_string(head.length.value_or(0)) + "\r\n";
     }
-    if (!keepAlive || framing == BodyFraming::Close) {
+    const auto reuseSeconds = std::chrono::duration_cast<std::chrono::seconds>(persistence.reuse).count();
+    if (!persistence.keepAlive || framing == BodyFraming::Close) {
         text += "Connection: close\r\n";
+    } else if (reuseSeconds > 0) {
+        text += "Keep-Alive: timeout=" + std::to_string(reuseSeconds) + "\r\n";
     }
     return text + "\r\n";
 }
--- a/lacewing/httphead.h
+++ b/lacewing/httphead.h
@@ -13,6 +13,8 @@
 #include <string_view>
 #include <vector>
 
+#include "types.h"
+
 namespace lacewing {
 
 struct HttpHeader {
@@ -73,10 +75,16 @@
 /// @return name of the framing for logs
 std::string_view toString(BodyFraming framing);
 
+/// What an answer says about the further use of its connection.
+struct Persistence {
+    bool keepAlive = false; ///< the connection stays open
+    Duration reuse {0}; ///< for how long the caller may reuse it when idle, in whole seconds; 0: not stated
+};
+
 /// @param head head of the answer, without framing headers
 /// @param framing framing of the body
-/// @param keepAlive whether the connection stays open
+/// @param persistence of the connection
 /// @return the serialized head, including the empty line at its end
-std::string formatAnswerHead(const HttpResponseHead &head, BodyFraming framing, bool keepAlive);
+std::string formatAnswerHead(const HttpResponseHead &head, BodyFraming framing, Persistence persistence);
 
 } // namespace lacewing
