lacewingd: connections of callers are closed only once their callers may no longer reuse them

The daemon closed idle connections by its own idle time, and 500 ms after the start of a stop, without stating for how long they may be reused. A request that crossed the close was read and discarded. Answers, event streams too, now state the time (Keep-Alive), and connections are closed a second after it at the earliest, as those of lacewing-entry are.

--- a/lacewing/callerface.cpp
+++ b/lacewing/callerface.cpp
@@ -4,7 +4,6 @@
 
 #include "callerface.h"
 
-#include <algorithm>
 #include <vector>
 
 #include <boost/asio/co_spawn.hpp>
@@ -14,14 +13,12 @@
 
 namespace lacewing {
 
-namespace {
-
-constexpr Duration closingIdleTime = milliseconds(500); ///< for a request that the caller is just sending
-
-} // namespace
-
 CallerFace::CallerFace(asio::io_context &ioContext, Runtime &runtimeOfVm, CallerSettings callerSettings)
-    : context(ioContext), runtime(runtimeOfVm), settings(std::move(callerSettings)), acceptor(ioContext)
+    : context(ioContext),
+      runtime(runtimeOfVm),
+      settings(std::move(callerSettings)),
+      keepAlive(keepAliveTimes(this->settings.idleTimeout)),
+      acceptor(ioContext)
 {
 }
 
@@ -72,7 +69,7 @@
 
 Duration CallerFace::idleLimit() const
 {
-    return this->isStopping ? std::min(closingIdleTime, this->settings.idleTimeout) : this->settings.idleTimeout;
+    return this->isStopping ? this->keepAlive.stopClose : this->keepAlive.idleClose;
 }
 
 void CallerFace::beginStop()
--- a/lacewing/callerface.h
+++ b/lacewing/callerface.h
@@ -13,6 +13,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "callerkeepalive.h"
 #include "callerrequest.h"
 #include "types.h"
 
@@ -54,8 +55,8 @@
     /// @return the port listened on
     std::uint16_t port() const;
 
-    /// From here on each connection is closed after its current request, idle ones soon. New ones are
-    /// still taken, to be told that the daemon is shutting down.
+    /// From here on each connection is closed after its current request, idle ones once their callers may no longer
+    /// reuse them. New ones are still taken, to be told that the daemon is shutting down.
     void beginStop();
     /// Takes no connection any more. Those that wait to be taken are served, as closing would reset them.
     /// @return connections that waited
@@ -82,6 +83,7 @@
     asio::io_context &context;
     Runtime &runtime;
     CallerSettings settings;
+    KeepAliveTimes keepAlive;
     Tcp::acceptor acceptor;
     std::unordered_map<CallerSession *, std::weak_ptr<CallerSession>> sessions;
     std::size_t open = 0; ///< requests being answered
--- a/lacewing/callerkeepalive.cpp
+++ b/lacewing/callerkeepalive.cpp
@@ -18,4 +18,10 @@
     return times;
 }
 
+std::string keepAliveHeader(Duration reuse)
+{
+    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(reuse).count();
+    return seconds > 0 ? "timeout=" + std::to_string(seconds) : std::string();
+}
+
 } // namespace lacewing
--- a/lacewing/callerkeepalive.h
+++ b/lacewing/callerkeepalive.h
@@ -7,6 +7,8 @@
 
 #pragma once
 
+#include <string>
+
 #include "types.h"
 
 namespace lacewing {
@@ -27,4 +29,8 @@
 /// @return times for a connection
 KeepAliveTimes keepAliveTimes(Duration idleLimit);
 
+/// @param reuse time for which a caller may reuse its connection, in whole seconds
+/// @return value of the header Keep-Alive; empty if no time is stated
+std::string keepAliveHeader(Duration reuse);
+
 } // namespace lacewing
--- a/lacewing/callersession.h
+++ b/lacewing/callersession.h
@@ -35,7 +35,7 @@
 
     /// Starts serving.
     void start();
-    /// Ends the connection once no request has come for a short time.
+    /// Ends the connection once its caller may no longer reuse it.
     void closeWhenIdle();
     /// Closes the connection.
     void close();
@@ -76,6 +76,7 @@
     http::response<http::empty_body> eventStreamHead();
     http::response<http::empty_body> serviceHead(const wire::HttpHead &head);
     bool mayKeepAlive() const;
+    void stateReuseTime(http::fields &headers) const;
     RequestArrived newArrival() const;
     CallerRefusal readHeaders(const Request &request, bool repeatable, RequestArrived &arrival) const;
     wire::HttpHead newHead(const Request &request) const;
--- a/lacewing/callerwrite.cpp
+++ b/lacewing/callerwrite.cpp
@@ -52,6 +52,7 @@
     response.set("X-Request-Id", view(this->requestId));
     this->keepAlive = this->mayKeepAlive();
     response.keep_alive(this->keepAlive);
+    this->stateReuseTime(response);
     if (this->closeDelimited) {
         setResetOnClose(this->stream.socket(), true); // an orderly close would complete the answer
     }
@@ -61,6 +62,14 @@
     co_return !this->error;
 }
 
+void CallerSession::stateReuseTime(http::fields &headers) const
+{
+    const std::string time = keepAliveHeader(this->face.keepAlive.reuse);
+    if (this->keepAlive && !time.empty()) {
+        headers.set(http::field::keep_alive, time);
+    }
+}
+
 http::response<http::empty_body> CallerSession::eventStreamHead()
 {
     http::response<http::empty_body> response;
@@ -143,6 +152,7 @@
     }
     this->keepAlive = this->mayKeepAlive();
     response.keep_alive(this->keepAlive);
+    this->stateReuseTime(response);
     response.body() = std::move(body);
     response.prepare_payload();
     if (this->headRequest) {
--- a/lacewing/httphead.cpp
+++ b/lacewing/httphead.cpp
@@ -6,7 +6,8 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
-#include <chrono>
+
+#include "callerkeepalive.h"
 
 namespace lacewing {
 
@@ -138,11 +139,11 @@
     } else if (framing == BodyFraming::Length) {
         text += "Content-Length: " + std::to_string(head.length.value_or(0)) + "\r\n";
     }
-    const auto reuseSeconds = std::chrono::duration_cast<std::chrono::seconds>(persistence.reuse).count();
+    const std::string reuse = keepAliveHeader(persistence.reuse);
     if (!persistence.keepAlive || framing == BodyFraming::Close) {
         text += "Connection: close\r\n";
-    } else if (reuseSeconds > 0) {
-        text += "Keep-Alive: timeout=" + std::to_string(reuseSeconds) + "\r\n";
+    } else if (!reuse.empty()) {
+        text += "Keep-Alive: " + reuse + "\r\n";
     }
     return text + "\r\n";
 }
--- a/lacewing/testing/runtimetest.cpp
+++ b/lacewing/testing/runtimetest.cpp
@@ -1,6 +1,8 @@
 // The runtime over loopback sockets: two VMs in this process, a tiny engine, and decisions that only pass
 // a request on, so that what is tested is the transport and not the policy.
 
+#include <algorithm>
+#include <chrono>
 #include <future>
 #include <map>
 #include <memory>
@@ -25,6 +27,7 @@
 namespace {
 
 using nlohmann::json;
+using Clock = std::chrono::steady_clock;
 constexpr int mostAttempts = 3;
 
 /// Offers each request to one VM, tries again what broke, and runs at once whatever is offered.
@@ -231,6 +234,11 @@
         this->socket.close();
     }
 
+    bool isClosed()
+    {
+        return closedByPeer(this->socket);
+    }
+
     NetError error; ///< of the last read
 
 private:
@@ -256,6 +264,59 @@
     return text;
 }
 
+/// A caller to whose link all that the VM sends is late, its close included. Reuses its connection while it may.
+class LateCaller
+{
+public:
+    LateCaller(std::uint16_t port, Duration linkDelay, Duration idleLimit) : caller(port), delay(linkDelay)
+    {
+        this->caller.post("/v1/completions", assembled);
+        const auto answer = this->caller.read();
+        cr_assert(answer.result_int() == 200);
+        this->answered = Clock::now();
+        // Four fifths of the limit, or as long as the answer says.
+        this->reusable = idleLimit * 4 / 5;
+        const auto stated = std::string(answer["Keep-Alive"]);
+        if (stated.starts_with("timeout=")) {
+            const Duration time = std::chrono::seconds(std::stoi(stated.substr(stated.find('=') + 1)));
+            this->reusable = std::min(this->reusable, time);
+        }
+    }
+
+    Clock::time_point reuseEnd() const
+    {
+        return this->answered + this->delay + this->reusable;
+    }
+
+    /// To be called often: notes when the VM closed the connection.
+    void look()
+    {
+        if (!this->closedAt && this->caller.isClosed()) {
+            this->closedAt = Clock::now();
+        }
+    }
+
+    bool maySend() const
+    {
+        const auto now = Clock::now();
+        return now < this->reuseEnd() && (!this->closedAt || now < *this->closedAt + this->delay);
+    }
+
+    /// @return whether a request sent now is answered
+    bool isAnswered()
+    {
+        this->caller.post("/v1/completions", assembled);
+        return this->caller.read().result_int() == 200 && !this->caller.error;
+    }
+
+private:
+    Caller caller;
+    Duration delay;
+    Duration reusable {0};
+    Clock::time_point answered;
+    std::optional<Clock::time_point> closedAt;
+};
+
 int errorCode(const http::response<http::string_body> &answer)
 {
     return json::parse(answer.body())["error"]["code"];
@@ -515,3 +576,62 @@
     fresh.read();
     cr_assert(!fresh.error, "%s", fresh.error.message().c_str());
 }
+
+// A request that crosses the close of its connection is lost, so no connection may be closed while its caller may reuse
+// it.
+Test(runtime, requestsOnKeptConnectionsOverALateLinkAreAnsweredDuringAStop)
+{
+    constexpr int callerCount = 24;
+    constexpr int looksPerRequest = 10;
+    constexpr auto lookInterval = std::chrono::milliseconds(10);
+    constexpr Duration delay = milliseconds(300);
+    TwoVms vms(true);
+    std::vector<std::unique_ptr<LateCaller>> callers;
+    for (int number = 0; number < callerCount; ++number) {
+        callers.push_back(std::make_unique<LateCaller>(vms.port(), delay, CallerSettings {}.idleTimeout));
+    }
+    vms.runToItsEnd([&vms] { vms.callers().beginStop(); });
+    int sent = 0;
+    int unanswered = 0;
+    for (const auto &sender : callers) {
+        for (int look = 0; look < looksPerRequest; ++look) {
+            std::this_thread::sleep_for(lookInterval);
+            std::for_each(callers.begin(), callers.end(), [](const auto &caller) { caller->look(); });
+        }
+        if (sender->maySend()) {
+            sent += 1;
+            unanswered += sender->isAnswered() ? 0 : 1;
+        }
+    }
+    cr_assert_gt(sent, 5);
+    cr_expect_eq(unanswered, 0, "%d of %d", unanswered, sent);
+}
+
+Test(runtime, aRequestOverALateLinkAtTheEndOfTheReuseTimeIsAnswered)
+{
+    constexpr auto margin = std::chrono::milliseconds(50);
+    constexpr Duration delay = milliseconds(600);
+    for (const int limit : {1000, 2000}) {
+        CallerSettings limits;
+        limits.idleTimeout = milliseconds(limit);
+        TwoVms vms(true, "token", limits);
+        LateCaller caller(vms.port(), delay, limits.idleTimeout);
+        std::this_thread::sleep_until(caller.reuseEnd() - margin);
+        cr_expect(caller.isAnswered(), "limit %d", limit);
+    }
+}
+
+Test(runtime, answersStateHowLongTheirConnectionMayBeReused)
+{
+    TwoVms vms(true);
+    const auto statedFor = [&vms](const std::string &path, const std::string &body, const std::string &headers) {
+        Caller caller(vms.port());
+        caller.post(path, body, headers);
+        return std::string(caller.read()["Keep-Alive"]);
+    };
+    cr_expect(statedFor("/v1/completions", assembled, "") == "timeout=2");
+    cr_expect(statedFor("/v1/completions", streamed, "") == "timeout=2");
+    cr_expect(statedFor("/none", "", "") == "timeout=2");
+    cr_expect(statedFor("/v1/completions", assembled, "Connection: close\r\n").empty());
+    cr_expect(statedFor("/v1/completions", streamed, "Connection: close\r\n").empty());
+}
