A connection with unsent output is not idle: its answer was truncated by the idle close

The idle time of a caller's connection begins when its answer is complete, not when it is written. A caller that read slowly saw an answer shorter than its Content-Length once that time was over. The timeout of the socket (5 s without progress) still ends connections whose callers do not read.

--- a/lacewing/callerconnection.cpp
+++ b/lacewing/callerconnection.cpp
@@ -317,7 +317,8 @@
         return;
     }
     if (!this->reader->started()) {
-        if (hasUnreadData(this->socket)) {
+        // A caller that does not read is given up by the socket's own timeout.
+        if (this->pendingOutput() > 0 || hasUnreadData(this->socket)) {
             this->armTimer(this->idleTimeout);
             return;
         }
--- a/lacewing/testing/callerconnectiontest.cpp
+++ b/lacewing/testing/callerconnectiontest.cpp
@@ -3,6 +3,7 @@
 #include "callerconnection.h"
 
 #include <array>
+#include <chrono>
 #include <memory>
 #include <string>
 
@@ -17,7 +18,8 @@
 
 /// A connection with small socket buffers on both sides: output that does not fit stays in the CallerConnection.
 struct Pair {
-    Pair() : acceptor(context, Tcp::endpoint(asio::ip::address_v4::loopback(), 0)), caller(context)
+    explicit Pair(CallerLimits limits = {})
+        : acceptor(context, Tcp::endpoint(asio::ip::address_v4::loopback(), 0)), caller(context)
     {
         constexpr int smallBuffer = 4096;
         this->acceptor.set_option(asio::socket_base::send_buffer_size(smallBuffer));
@@ -25,7 +27,7 @@
         this->caller.set_option(asio::socket_base::receive_buffer_size(smallBuffer));
         this->caller.connect(this->acceptor.local_endpoint());
         Tcp::socket accepted = this->acceptor.accept();
-        this->connection = std::make_shared<CallerConnection>(std::move(accepted), CallerLimits {});
+        this->connection = std::make_shared<CallerConnection>(std::move(accepted), limits);
         this->connection->start({});
     }
 
@@ -139,3 +141,30 @@
     pair.caller.read_some(asio::buffer(space), error);
     cr_assert(error == asio::error::eof, "%s", error.message().c_str());
 }
+
+// An unsent answer would be truncated by the close of its connection.
+Test(callerconnection, aConnectionWithUnsentOutputIsNotIdle)
+{
+    CallerLimits limits;
+    limits.idleTimeout = milliseconds(100);
+    Pair pair(limits);
+    answer(pair);
+    pair.context.run_for(2 * keepAliveTimes(limits.idleTimeout).idleClose);
+    cr_assert(pair.connection->isDelivering());
+    cr_expect_gt(readAll(pair), bodySize / 2);
+    cr_expect_not(pair.connection->isDelivering(), "the rest is in the buffers of the sockets");
+}
+
+// As a connection with unsent output has no idle limit, only the timeout of the socket ends it.
+Test(callerconnection, aCallerThatNeverReadsIsGivenUp)
+{
+    CallerLimits limits;
+    limits.idleTimeout = milliseconds(100);
+    Pair pair(limits);
+    answer(pair);
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+    while (pair.connection->isDelivering() && std::chrono::steady_clock::now() < end) {
+        pair.run();
+    }
+    cr_expect_not(pair.connection->isDelivering());
+}
