Software versions of endpoints are decoded and passed on; names for the origins of streams

Entries carry the version of the endpoint's software, which the list passed on within a zone carries too. Requests say whether they resume a stream and which attempt began it. Nothing decides by these yet.

--- a/lacewing/entrynodelist.cpp
+++ b/lacewing/entrynodelist.cpp
@@ -32,6 +32,7 @@
     entry.zone = listed.zone;
     entry.slots = listed.slots;
     entry.leaving = listed.leaving;
+    entry.softwareVersion = listed.softwareVersion;
     entry.orders = -1; // any other source of the held weights is more recent
     for (const std::string &model : listed.models) {
         entry.held[model] = 1;
@@ -49,6 +50,9 @@
     listed.zone = entry.zone;
     listed.slots = entry.slots;
     listed.leaving = entry.leaving;
+    if (!entry.softwareVersion.empty()) {
+        listed.__set_softwareVersion(entry.softwareVersion);
+    }
     for (const auto &[weights, version] : entry.held) {
         if (!isAdapter(weights)) {
             listed.models.push_back(weights);
--- a/lacewing/fleet.h
+++ b/lacewing/fleet.h
@@ -37,6 +37,7 @@
     bool leaving = false;
     std::int64_t orders = 0; ///< orders accepted by this incarnation
     HeldVersions held;
+    std::string softwareVersion; ///< of this incarnation; versions have no order; empty: not stated
 };
 
 struct FleetEndpoint {
--- a/lacewing/gateway.h
+++ b/lacewing/gateway.h
@@ -33,6 +33,7 @@
 #include "fleet.h"
 #include "forwarding.h"
 #include "lacewing_types.h"
+#include "originoutcome.h"
 #include "quotaoutcome.h"
 #include "reachwatch.h"
 #include "requestformat.h"
@@ -189,6 +190,14 @@
     /// Returns the units of a request that has not run, asked for at a time.
     std::function<void(const OrganisationName &, double units, TimePoint asked)> giveBackQuota;
 
+    /// Remembers the software version of the endpoint that a resumable stream is sent to; if not set, nothing is.
+    std::function<void(const OrganisationName &, const ServiceName &, const std::string &attempt,
+                       const std::string &softwareVersion)>
+        recordOrigin;
+    /// Finds the software version that began a stream; if not set, any version may go on with it.
+    std::function<void(const OrganisationName &, const ServiceName &, const std::string &attempt, OriginDone)>
+        findOrigin;
+
     /// Called with each update for other VMs of an endpoint's rate limit, and of requests sent to that endpoint.
     std::function<void(const wire::LimitNews &)> onLimitUpdate;
     /// Called with each report for other VMs that an endpoint fails or works.
--- a/lacewing/lacewing.thrift
+++ b/lacewing/lacewing.thrift
@@ -338,7 +338,8 @@
   5: i32 slots,
   6: bool leaving = false,
   7: list<string> models,              // without adapters
-  8: i64 born = 0                      // start of the incarnation, Unix milliseconds
+  8: i64 born = 0,                     // start of the incarnation, Unix milliseconds
+  9: optional string softwareVersion   // of the endpoint's software
 }
 
 /** Changes of the platform's list, passed on within a zone by the VM that reads it. */
@@ -408,8 +409,25 @@
   3: i64 configVersion,                // of the sender
   4: i64 ageMicroseconds,              // since the caller's request arrived
   5: i32 attemptsLeft,                 // endpoints on which it may still run
-  6: string serviceName
+  6: string serviceName,
+  7: optional string softwareVersion   // of the endpoints that may run it; absent: any
+}
+
+/** Streams that have begun, and the software version of the endpoint of each. The lists have one element a stream. */
+struct OriginRecords {
+  1: list<i64> keys,
+  2: list<i16> versions,               // index of the version in versionNames
+  3: list<i32> lifeMilliseconds,       // for which the stream may still be resumed
+  4: list<string> versionNames
 }
+struct OriginAsk { 1: i64 ticket, 2: i64 key }
+struct OriginAnswer {
+  1: i64 ticket,
+  2: bool known,
+  3: string softwareVersion,
+  4: i64 collectedMilliseconds = 0     // for how long the sender has collected records
+}
+
 
 /** One datagram. Exactly one of the optional bodies is set. */
 struct VmDatagram {
@@ -436,5 +454,8 @@
   21: optional QuotaAsk quotaAsk,
   22: optional QuotaAnswer quotaAnswer,
   23: optional QuotaLedgerNews quotaLedger,
-  24: optional list<string> unreachableServices  // with a heartbeat: the sender is cut off from their endpoints
+  24: optional list<string> unreachableServices, // with a heartbeat: the sender is cut off from their endpoints
+  25: optional OriginRecords originRecords,
+  26: optional OriginAsk originAsk,
+  27: optional OriginAnswer originAnswer
 }
--- a/lacewing/requestformat.h
+++ b/lacewing/requestformat.h
@@ -33,6 +33,8 @@
     bool hasTokenCount = false; ///< the numbers of tokens are stated
     std::int32_t promptTokens = 0;
     std::int32_t maxOutputTokens = 0;
+    bool resumes = false; ///< takes up a stream that was broken off
+    std::string resumedAttempt; ///< if it does: id of the attempt that brought its first event; empty: not named
     std::string sharedPromptPrefix; ///< last section of the prompt that is shared with other requests; empty: none
 };
 
