--- /dev/null
+++ b/lacewing/softwareversions.cpp
@@ -0,0 +1,149 @@
+// A VM that has just started sees the versions of now only. It asks others (originexchange.h), whose answers count like
+// what it had seen itself.
+
+#include "softwareversions.h"
+
+#include <algorithm>
+#include <vector>
+
+#include "routeconfig.h"
+
+namespace lacewing {
+
+namespace {
+
+Duration windowOf(const ServiceVersions &service)
+{
+    return service.streamLife + listAgeMargin;
+}
+
+std::vector<std::string> recentVersions(const ServiceVersions &service, TimePoint now)
+{
+    std::vector<std::string> recent;
+    for (const auto &[version, seen] : service.seen) {
+        if (seen.listed > 0 || now - seen.last < windowOf(service)) {
+            recent.push_back(version);
+        }
+    }
+    return recent;
+}
+
+bool isMixed(const ServiceVersions &service, TimePoint now)
+{
+    return now < service.toldMixedUntil || recentVersions(service, now).size() != 1;
+}
+
+void recordListed(ServiceVersions &service, const std::string &version, TimePoint now)
+{
+    const std::vector<std::string> recent = recentVersions(service, now);
+    const bool isNew = std::find(recent.begin(), recent.end(), version) == recent.end();
+    if (!service.watchedSince) {
+        service.watchedSince = now;
+    }
+    if (isNew && recent.size() == 1) {
+        // Endpoints that were listed together with this one did not serve before it.
+        const bool servedAlone = now >= service.toldMixedUntil && now - *service.watchedSince >= listAgeMargin;
+        service.first = servedAlone ? std::optional<FirstVersion>({recent.front(), now}) : std::nullopt;
+    }
+    service.seen[version].listed += 1;
+}
+
+void recordUnlisted(ServiceVersions &service, const std::string &version, TimePoint now)
+{
+    SeenVersion &seen = service.seen[version];
+    seen.listed = std::max(0, seen.listed - 1);
+    seen.last = now;
+    std::erase_if(service.seen, [&](const auto &entry) {
+        return entry.second.listed == 0 && now - entry.second.last >= windowOf(service);
+    });
+}
+
+} // namespace
+
+Duration streamLife(const RouteConfig &config, const ServiceName &service)
+{
+    Duration longest {0};
+    for (const ServiceRoute &route : config.routes) {
+        if (route.kind == RouteKind::Stream && route.resumable && hasService(route, service)) {
+            longest = std::max(longest, route.timeout);
+        }
+    }
+    return std::min(2 * longest, maxStreamLife); // a resumption may last as long as the request before it
+}
+
+void setStreamLives(SoftwareVersions &versions, const RouteConfig &config)
+{
+    for (const auto &[name, spec] : config.services) {
+        versions[name].streamLife = streamLife(config, name);
+    }
+}
+
+void recordVersions(SoftwareVersions &versions, const ServiceName &service, const std::optional<std::string> &before,
+                    const std::optional<std::string> &after, TimePoint now)
+{
+    if (before == after) {
+        return;
+    }
+    ServiceVersions &changed = versions[service];
+    if (after) {
+        recordListed(changed, *after, now);
+    }
+    if (before) {
+        recordUnlisted(changed, *before, now);
+    }
+    // An entry that was passed on without its version and is complete now has not changed.
+    const auto unstated = changed.seen.find({});
+    if (before && before->empty() && after && unstated != changed.seen.end() && unstated->second.listed == 0) {
+        changed.seen.erase(unstated);
+    }
+}
+
+void recordToldVersions(SoftwareVersions &versions, const ServiceName &service, const std::optional<std::string> &sole,
+                        Duration watched, TimePoint now)
+{
+    ServiceVersions &told = versions[service];
+    const std::vector<std::string> recent = recentVersions(told, now);
+    if (recent.size() != 1) {
+        return; // what was seen here is more recent
+    }
+    if (!sole || *sole != recent.front()) {
+        told.toldMixedUntil = now + windowOf(told);
+        told.first.reset();
+        return;
+    }
+    told.watchedSince = std::min(told.watchedSince.value_or(now), now - std::max(Duration {0}, watched));
+}
+
+bool needsOrigins(const SoftwareVersions &versions, const ServiceName &service, TimePoint now)
+{
+    const auto found = versions.find(service);
+    return found == versions.end() || isMixed(found->second, now);
+}
+
+std::string soleVersion(const SoftwareVersions &versions, const ServiceName &service, TimePoint now)
+{
+    const auto found = versions.find(service);
+    if (found == versions.end()) {
+        return {};
+    }
+    const std::vector<std::string> recent = recentVersions(found->second, now);
+    return recent.size() == 1 ? recent.front() : std::string();
+}
+
+std::optional<FirstVersion> firstVersion(const SoftwareVersions &versions, const ServiceName &service, TimePoint now)
+{
+    const auto found = versions.find(service);
+    if (found == versions.end() || !found->second.first) {
+        return std::nullopt;
+    }
+    // Later on, the records of the first streams of the second version have expired too.
+    const bool holds = now - found->second.first->until < found->second.streamLife;
+    return holds ? found->second.first : std::nullopt;
+}
+
+bool watchedLongEnough(const ServiceVersions &service, TimePoint now)
+{
+    return service.watchedSince && now - *service.watchedSince >= windowOf(service);
+}
+
+} // namespace lacewing
--- /dev/null
+++ b/lacewing/softwareversions.h
@@ -0,0 +1,94 @@
+// Which versions of its software the endpoints of each service have had, as far as a stream may depend on it.
+//
+//   recordVersions(versions, service, before, after, now);  // before a request may go to the changed endpoint
+//   if (needsOrigins(versions, service, now)) ... else soleVersion(versions, service, now) ...
+//
+// Load pattern: one version serves for days, then each endpoint is replaced within minutes, perhaps back again, with
+// streams in progress at both versions. While one version serves, nothing has to be remembered of any stream. Asked for
+// each stream; takes a comparison for each version seen recently, which are two at most times.
+//
+// Versions have no order. An endpoint that states none counts as of a version of its own, the empty one.
+
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+#include "streamorigins.h"
+#include "types.h"
+
+namespace lacewing {
+
+struct RouteConfig;
+
+/// A stream may be resumed for at most this long after it was sent, whatever the timeouts of the routes are.
+constexpr Duration maxStreamLife = maxOriginLife;
+/// Another VM may use a list that is older than the one of this VM by this much.
+constexpr Duration listAgeMargin = milliseconds(15000);
+
+struct SeenVersion {
+    std::int32_t listed = 0; ///< endpoints
+    TimePoint last; ///< when an endpoint of it was last listed, if none is now
+};
+
+/// A version that was the only one until another one appeared.
+struct FirstVersion {
+    std::string softwareVersion;
+    TimePoint until; ///< when this VM saw the second version
+};
+
+struct ServiceVersions {
+    std::map<std::string, SeenVersion> seen;
+    Duration streamLife {0}; ///< for which a stream may be resumed after it was sent; 0: streams are not resumed
+    std::optional<TimePoint> watchedSince; ///< the versions are known from this time on
+    TimePoint toldMixedUntil; ///< another VM has seen several versions; they matter until then
+    std::optional<FirstVersion> first; ///< of the latest time with several versions
+};
+
+using SoftwareVersions = std::unordered_map<ServiceName, ServiceVersions>;
+
+/// @param config in force
+/// @param service name of a service
+/// @return for how long a stream of the service may be resumed after it was sent; 0: streams are not resumed
+Duration streamLife(const RouteConfig &config, const ServiceName &service);
+
+/// Takes the lives of streams from a configuration.
+/// @param versions changed
+/// @param config in force
+void setStreamLives(SoftwareVersions &versions, const RouteConfig &config);
+
+/// Records a change of an endpoint.
+/// @param versions changed
+/// @param service of the endpoint
+/// @param before version of the endpoint before the change; nothing: it was not listed
+/// @param after version of the endpoint now; nothing: it is not listed any more
+/// @param now current time
+void recordVersions(SoftwareVersions &versions, const ServiceName &service, const std::optional<std::string> &before,
+                    const std::optional<std::string> &after, TimePoint now);
+
+/// Takes in what another VM has seen.
+/// @param versions changed
+/// @param service the VM was asked for
+/// @param sole the only version that it has seen; nothing: several
+/// @param watched for how long it has watched the versions
+/// @param now current time
+void recordToldVersions(SoftwareVersions &versions, const ServiceName &service, const std::optional<std::string> &sole,
+                        Duration watched, TimePoint now);
+
+/// @return whether a stream that may be resumed now may have been sent to one of several versions
+bool needsOrigins(const SoftwareVersions &versions, const ServiceName &service, TimePoint now);
+
+/// @return the only version, unless needsOrigins(); empty: it is not stated
+std::string soleVersion(const SoftwareVersions &versions, const ServiceName &service, TimePoint now);
+
+/// @return the version that served alone before the second one appeared; nothing: not known, or streams from before
+/// that can't be resumed any more
+std::optional<FirstVersion> firstVersion(const SoftwareVersions &versions, const ServiceName &service, TimePoint now);
+
+/// @return whether the versions of the whole life of a stream are known
+bool watchedLongEnough(const ServiceVersions &service, TimePoint now);
+
+} // namespace lacewing
