VMs record and find the software versions that began streams

A record goes to two holders in the zone, found by rendezvous hashing, before the request goes to its endpoint; those of 10 ms in one datagram. A VM that resumes a stream asks four VMs of its zone, then two of each other zone, 60 ms each. A VM that stops hands its records on. While one version serves, nothing is recorded or sent, but for a few asks of a VM that has just started, for the versions that others have seen. An entry passed on without its version keeps the known one.

--- a/lacewing/datagramcounts.cpp
+++ b/lacewing/datagramcounts.cpp
@@ -41,14 +41,24 @@
     if (datagram.__isset.quotaLedger) {
         return DatagramKind::QuotaLedger;
     }
+    if (datagram.__isset.originRecords) {
+        return DatagramKind::OriginRecords;
+    }
+    if (datagram.__isset.originAsk) {
+        return DatagramKind::OriginAsk;
+    }
+    if (datagram.__isset.originAnswer) {
+        return DatagramKind::OriginAnswer;
+    }
     return datagram.__isset.endpointNews ? DatagramKind::EndpointNews : DatagramKind::Heartbeat;
 }
 
 std::string_view nameOf(DatagramKind kind)
 {
     constexpr std::array<std::string_view, datagramKindCount> names {
-        "heartbeat",  "placement",  "demand",      "prompt",    "list",         "news_asked",   "endpoint_news",
-        "crash_news", "limit_news", "config_read", "quota_ask", "quota_answer", "quota_ledger", "passed_on"};
+        "heartbeat",     "placement",      "demand",     "prompt",        "list",      "news_asked",
+        "endpoint_news", "crash_news",     "limit_news", "config_read",   "quota_ask", "quota_answer",
+        "quota_ledger",  "origin_records", "origin_ask", "origin_answer", "passed_on"};
     return names.at(static_cast<std::size_t>(kind));
 }
 
--- a/lacewing/datagramcounts.h
+++ b/lacewing/datagramcounts.h
@@ -28,9 +28,12 @@
     QuotaAsk,
     QuotaAnswer,
     QuotaLedger,
+    OriginRecords,
+    OriginAsk,
+    OriginAnswer,
     PassedOn, ///< datagram of another VM, forwarded within the zone
 };
-constexpr std::size_t datagramKindCount = 14;
+constexpr std::size_t datagramKindCount = 17;
 
 struct DatagramCount {
     std::int64_t datagrams = 0;
--- a/lacewing/entrynode.cpp
+++ b/lacewing/entrynode.cpp
@@ -3,7 +3,8 @@
 //
 // entrynodelist.cpp handles the platform's list of endpoints, entrynodeupdates.cpp updates about endpoints,
 // entrynodeplacement.cpp the ownership of the zone and the demand for adapters, entrynodeconfig.cpp proofs that the
-// configuration is current, entrynodequota.cpp quotas, and entrynodemetrics.cpp the metrics page.
+// configuration is current, entrynodequota.cpp quotas, entrynodeorigins.cpp the software versions that began streams,
+// and entrynodemetrics.cpp the metrics page.
 
 #include "entrynode.h"
 
@@ -75,6 +76,8 @@
       gossip(ioContext, this->clock, contactOf(this->settings, {}), randomIncarnation()),
       owner(ioContext, this->clock, this->port, this->settings.zone),
       quota(this->clock, this->quotaSettings(), this->quotaPorts()),
+      origins(this->clock, this->originSettings(), this->originPorts()),
+      random(static_cast<std::uint64_t>(this->gossip.ownIncarnation())),
       readyServer(ioContext,
                   [this](std::string_view path) {
                       const bool asked = path == this->settings.readyPath;
@@ -142,6 +145,7 @@
     };
     this->gossip.millicores = this->settings.millicores;
     this->connectQuota();
+    this->connectOrigins();
     this->connectForwarding();
 }
 
@@ -173,6 +177,7 @@
         this->reportDemand();
         this->dataPath.reachWatch().check();
     });
+    this->askVersions();
     this->every(heartbeatInterval, [this] { this->heartbeat(); });
     this->every(noticeInterval, [this] { this->sendNotice(); });
     this->every(configProofInterval, [this] { this->checkConfigProof(); });
@@ -229,6 +234,7 @@
 {
     if (this->dataPath.setConfig(std::move(config))) {
         this->quota.setConfig(this->dataPath.config());
+        setStreamLives(this->versions, *this->dataPath.config());
         this->onFleetChanged();
     }
 }
@@ -334,6 +340,7 @@
     this->gossip.leaving = true;
     this->stopOwning("stopping");
     this->quota.beginStop();
+    this->origins.beginStop();
     this->heartbeat(); // so that another VM takes over the zone at once
     this->after(leaveRepeatDelay, [this] { this->heartbeat(); }); // in case a datagram is lost
     this->port.withdraw(this->settings.vm);
--- a/lacewing/entrynode.h
+++ b/lacewing/entrynode.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <system_error>
@@ -22,9 +23,11 @@
 
 #include "clock.h"
 #include "gateway.h"
+#include "originexchange.h"
 #include "placementowner.h"
 #include "platformport.h"
 #include "quotaexchange.h"
+#include "softwareversions.h"
 #include "stalldetector.h"
 #include "statusserver.h"
 #include "updateprogress.h"
@@ -139,6 +142,12 @@
         bool updateRequestPending = false; ///< a check for missed updates is scheduled
     };
 
+    /// Service and software version of an endpoint.
+    struct ListedVersion {
+        ServiceName service;
+        std::optional<std::string> softwareVersion; ///< nothing: the endpoint is not listed
+    };
+
     void checkForStall();
     /// The last demand report that was sent to the owner of a zone.
     struct SentDemand {
@@ -166,6 +175,19 @@
     void connectQuota();
     QuotaSettings quotaSettings() const;
     QuotaPorts quotaPorts();
+    void connectOrigins();
+    OriginSettings originSettings() const;
+    OriginPorts originPorts();
+    std::vector<OriginVm> originVms(bool ownZone) const;
+    void findStreamOrigin(const OrganisationName &organisation, const ServiceName &service, const std::string &attempt,
+                          const OriginDone &done);
+    bool versionsUnsettled(const ServiceName &service) const;
+    void askVersions();
+    std::optional<wire::OriginAnswer> answerVersions(StreamKey key) const;
+    void receiveVersions(StreamKey key, const wire::OriginAnswer &answer);
+    ListedVersion listedVersion(const EndpointName &id) const;
+    void recordVersionChange(const EndpointName &id, const ListedVersion &before);
+    std::string originMetrics() const;
     void receiveConfigRead(const wire::ConfigRead &read);
     void recordOwnDemand();
     wire::DemandReport demandFor(const ZoneName &ownerZone, const wire::DemandReport &all) const;
@@ -216,6 +238,12 @@
     VmGossip gossip;
     PlacementOwner owner;
     QuotaExchange quota;
+    OriginExchange origins;
+    SoftwareVersions versions; ///< of the endpoints' software, by service
+    int versionRounds = 0; ///< in which other VMs were asked for the versions that they have seen
+    std::map<std::string_view, std::int64_t> originsFound; ///< of resumed streams, by source
+    std::int64_t originsUnknown = 0;
+    std::mt19937_64 random;
     StatusServer readyServer;
     StatusServer metricsServer;
     ZoneClaim claim;
--- a/lacewing/entrynodelist.cpp
+++ b/lacewing/entrynodelist.cpp
@@ -93,7 +93,9 @@
                  {{"endpoint", entry.id}, {"born", std::to_string(entry.born)}, {"news", std::string(nameOf(source))}});
     }
     this->dataPath.changeFleet([this, &entry](Fleet &fleet) {
+        const ListedVersion before = this->listedVersion(entry.id);
         const ListedAs listed = lacewing::putEndpoint(fleet, entry, this->clock.now());
+        this->recordVersionChange(entry.id, before); // before a waiting request is sent there
         if (listed == ListedAs::Restarted) {
             this->dataPath.dropEndpoint(entry.id);
         }
@@ -236,7 +238,9 @@
 void EntryNode::dropEndpoint(const EndpointName &id)
 {
     this->dataPath.dropEndpoint(id);
+    const ListedVersion before = this->listedVersion(id);
     this->dataPath.changeFleet([&id](Fleet &fleet) { lacewing::removeEndpoint(fleet, id); });
+    this->recordVersionChange(id, before);
 }
 
 Duration EntryNode::listInterval() const
--- a/lacewing/entrynodemetrics.cpp
+++ b/lacewing/entrynodemetrics.cpp
@@ -63,6 +63,7 @@
     datagramLines("sent_within_zone", this->gossip.counts.sentWithinZone);
     datagramLines("sent_to_other_zones", this->gossip.counts.sentToOtherZones);
     datagramLines("received", this->gossip.counts.received);
+    text += this->originMetrics();
     text += this->dataPath.organisationMetrics().text();
     if (this->extraMetrics) {
         text += this->extraMetrics();
--- /dev/null
+++ b/lacewing/entrynodeorigins.cpp
@@ -0,0 +1,204 @@
+// Connects the memory of the software versions that began streams to the data path, the list, the datagrams and the
+// timers of the VM.
+//
+// A VM that has just started asks some VMs of its zone which versions they have seen, until one of them has watched for
+// as long as a stream may be resumed: a version that is gone from the list may have begun a stream that is resumed
+// here.
+
+#include "entrynode.h"
+
+#include <algorithm>
+#include <random>
+
+namespace lacewing {
+
+namespace {
+
+/// A VM that has just started asks other VMs for the versions that they have seen this often, at this interval.
+constexpr int versionAskRounds = 5;
+constexpr Duration versionAskInterval = milliseconds(200);
+/// VMs that are asked in each round.
+constexpr std::size_t versionAsks = 2;
+
+/// Key of the ask for the versions that a VM has seen. No stream has it, since its attempt has an id.
+StreamKey versionsKey(const ServiceName &service)
+{
+    return streamKey({}, service, {});
+}
+
+} // namespace
+
+OriginSettings EntryNode::originSettings() const
+{
+    // Half of the numbers are left to count up.
+    return {this->settings.vm, this->settings.zone, this->gossip.ownIncarnation() / 2};
+}
+
+OriginPorts EntryNode::originPorts()
+{
+    OriginPorts ports;
+    ports.sendRecords
+        = [this](const VmId &vm, const wire::OriginRecords &records) { this->gossip.sendOriginRecords(vm, records); };
+    ports.ask = [this](const VmId &vm, const wire::OriginAsk &ask) { this->gossip.sendOriginAsk(vm, ask); };
+    ports.answer
+        = [this](const VmId &vm, const wire::OriginAnswer &answer) { this->gossip.sendOriginAnswer(vm, answer); };
+    ports.zoneVms = [this] { return this->originVms(true); };
+    ports.otherZonesVms = [this] { return this->originVms(false); };
+    ports.wakeAfter = [this](Duration delay) { this->after(delay, [this] { this->origins.expire(); }); };
+    return ports;
+}
+
+std::vector<OriginVm> EntryNode::originVms(bool ownZone) const
+{
+    const TimePoint now = this->clock.now();
+    std::vector<OriginVm> vms;
+    for (const auto &[name, vm] : this->gossip.vms()) {
+        if ((vm.zone == this->settings.zone) == ownZone && mayBeRunning(vm, now)) {
+            vms.push_back({name, vm.zone, !ownZone || isAlive(vm, now)}); // VMs of other zones are heard seldom
+        }
+    }
+    return vms;
+}
+
+void EntryNode::connectOrigins()
+{
+    this->gossip.onOriginRecords
+        = [this](const wire::OriginRecords &records) { this->origins.receiveRecords(records); };
+    this->gossip.onOriginAsk
+        = [this](const VmId &vm, const wire::OriginAsk &ask) { this->origins.receiveAsk(vm, ask); };
+    this->gossip.onOriginAnswer
+        = [this](const VmId &vm, const wire::OriginAnswer &answer) { this->origins.receiveAnswer(vm, answer); };
+    this->origins.answerOther = [this](StreamKey key) { return this->answerVersions(key); };
+    this->origins.onOtherAnswer
+        = [this](StreamKey key, const wire::OriginAnswer &answer) { this->receiveVersions(key, answer); };
+    this->dataPath.recordOrigin = [this](const OrganisationName &organisation, const ServiceName &service,
+                                         const std::string &attempt, const std::string &softwareVersion) {
+        if (needsOrigins(this->versions, service, this->clock.now())) {
+            this->origins.record(streamKey(organisation, service, attempt), softwareVersion,
+                                 this->versions[service].streamLife);
+        }
+    };
+    this->dataPath.findOrigin = [this](const OrganisationName &organisation, const ServiceName &service,
+                                       const std::string &attempt, const OriginDone &done) {
+        this->findStreamOrigin(organisation, service, attempt, [this, done](const OriginOutcome &outcome) {
+            this->originsFound[outcome.source] += outcome.result == OriginResult::Unknown ? 0 : 1;
+            this->originsUnknown += outcome.result == OriginResult::Unknown ? 1 : 0;
+            done(outcome);
+        });
+    };
+}
+
+void EntryNode::findStreamOrigin(const OrganisationName &organisation, const ServiceName &service,
+                                 const std::string &attempt, const OriginDone &done)
+{
+    const TimePoint now = this->clock.now();
+    if (this->versionsUnsettled(service)) {
+        this->after(versionAskInterval, [this, organisation, service, attempt, done] {
+            this->findStreamOrigin(organisation, service, attempt, done);
+        });
+        return;
+    }
+    if (const auto outcome = decideWithoutRecord(this->versions, service, !attempt.empty(), now)) {
+        done(*outcome);
+        return;
+    }
+    this->origins.find(streamKey(organisation, service, attempt), originBasis(this->versions, service, now), done);
+}
+
+bool EntryNode::versionsUnsettled(const ServiceName &service) const
+{
+    const auto found = this->versions.find(service);
+    const std::vector<OriginVm> vms = this->originVms(true);
+    const bool othersHeard = std::any_of(vms.begin(), vms.end(), [](const OriginVm &one) { return one.usable; });
+    return this->versionRounds < versionAskRounds && othersHeard && found != this->versions.end()
+        && !needsOrigins(this->versions, service, this->clock.now())
+        && !watchedLongEnough(found->second, this->clock.now());
+}
+
+void EntryNode::askVersions()
+{
+    const TimePoint now = this->clock.now();
+    std::vector<OriginVm> vms = this->originVms(true);
+    std::erase_if(vms, [](const OriginVm &one) { return !one.usable; });
+    std::shuffle(vms.begin(), vms.end(), this->random);
+    vms.resize(std::min(vms.size(), versionAsks));
+    const bool listRead = this->dataPath.fleet().list.offset != noOffset;
+    if (listRead && !vms.empty()) {
+        this->versionRounds += 1;
+        for (const auto &[service, one] : this->versions) {
+            const bool settled = watchedLongEnough(one, now) || needsOrigins(this->versions, service, now);
+            for (const OriginVm &vm : settled || one.streamLife.count() == 0 ? std::vector<OriginVm>() : vms) {
+                this->origins.askOne(vm.vm, versionsKey(service));
+            }
+        }
+    }
+    if (this->versionRounds < versionAskRounds) {
+        this->after(versionAskInterval, [this] { this->askVersions(); });
+    }
+}
+
+std::optional<wire::OriginAnswer> EntryNode::answerVersions(StreamKey key) const
+{
+    const TimePoint now = this->clock.now();
+    for (const auto &[service, one] : this->versions) {
+        if (one.streamLife.count() > 0 && versionsKey(service) == key) {
+            wire::OriginAnswer answer;
+            answer.known = !needsOrigins(this->versions, service, now);
+            answer.softwareVersion = soleVersion(this->versions, service, now);
+            answer.collectedMilliseconds = toMilliseconds(now - one.watchedSince.value_or(now));
+            return answer;
+        }
+    }
+    return std::nullopt;
+}
+
+void EntryNode::receiveVersions(StreamKey key, const wire::OriginAnswer &answer)
+{
+    for (const auto &[service, one] : this->versions) {
+        if (versionsKey(service) != key) {
+            continue;
+        }
+        const bool nothingSeen = !answer.known && answer.softwareVersion.empty() && answer.collectedMilliseconds == 0;
+        if (!nothingSeen) { // otherwise that VM has just started too
+            const std::optional<std::string> sole
+                = answer.known ? std::optional<std::string>(answer.softwareVersion) : std::nullopt;
+            recordToldVersions(this->versions, service, sole, milliseconds(answer.collectedMilliseconds),
+                               this->clock.now());
+        }
+        return;
+    }
+}
+
+EntryNode::ListedVersion EntryNode::listedVersion(const EndpointName &id) const
+{
+    const auto &endpoints = this->dataPath.fleet().endpoints;
+    const auto found = endpoints.find(id);
+    return found == endpoints.end() ? ListedVersion {}
+                                    : ListedVersion {found->second.entry.service, found->second.entry.softwareVersion};
+}
+
+void EntryNode::recordVersionChange(const EndpointName &id, const ListedVersion &before)
+{
+    const TimePoint now = this->clock.now();
+    const ListedVersion after = this->listedVersion(id);
+    if (before.softwareVersion && after.softwareVersion && before.service != after.service) {
+        recordVersions(this->versions, before.service, before.softwareVersion, std::nullopt, now);
+        recordVersions(this->versions, after.service, std::nullopt, after.softwareVersion, now);
+        return;
+    }
+    const ServiceName &service = after.softwareVersion ? after.service : before.service;
+    recordVersions(this->versions, service, before.softwareVersion, after.softwareVersion, now);
+}
+
+std::string EntryNode::originMetrics() const
+{
+    std::string text = "lacewing_origins_recorded_total " + std::to_string(this->origins.recorded) + "\n";
+    text += "lacewing_origins_unknown_total " + std::to_string(this->originsUnknown) + "\n";
+    for (const auto &[source, count] : this->originsFound) {
+        text
+            += "lacewing_streams_resumed_total{source=\"" + std::string(source) + "\"} " + std::to_string(count) + "\n";
+    }
+    return text;
+}
+
+} // namespace lacewing
--- a/lacewing/fleet.cpp
+++ b/lacewing/fleet.cpp
@@ -62,7 +62,11 @@
     const std::int64_t orders = known.entry.orders;
     const bool leaving
         = known.entry.leaving || entry.leaving; // an incarnation that is leaving never becomes ready again
+    // It belongs to the incarnation. A VM of a build that doesn't know versions passes entries on without it.
+    std::string softwareVersion
+        = entry.softwareVersion.empty() ? std::move(known.entry.softwareVersion) : entry.softwareVersion;
     known.entry = entry;
+    known.entry.softwareVersion = std::move(softwareVersion);
     known.entry.leaving = leaving;
     if (orders > entry.orders) {
         known.entry.orders = orders;
--- /dev/null
+++ b/lacewing/originexchange.cpp
@@ -0,0 +1,370 @@
+// Holders are chosen by rendezvous hashing: a VM that starts or ends moves only the keys that it holds.
+//
+// A missing record shows that no stream was recorded only if it is missing where it would be. The first recordHolders +
+// 1 VMs by rank, those not heard included, are asked for this: any recordHolders of them include a holder, also if one
+// of them recorded the stream itself. In another zone, the first two include a holder for the same reason.
+
+#include "originexchange.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "clock.h"
+#include "requestdigest.h"
+
+namespace lacewing {
+
+namespace {
+
+/// An answer takes a round trip, and the turn of a VM that has a small part of a core.
+constexpr Duration askTimeout = milliseconds(60);
+/// Records of this time go to a holder in one datagram.
+constexpr Duration batchTime = milliseconds(10);
+/// Records in a datagram, of some 16 bytes each: with their versions, less than the 1,400 bytes that cross any link.
+constexpr std::size_t recordsPerDatagram = 48;
+/// Versions in a datagram, of 64 bytes each at most.
+constexpr std::size_t versionsPerDatagram = 6;
+/// Datagrams with records that are sent at once; a longer burst would overflow the receivers' buffers.
+constexpr std::size_t datagramsPerFlush = 32;
+/// Asks for what is not a stream that may be open; more are lost anyway.
+constexpr std::size_t maxOtherAsks = 64;
+constexpr std::size_t ownZone = 0;
+
+StreamKey scoreOf(StreamKey key, const VmId &vm)
+{
+    return digestOf({vm}, std::string_view(reinterpret_cast<const char *>(&key), sizeof key));
+}
+
+} // namespace
+
+OriginBasis originBasis(const SoftwareVersions &versions, const ServiceName &service, TimePoint now)
+{
+    OriginBasis basis;
+    if (const auto first = firstVersion(versions, service, now)) {
+        basis.firstVersion = first->softwareVersion;
+        basis.sinceSecond = now - first->until + listAgeMargin;
+    }
+    return basis;
+}
+
+std::optional<OriginOutcome> decideWithoutRecord(const SoftwareVersions &versions, const ServiceName &service,
+                                                 bool attemptNamed, TimePoint now)
+{
+    OriginEvidence evidence;
+    evidence.needsOrigins = needsOrigins(versions, service, now);
+    evidence.soleVersion = soleVersion(versions, service, now);
+    evidence.attemptNamed = attemptNamed;
+    return evidence.needsOrigins && attemptNamed ? std::nullopt : std::optional<OriginOutcome>(decideOrigin(evidence));
+}
+
+OriginExchange::OriginExchange(const RuntimeClock &runtimeClock, OriginSettings exchangeSettings,
+                               OriginPorts exchangePorts)
+    : clock(runtimeClock), settings(std::move(exchangeSettings)), ports(std::move(exchangePorts))
+{
+    this->origins.completeSince = this->clock.now();
+    this->lastTicket = this->settings.firstTicket;
+}
+
+Duration OriginExchange::collected() const
+{
+    return this->clock.now() - this->origins.completeSince;
+}
+
+std::vector<OriginVm> OriginExchange::rank(StreamKey key, std::vector<OriginVm> vms)
+{
+    std::vector<std::pair<StreamKey, std::size_t>> scores;
+    for (std::size_t index = 0; index < vms.size(); ++index) {
+        scores.emplace_back(scoreOf(key, vms[index].vm), index);
+    }
+    std::sort(scores.begin(), scores.end());
+    std::vector<OriginVm> ranked;
+    for (const auto &[score, index] : scores) {
+        ranked.push_back(std::move(vms[index]));
+    }
+    return ranked;
+}
+
+std::vector<VmId> OriginExchange::recordTargets(StreamKey key, const std::vector<OriginVm> &vms)
+{
+    std::vector<VmId> targets;
+    std::size_t holders = 0;
+    for (const OriginVm &one : rank(key, vms)) {
+        if (holders < recordHolders && (one.usable || targets.size() + recordHolders - holders < maxRecordTargets)) {
+            targets.push_back(one.vm); // one that is not heard may hear this VM, and other VMs may hear it
+            holders += one.usable ? 1 : 0;
+        }
+    }
+    return targets;
+}
+
+void OriginExchange::queue(const VmId &holder, StreamKey key, const std::string &softwareVersion, Duration life)
+{
+    std::vector<Batch> &queued = this->batches[holder];
+    const bool full = queued.empty() || queued.back().records.keys.size() >= recordsPerDatagram
+        || (queued.back().indices.size() >= versionsPerDatagram && !queued.back().indices.contains(softwareVersion));
+    if (full) {
+        queued.emplace_back();
+    }
+    Batch &batch = queued.back();
+    const auto [index, isNew]
+        = batch.indices.try_emplace(softwareVersion, static_cast<std::int16_t>(batch.indices.size()));
+    if (isNew) {
+        batch.records.versionNames.push_back(softwareVersion);
+    }
+    batch.records.keys.push_back(static_cast<std::int64_t>(key));
+    batch.records.versions.push_back(index->second);
+    batch.records.lifeMilliseconds.push_back(static_cast<std::int32_t>(toMilliseconds(life)));
+    if (!this->flushDue) {
+        this->flushDue = this->clock.now() + batchTime;
+        this->ports.wakeAfter(batchTime);
+    }
+}
+
+void OriginExchange::flush()
+{
+    std::size_t sent = 0;
+    while (!this->batches.empty() && sent < datagramsPerFlush) {
+        // One of each holder in turn, so that no receiver gets a burst.
+        for (auto next = this->batches.begin(); next != this->batches.end() && sent < datagramsPerFlush;) {
+            this->ports.sendRecords(next->first, next->second.back().records);
+            next->second.pop_back();
+            sent += 1;
+            next = next->second.empty() ? this->batches.erase(next) : std::next(next);
+        }
+    }
+    this->flushDue.reset();
+    if (!this->batches.empty()) {
+        this->flushDue = this->clock.now() + batchTime;
+        this->ports.wakeAfter(batchTime);
+    }
+}
+
+void OriginExchange::record(StreamKey key, const std::string &softwareVersion, Duration life)
+{
+    const TimePoint now = this->clock.now();
+    this->recorded += 1;
+    rememberOrigin(this->origins, key, softwareVersion, now + life, now);
+    for (const VmId &holder : recordTargets(key, this->ports.zoneVms())) {
+        this->queue(holder, key, softwareVersion, life);
+    }
+}
+
+void OriginExchange::beginStop()
+{
+    this->stopping = true;
+    const TimePoint now = this->clock.now();
+    expireOrigins(this->origins, now);
+    const std::vector<OriginVm> vms = this->ports.zoneVms();
+    for (const auto &[key, origin] : this->origins.entries) {
+        for (const VmId &holder : recordTargets(key, vms)) {
+            this->queue(holder, key, origin.softwareVersion, origin.expires - now);
+        }
+    }
+}
+
+void OriginExchange::receiveRecords(const wire::OriginRecords &records)
+{
+    const std::size_t count = records.keys.size();
+    if (records.versions.size() != count || records.lifeMilliseconds.size() != count) {
+        return;
+    }
+    const TimePoint now = this->clock.now();
+    const std::vector<OriginVm> vms = this->stopping ? this->ports.zoneVms() : std::vector<OriginVm>();
+    for (std::size_t index = 0; index < count; ++index) {
+        const auto version = static_cast<std::size_t>(records.versions[index]);
+        if (records.versions[index] < 0 || version >= records.versionNames.size()) {
+            continue;
+        }
+        const auto key = static_cast<StreamKey>(records.keys[index]);
+        const Duration life = std::min(milliseconds(records.lifeMilliseconds[index]), maxOriginLife);
+        rememberOrigin(this->origins, key, records.versionNames[version], now + life, now);
+        for (const VmId &holder : recordTargets(key, vms)) { // the sender did not know yet that this VM stops
+            this->queue(holder, key, records.versionNames[version], life);
+        }
+    }
+}
+
+void OriginExchange::find(StreamKey key, const OriginBasis &basis, OriginDone done)
+{
+    const std::int64_t ticket = ++this->lastTicket;
+    PendingFind &pending = this->pendingFinds[ticket];
+    pending.key = key;
+    pending.evidence.attemptNamed = true;
+    pending.evidence.firstVersion = basis.firstVersion;
+    pending.evidence.sinceSecond = basis.sinceSecond;
+    pending.done = std::move(done);
+    if (const std::string *known = findOrigin(this->origins, key, this->clock.now())) {
+        pending.evidence.recorded = *known;
+        pending.evidence.recordSource = "own_memory";
+        this->finish(ticket);
+        return;
+    }
+    this->askOwnZone(ticket);
+}
+
+void OriginExchange::sendAsk(std::int64_t ticket, PendingFind &pending, const VmId &vm, std::size_t zone)
+{
+    pending.unanswered[vm] = zone;
+    wire::OriginAsk ask;
+    ask.ticket = ticket;
+    ask.key = static_cast<std::int64_t>(pending.key);
+    this->ports.ask(vm, ask);
+}
+
+void OriginExchange::askZone(std::int64_t ticket, PendingFind &pending, std::size_t zone,
+                             const std::vector<OriginVm> &vms, bool own)
+{
+    std::vector<OriginVm> all = vms;
+    if (own) {
+        all.push_back({this->settings.vm, this->settings.zone, true});
+    }
+    const std::vector<OriginVm> ranked = rank(pending.key, std::move(all));
+    const std::size_t proving = std::min(ranked.size(), own ? recordHolders + 1 : otherZoneAsks);
+    pending.evidence.denials.emplace_back();
+    // A VM that is alone has no holder: what it doesn't know was not recorded here.
+    pending.evidence.denials.back().needed
+        = std::max<std::size_t>(1, std::min(recordHolders, ranked.size() - (own && ranked.size() > 1 ? 1 : 0)));
+    for (std::size_t index = 0; index < proving; ++index) {
+        pending.proving.insert(ranked[index].vm);
+    }
+    if (own && pending.proving.contains(this->settings.vm)) {
+        pending.evidence.denials.back().collected.push_back(this->collected());
+    }
+    std::size_t asked = 0;
+    for (const OriginVm &one : ranked) {
+        if (one.usable && one.vm != this->settings.vm && asked < (own ? zoneAsks : otherZoneAsks)) {
+            this->sendAsk(ticket, pending, one.vm, zone);
+            asked += 1;
+        }
+    }
+}
+
+void OriginExchange::askOwnZone(std::int64_t ticket)
+{
+    PendingFind &pending = this->pendingFinds.at(ticket);
+    pending.due = this->clock.now() + askTimeout;
+    this->askZone(ticket, pending, ownZone, this->ports.zoneVms(), true);
+    this->ports.wakeAfter(askTimeout);
+    this->advance(ticket);
+}
+
+void OriginExchange::askOtherZones(std::int64_t ticket)
+{
+    PendingFind &pending = this->pendingFinds.at(ticket);
+    std::map<ZoneName, std::vector<OriginVm>> zones;
+    for (OriginVm &one : this->ports.otherZonesVms()) {
+        zones[one.zone].push_back(std::move(one));
+    }
+    pending.otherZones = true;
+    pending.due = this->clock.now() + askTimeout;
+    std::size_t zone = ownZone;
+    for (const auto &[name, vms] : zones) {
+        this->askZone(ticket, pending, ++zone, vms, false);
+    }
+    this->ports.wakeAfter(askTimeout);
+}
+
+void OriginExchange::advance(std::int64_t ticket)
+{
+    PendingFind &pending = this->pendingFinds.at(ticket);
+    const bool late = pending.due <= this->clock.now();
+    if (!pending.unanswered.empty() && !late) {
+        return;
+    }
+    if (!pending.otherZones) {
+        this->askOtherZones(ticket);
+    }
+    // Late answers of the own zone still count while the other zones are asked.
+    if (pending.unanswered.empty() || pending.due <= this->clock.now()) {
+        this->finish(ticket);
+    }
+}
+
+void OriginExchange::finish(std::int64_t ticket)
+{
+    const auto found = this->pendingFinds.find(ticket);
+    const PendingFind pending = std::move(found->second);
+    this->pendingFinds.erase(found);
+    const OriginOutcome outcome = decideOrigin(pending.evidence);
+    pending.done(outcome);
+}
+
+void OriginExchange::expire()
+{
+    const TimePoint now = this->clock.now();
+    if (this->flushDue && *this->flushDue <= now) {
+        this->flush();
+    }
+    std::vector<std::int64_t> late;
+    for (const auto &[ticket, pending] : this->pendingFinds) {
+        if (pending.due <= now) {
+            late.push_back(ticket);
+        }
+    }
+    for (const std::int64_t ticket : late) {
+        this->advance(ticket);
+    }
+}
+
+void OriginExchange::askOne(const VmId &vm, StreamKey key)
+{
+    if (this->otherAsks.size() >= maxOtherAsks) {
+        this->otherAsks.erase(this->otherAsks.begin());
+    }
+    wire::OriginAsk ask;
+    ask.ticket = ++this->lastTicket;
+    ask.key = static_cast<std::int64_t>(key);
+    this->otherAsks[ask.ticket] = key;
+    this->ports.ask(vm, ask);
+}
+
+void OriginExchange::receiveAsk(const VmId &vm, const wire::OriginAsk &ask)
+{
+    const auto key = static_cast<StreamKey>(ask.key);
+    wire::OriginAnswer answer;
+    if (const auto other = this->answerOther ? this->answerOther(key) : std::nullopt) {
+        answer = *other;
+    } else {
+        const std::string *known = findOrigin(this->origins, key, this->clock.now());
+        answer.known = known != nullptr;
+        answer.softwareVersion = known == nullptr ? std::string() : *known;
+        answer.collectedMilliseconds = toMilliseconds(this->collected());
+    }
+    answer.ticket = ask.ticket;
+    this->ports.answer(vm, answer);
+}
+
+void OriginExchange::receiveAnswer(const VmId &vm, const wire::OriginAnswer &answer)
+{
+    if (const auto other = this->otherAsks.find(answer.ticket); other != this->otherAsks.end()) {
+        const StreamKey key = other->second;
+        this->otherAsks.erase(other);
+        if (this->onOtherAnswer) {
+            this->onOtherAnswer(key, answer);
+        }
+        return;
+    }
+    const auto found = this->pendingFinds.find(answer.ticket);
+    if (found == this->pendingFinds.end()) {
+        return;
+    }
+    PendingFind &pending = found->second;
+    const auto asked = pending.unanswered.find(vm);
+    if (asked == pending.unanswered.end()) {
+        return;
+    }
+    const std::size_t zone = asked->second;
+    pending.unanswered.erase(asked);
+    if (answer.known) {
+        pending.evidence.recorded = answer.softwareVersion;
+        pending.evidence.recordSource = zone == ownZone ? "holder" : "asked";
+        this->finish(answer.ticket);
+        return;
+    }
+    if (pending.proving.contains(vm)) {
+        pending.evidence.denials[zone].collected.push_back(milliseconds(answer.collectedMilliseconds));
+    }
+    this->advance(answer.ticket);
+}
+
+} // namespace lacewing
--- a/lacewing/vmgossip.cpp
+++ b/lacewing/vmgossip.cpp
@@ -217,6 +217,7 @@
     if (datagram.__isset.limitNews && this->onLimitUpdate) {
         this->onLimitUpdate(datagram.limitNews);
     }
+    this->dispatchOrigins(datagram);
 }
 
 wire::VmDatagram VmGossip::newDatagram()
--- a/lacewing/vmgossip.h
+++ b/lacewing/vmgossip.h
@@ -70,6 +70,9 @@
     void sendQuotaAsk(const VmId &vm, const wire::QuotaAsk &ask);
     void sendQuotaAnswer(const VmId &vm, const wire::QuotaAnswer &answer);
     void sendQuotaLedgerToAll(const wire::QuotaLedgerNews &news);
+    void sendOriginRecords(const VmId &vm, const wire::OriginRecords &records);
+    void sendOriginAsk(const VmId &vm, const wire::OriginAsk &ask);
+    void sendOriginAnswer(const VmId &vm, const wire::OriginAnswer &answer);
     /// @return the other VMs of this zone that may be running
     std::vector<ZoneVm> otherZoneVms() const;
     /// Tells the VMs of this zone how far the operators' changes went.
@@ -118,6 +121,9 @@
     std::function<void(const VmId &, const ZoneName &, const wire::QuotaAsk &)> onQuotaAsk;
     std::function<void(const wire::QuotaAnswer &)> onQuotaAnswer;
     std::function<void(const VmId &, const ZoneName &, const wire::QuotaLedgerNews &)> onQuotaLedger;
+    std::function<void(const wire::OriginRecords &)> onOriginRecords;
+    std::function<void(const VmId &, const wire::OriginAsk &)> onOriginAsk;
+    std::function<void(const VmId &, const wire::OriginAnswer &)> onOriginAnswer;
     std::function<void(const wire::CrashNews &)> onCrashUpdate;
     std::function<void(const wire::LimitNews &)> onLimitUpdate;
     std::function<void(const VmId &, const wire::ListChange &, Duration)>
@@ -134,6 +140,7 @@
     void receivePassedOn(const wire::VmDatagram &datagram);
     void forward(const wire::VmDatagram &carrier);
     void dispatch(const wire::VmDatagram &datagram, Duration heldUp);
+    void dispatchOrigins(const wire::VmDatagram &datagram);
     wire::VmDatagram newDatagram();
     wire::VmDatagram newTimedDatagram();
     void sendTo(const KnownVm &vm, const wire::VmDatagram &datagram);
