A stream that is taken up goes on only at an endpoint of the software version that began it

A resumption on a route with resumable streams asks the gateway for its origin after its quota is charged and before it is placed. The choice of an endpoint obeys the version on each way: waiting, pacing, retry, a connection that was made meanwhile, and forwarding, where the sender names it and the receiver does not ask again. Result codes 214 and 215 for an origin that nobody knows and a version whose endpoints are all gone. Nothing answers yet which version began a stream, so streamversiontest stays red.

--- a/lacewing/endpointchoice.cpp
+++ b/lacewing/endpointchoice.cpp
@@ -46,6 +46,16 @@
     return one.draw < other.draw;
 }
 
+/// @return whether the zone has an endpoint of the service that may run the request
+bool zoneServes(const Fleet &fleet, const EndpointRequirements &need)
+{
+    const std::vector<EndpointName> &all = endpointsOf(fleet, need.service);
+    return std::any_of(all.begin(), all.end(), [&](const EndpointName &id) {
+        const FleetEndpoint &endpoint = fleet.endpoints.at(id);
+        return endpoint.entry.zone == need.zone && isOfVersion(endpoint, need.softwareVersion);
+    });
+}
+
 double loadOf(const FleetEndpoint &endpoint, const ZoneName &zone)
 {
     const double backlog = std::chrono::duration<double>(promptBacklog(endpoint.prompts)).count()
@@ -78,7 +88,7 @@
             return true;
         }
         if (!this->zoneServed) {
-            this->zoneServed = hasEndpointInZone(this->fleet, this->need.service, this->need.zone);
+            this->zoneServed = zoneServes(this->fleet, this->need);
         }
         const bool allowed = maySendToLimited(endpoint.entry.zone, this->need.zone, *this->zoneServed);
         if (allowed && hasRoom(endpoint.limit, this->now)) {
@@ -104,17 +114,32 @@
 
 } // namespace
 
+bool isOfVersion(const FleetEndpoint &endpoint, const std::optional<std::string> &wanted)
+{
+    return !wanted || endpoint.entry.softwareVersion == *wanted;
+}
+
 EndpointChoice chooseEndpoint(const Fleet &fleet, const EndpointRequirements &need, TimePoint now)
 {
     Candidate best;
     bool anyEndpoint = false;
     bool anyFull = false;
+    bool anyOfVersion = false;
+    bool anyOfOtherVersion = false;
     LimitCheck limitCheck(fleet, need, now);
     std::uint64_t draw = need.draw;
     for (const EndpointName &id : endpointsOf(fleet, need.service)) {
         const FleetEndpoint &endpoint = fleet.endpoints.at(id);
         const bool avoided = std::find(need.avoid.begin(), need.avoid.end(), id) != need.avoid.end();
-        if (endpoint.entry.leaving || avoided) {
+        if (endpoint.entry.leaving) {
+            continue;
+        }
+        if (!isOfVersion(endpoint, need.softwareVersion)) {
+            anyOfOtherVersion = true;
+            continue;
+        }
+        anyOfVersion = true;
+        if (avoided) {
             continue;
         }
         anyEndpoint = true;
@@ -150,6 +175,8 @@
     EndpointChoice choice;
     if (best.endpoint != nullptr) {
         choice = {ChoiceResult::Chosen, best.endpoint->entry.id, best.version};
+    } else if (anyOfOtherVersion && !anyOfVersion) {
+        choice.result = ChoiceResult::VersionGone;
     } else if (anyEndpoint && limitCheck.anyAtLimit) {
         choice.result = need.weights.empty() ? ChoiceResult::Limited : ChoiceResult::AllFull;
         choice.untilCapacity = limitCheck.soonestCapacity;
--- a/lacewing/endpointchoice.h
+++ b/lacewing/endpointchoice.h
@@ -10,6 +10,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string>
 
@@ -29,6 +30,7 @@
     ServiceName service;
     std::string weights; ///< model or MODEL/ADAPTER; empty for a plain service
     std::int32_t oldestVersion = 0; ///< minimum version of the adapter
+    std::optional<std::string> softwareVersion; ///< of the endpoint; nothing: any
     ZoneName zone; ///< zone of this VM
     std::span<const EndpointName> avoid; ///< endpoints that must not be selected: already tried
     std::uint64_t draw = 0; ///< random number that breaks ties
@@ -41,6 +43,7 @@
     NotHeld, ///< the service has endpoints, but none of them holds the weights
     AllFull, ///< every endpoint that holds the weights has all slots in use or is at its request limit
     Limited, ///< plain service: its endpoints are at their request limits
+    VersionGone, ///< the service has endpoints, but all of the wanted software version are leaving or gone
     NoEndpoint, ///< every endpoint of the service is leaving or already tried, or there is none
 };
 
@@ -51,6 +54,11 @@
     Duration untilCapacity {0}; ///< until an endpoint at its limit accepts another request; 0: unknown
 };
 
+/// @param endpoint any endpoint
+/// @param wanted software version; nothing: any. Versions have no order: one is equal or it is another one
+/// @return whether the endpoint runs that version
+bool isOfVersion(const FleetEndpoint &endpoint, const std::optional<std::string> &wanted);
+
 /// @param fleet all endpoints
 /// @param need requirements of the request
 /// @param now current time
--- a/lacewing/entrynodemetrics.cpp
+++ b/lacewing/entrynodemetrics.cpp
@@ -24,6 +24,10 @@
     for (const auto &[code, count] : counters.ownAnswers) {
         line("own_answers_total{type=\"" + std::string(resultCodeInfo(code).type) + "\"}", count);
     }
+    for (const auto &[source, count] : counters.streamsResumed) {
+        line("streams_resumed_total{source=\"" + source + "\"}", count);
+    }
+    line("origins_unknown_total", counters.originsUnknown);
     line("requests_forwarded_total", counters.forwarded);
     line("requests_taken_over_total", counters.takenOver);
     line("endpoint_connections_made_total", counters.connectionsMade);
--- a/lacewing/gateway.h
+++ b/lacewing/gateway.h
@@ -71,6 +71,8 @@
     std::int64_t connectionsMade = 0; ///< new ones, to endpoints
     std::int64_t connectionsFailed = 0; ///< to endpoints, not established
     std::int64_t limitsIgnored = 0; ///< implausible limits sent by endpoints
+    std::int64_t originsUnknown = 0; ///< resumptions refused since it was not known which version began their stream
+    std::map<std::string, std::int64_t> streamsResumed; ///< by how the version that began the stream was found
     std::map<ResultCode, std::int64_t> ownAnswers;
 };
 
--- a/lacewing/relay.cpp
+++ b/lacewing/relay.cpp
@@ -1,8 +1,8 @@
 // Placement and sending of a request. Limits of the waiting times are in waitlimits, the pacing of prompts in
 // promptpacing.
 //
-// relayadmission.cpp handles the start of a request, relayanswer.cpp an endpoint's answer, relayend.cpp failures,
-// retries and gateway-generated answers.
+// relayadmission.cpp handles the start of a request, relayorigin.cpp the software versions that may run it,
+// relayanswer.cpp an endpoint's answer, relayend.cpp failures, retries and gateway-generated answers.
 
 #include "relay.h"
 
@@ -84,6 +84,7 @@
     need.service = this->service;
     need.weights = this->weights;
     need.oldestVersion = oldestUsableVersion(this->gateway.versionsNamed, this->weights, this->versionGrace, now);
+    need.softwareVersion = this->softwareVersion;
     need.zone = this->gateway.settings.zone;
     need.avoid = this->triedEndpoints;
     need.draw = this->gateway.random();
@@ -186,6 +187,10 @@
 
 void Relay::waitFor(const EndpointChoice &choice)
 {
+    if (choice.result == ChoiceResult::VersionGone) {
+        this->refuseVersionGone();
+        return;
+    }
     if (choice.result == ChoiceResult::Limited) {
         const bool retryTimeKnown = choice.untilCapacity.count() > 0;
         this->sendGatewayAnswer(ResultCode::QueueFull, retryTimeKnown ? choice.untilCapacity : refusedRetryAfter);
@@ -266,7 +271,7 @@
     send.version = this->info.adapter.empty() ? 0 : choice.version;
     send.urgency = urgencyLevel(*this->config, this->rank(), urgencyLevels);
     send.dropsKey = this->config->requiresKeys;
-    send.organisation = this->organisation == nullptr ? OrganisationName() : this->organisation->name;
+    send.organisation = this->organisationName();
     this->gateway.format.writeRequest(sent, send);
     this->sentAt = now;
     this->history.sends += 1;
@@ -287,6 +292,7 @@
               {"list_source", this->gateway.fleetState.list.source},
               {"config", std::to_string(this->config->version)},
               {"age_ms", inMilliseconds(this->age())}});
+    this->recordOrigin(target);
     this->link->send(formatRequest(sent, this->body), sent.method == "HEAD", this->linkHandlers());
 }
 
--- a/lacewing/relay.h
+++ b/lacewing/relay.h
@@ -28,6 +28,7 @@
 
 class CallerConnection;
 class Gateway;
+struct OriginOutcome;
 struct QuotaOutcome;
 
 /// Why a request is cancelled.
@@ -87,6 +88,12 @@
     void chargeQuota();
     void onCharged(const QuotaOutcome &outcome);
     void giveBackQuota();
+    void findOrigin();
+    void onOrigin(const OriginOutcome &outcome);
+    void resumeAs(const OriginOutcome &outcome);
+    void refuseVersionGone();
+    void recordOrigin(const FleetEndpoint &target);
+    OrganisationName organisationName() const;
     /// Runs a handler of this request. An exception ends this request only, not the process.
     void run(const std::function<void()> &part);
     /// Starts a timer. onEnd is not called if the request has ended by then.
@@ -141,6 +148,7 @@
     std::optional<TimePoint> quotaAsked; ///< if the request is charged: when the units were asked for
     ServiceName service;
     std::string weights;
+    std::optional<std::string> softwareVersion; ///< of the endpoints that may run the request; nothing: any
     RequestDigest digest = 0; ///< of the content that an endpoint executes
     std::string awaitedWeights;
     TimePoint arrived;
@@ -172,6 +180,7 @@
     std::optional<EventStreamPosition> eventStream; ///< of the endpoint's answer, if it is a stream without a length
     bool noPromptsAhead = false; ///< the queue was empty ahead of the prompt when it was sent
     bool countedAsSuspect = false; ///< counted in the endpoint's ownCrashSuspects
+    bool awaitsOrigin = false; ///< waits until it is known which software version may run it
     bool awaitsVerification = false; ///< of the connection to the service, after connections could not be made
     bool answerBegun = false;
     bool done = false;
--- a/lacewing/relayadmission.cpp
+++ b/lacewing/relayadmission.cpp
@@ -66,7 +66,7 @@
     this->versionGrace = oldVersionGrace(this->gateway.settings.versionBound, maxTimeToFirstByte);
     this->setTimer(this->deadlineTimer, this->deadline - this->arrived, &Relay::onDeadline);
     if (this->forwarded) { // counted and charged by the VM that the caller has sent it to
-        this->place();
+        this->findOrigin();
         return;
     }
     noteFirstAttempt(this->gateway.budgetOf(this->service), this->gateway.budgetSettings, this->arrived);
@@ -99,7 +99,7 @@
 {
     const bool limited = this->organisation != nullptr && isLimited(this->organisation->quota);
     if (!limited || !this->gateway.acquireQuota) {
-        this->place();
+        this->findOrigin();
         return;
     }
     this->quotaUnits = quotaCost(this->organisation->quota, this->info);
@@ -120,7 +120,7 @@
     }
     switch (outcome.result) {
     case QuotaResult::Granted:
-        this->place();
+        this->findOrigin();
         return;
     case QuotaResult::OverQuota:
         this->sendGatewayAnswer(ResultCode::OverQuota, outcome.retryAfter);
--- a/lacewing/relayanswer.cpp
+++ b/lacewing/relayanswer.cpp
@@ -186,7 +186,7 @@
     }
     logEvent("request_answered",
              {{"id", this->info.id},
-              {"organisation", this->organisation == nullptr ? OrganisationName() : this->organisation->name},
+              {"organisation", this->organisationName()},
               {"quota_units", std::to_string(std::lround(this->quotaUnits))},
               {"endpoint", this->endpoint},
               {"vm", this->peer},
--- a/lacewing/relayend.cpp
+++ b/lacewing/relayend.cpp
@@ -88,7 +88,8 @@
     this->gateway.counts.connectionsMade += 1;
     recordConnected(this->gateway.reach.of(this->service));
     const Fleet &fleet = this->gateway.fleetState;
-    const bool present = isIncarnation(fleet, this->endpoint, this->incarnationStart);
+    const bool present = isIncarnation(fleet, this->endpoint, this->incarnationStart)
+        && isOfVersion(fleet.endpoints.at(this->endpoint), this->softwareVersion);
     if (present && !isLeaving(fleet, this->endpoint, this->incarnationStart)) {
         return;
     }
@@ -212,7 +213,7 @@
     const std::optional<Duration> proof = proofAge(this->gateway.configProof, this->gateway.now());
     logEvent("request_refused",
              {{"id", this->info.id},
-              {"organisation", this->organisation == nullptr ? OrganisationName() : this->organisation->name},
+              {"organisation", this->organisationName()},
               {"proof_ms", proof ? inMilliseconds(*proof) : std::string("none")},
               {"code", std::to_string(static_cast<int>(code))},
               {"reason", std::string(result.type)},
--- a/lacewing/relayforward.cpp
+++ b/lacewing/relayforward.cpp
@@ -48,6 +48,9 @@
     request.ageMicroseconds = (now - this->arrived).count();
     request.attemptsLeft = this->attemptsLeft();
     request.serviceName = this->service;
+    if (this->softwareVersion) {
+        request.__set_softwareVersion(*this->softwareVersion);
+    }
     HttpRequestHead sent = this->head;
     dropConnectionHeaders(sent.headers);
     writeForwarding(sent.headers, request);
--- a/lacewing/resultcode.h
+++ b/lacewing/resultcode.h
@@ -42,6 +42,8 @@
     KeyUnproven = 211,
     OverQuota = 212,
     QuotaUnknown = 213,
+    OriginUnknown = 214,
+    VersionGone = 215,
     // 3xx: internal reasons for trying elsewhere
     NotOwner = 300,
     NotResident = 301,
