--- a/lacewing/originexchange.cpp
+++ b/lacewing/originexchange.cpp
@@ -1,8 +1,9 @@
 // Holders are chosen by rendezvous hashing: a VM that starts or ends moves only the keys that it holds.
 //
 // A missing record shows that no stream was recorded only if it is missing where it would be. The first recordHolders +
-// 1 VMs by rank, those not heard included, are asked for this: any recordHolders of them include a holder, also if one
-// of them recorded the stream itself. In another zone, the first two include a holder for the same reason.
+// 1 VMs by rank, those not heard included, count for this: any recordHolders of them include a holder, also if one of
+// them recorded the stream itself. Each of them that can be expected to answer has to, since a record may have been
+// lost.
 
 #include "originexchange.h"
 
@@ -20,6 +21,8 @@
 constexpr Duration askTimeout = milliseconds(60);
 /// Records of this time go to a holder in one datagram.
 constexpr Duration batchTime = milliseconds(10);
+/// A record is sent again after this time, in case its datagram is lost.
+constexpr Duration repeatDelay = milliseconds(100);
 /// Records in a datagram, of some 16 bytes each: with their versions, less than the 1,400 bytes that cross any link.
 constexpr std::size_t recordsPerDatagram = 48;
 /// Versions in a datagram, of 64 bytes each at most.
@@ -144,8 +147,43 @@
     const TimePoint now = this->clock.now();
     this->recorded += 1;
     rememberOrigin(this->origins, key, softwareVersion, now + life, now);
-    for (const VmId &holder : recordTargets(key, this->ports.zoneVms())) {
-        this->queue(holder, key, softwareVersion, life);
+    this->distribute(key, this->ports.zoneVms());
+}
+
+void OriginExchange::distribute(StreamKey key, const std::vector<OriginVm> &vms)
+{
+    const TimePoint now = this->clock.now();
+    const auto found = this->origins.entries.find(key);
+    if (found == this->origins.entries.end()) {
+        return;
+    }
+    std::vector<VmId> targets = recordTargets(key, vms);
+    for (const VmId &holder : targets) {
+        this->queue(holder, key, found->second.softwareVersion, found->second.expires - now);
+    }
+    if (this->repeats.empty()) {
+        this->ports.wakeAfter(repeatDelay);
+    }
+    this->repeats.push_back({now + repeatDelay, key, std::move(targets)});
+}
+
+void OriginExchange::repeatRecords()
+{
+    const TimePoint now = this->clock.now();
+    bool repeated = false;
+    while (!this->repeats.empty() && this->repeats.front().due <= now) {
+        const Repeat repeat = std::move(this->repeats.front());
+        this->repeats.pop_front();
+        repeated = true;
+        const auto found = this->origins.entries.find(repeat.key); // as it is now, also if it was replaced
+        if (found != this->origins.entries.end() && found->second.expires > now) {
+            for (const VmId &holder : repeat.targets) {
+                this->queue(holder, repeat.key, found->second.softwareVersion, found->second.expires - now);
+            }
+        }
+    }
+    if (repeated && !this->repeats.empty()) {
+        this->ports.wakeAfter(std::max(batchTime, this->repeats.front().due - now));
     }
 }
 
@@ -156,9 +194,7 @@
     expireOrigins(this->origins, now);
     const std::vector<OriginVm> vms = this->ports.zoneVms();
     for (const auto &[key, origin] : this->origins.entries) {
-        for (const VmId &holder : recordTargets(key, vms)) {
-            this->queue(holder, key, origin.softwareVersion, origin.expires - now);
-        }
+        this->distribute(key, vms);
     }
 }
 
@@ -219,14 +255,18 @@
         all.push_back({this->settings.vm, this->settings.zone, true});
     }
     const std::vector<OriginVm> ranked = rank(pending.key, std::move(all));
-    const std::size_t proving = std::min(ranked.size(), own ? recordHolders + 1 : otherZoneAsks);
+    const std::size_t proving = std::min(ranked.size(), recordHolders + 1);
     pending.evidence.denials.emplace_back();
     // A VM that is alone has no holder: what it doesn't know was not recorded here.
     pending.evidence.denials.back().needed
         = std::max<std::size_t>(1, std::min(recordHolders, ranked.size() - (own && ranked.size() > 1 ? 1 : 0)));
+    std::size_t expected = 0;
     for (std::size_t index = 0; index < proving; ++index) {
         pending.proving.insert(ranked[index].vm);
+        expected += ranked[index].usable ? 1 : 0;
     }
+    std::size_t &needed = pending.evidence.denials.back().needed;
+    needed = std::max(needed, expected);
     if (own && pending.proving.contains(this->settings.vm)) {
         pending.evidence.denials.back().collected.push_back(this->collected());
     }
@@ -257,6 +297,9 @@
     }
     pending.otherZones = true;
     pending.due = this->clock.now() + askTimeout;
+    for (const auto &[vm, zone] : std::map<VmId, std::size_t>(pending.unanswered)) {
+        this->sendAsk(ticket, pending, vm, zone); // the ask or its answer may have been lost
+    }
     std::size_t zone = ownZone;
     for (const auto &[name, vms] : zones) {
         this->askZone(ticket, pending, ++zone, vms, false);
@@ -292,6 +335,7 @@
 void OriginExchange::expire()
 {
     const TimePoint now = this->clock.now();
+    this->repeatRecords();
     if (this->flushDue && *this->flushDue <= now) {
         this->flush();
     }
--- a/lacewing/originexchange.h
+++ b/lacewing/originexchange.h
@@ -19,6 +19,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -41,7 +42,7 @@
 /// VMs of the own zone that are asked for a record: some more, since the views of the zone may differ.
 constexpr std::size_t zoneAsks = 4;
 /// VMs that are asked in each other zone.
-constexpr std::size_t otherZoneAsks = 2;
+constexpr std::size_t otherZoneAsks = recordHolders + 1;
 
 /// VMs at most that a record is sent to, those that are not heard included.
 constexpr std::size_t maxRecordTargets = 4;
@@ -142,8 +143,17 @@
         std::map<std::string, std::int16_t> indices; ///< of the versions
     };
 
+    /// A record that is sent again, in case its datagram is lost.
+    struct Repeat {
+        TimePoint due;
+        StreamKey key = 0;
+        std::vector<VmId> targets;
+    };
+
     static std::vector<OriginVm> rank(StreamKey key, std::vector<OriginVm> vms);
     static std::vector<VmId> recordTargets(StreamKey key, const std::vector<OriginVm> &vms);
+    void distribute(StreamKey key, const std::vector<OriginVm> &vms);
+    void repeatRecords();
     void queue(const VmId &holder, StreamKey key, const std::string &softwareVersion, Duration life);
     void flush();
     void sendAsk(std::int64_t ticket, PendingFind &pending, const VmId &vm, std::size_t zone);
@@ -161,6 +171,7 @@
     StreamOrigins origins;
     std::map<VmId, std::vector<Batch>> batches; ///< by holder; the last one is being filled
     std::optional<TimePoint> flushDue;
+    std::deque<Repeat> repeats; ///< in the order of their times
     std::map<std::int64_t, PendingFind> pendingFinds;
     std::map<std::int64_t, StreamKey> otherAsks; ///< of askOne()
     std::int64_t lastTicket = 0;
