--- a/bench/messagesizes.cpp
+++ b/bench/messagesizes.cpp
@@ -172,6 +172,56 @@
     return encode(record).size();
 }
 
+wire::VmDatagram vmDatagram()
+{
+    wire::VmDatagram datagram;
+    datagram.vm = vmName;
+    datagram.incarnation = largeIncarnation;
+    datagram.number = 1'000'000;
+    datagram.zone = "luzon-a";
+    datagram.configOffset = largeOffset;
+    datagram.millicores = 250;
+    return datagram;
+}
+
+std::size_t sizeOfOriginRecords(int count)
+{
+    constexpr std::int64_t largeKey = 0x4f1e2d3c5b6a7988;
+    constexpr std::int32_t life = 40'000;
+    wire::OriginRecords records;
+    records.versionNames = {"v1.12.3"};
+    for (int number = 0; number < count; ++number) {
+        records.keys.push_back(largeKey + number);
+        records.versions.push_back(0);
+        records.lifeMilliseconds.push_back(life);
+    }
+    wire::VmDatagram datagram = vmDatagram();
+    datagram.__set_originRecords(records);
+    return encode(datagram).size();
+}
+
+std::size_t sizeOfOriginAsk()
+{
+    wire::OriginAsk ask;
+    ask.ticket = 100'000;
+    ask.key = 0x4f1e2d3c5b6a7988;
+    wire::VmDatagram datagram = vmDatagram();
+    datagram.__set_originAsk(ask);
+    return encode(datagram).size();
+}
+
+std::size_t sizeOfOriginAnswer()
+{
+    wire::OriginAnswer answer;
+    answer.ticket = 100'000;
+    answer.known = true;
+    answer.softwareVersion = "v1.12.3";
+    answer.collectedMilliseconds = 10'000'000;
+    wire::VmDatagram datagram = vmDatagram();
+    datagram.__set_originAnswer(answer);
+    return encode(datagram).size();
+}
+
 } // namespace
 
 std::vector<MessageSize> messageSizes()
@@ -190,6 +240,10 @@
         {"configuration record, one change", sizeOfVersionChange()},
         {"key claims record, 1 key", sizeOfKeyClaims(1)},
         {"key claims record, 64 keys", sizeOfKeyClaims(64)},
+        {"origins of streams, 1 record", sizeOfOriginRecords(1)},
+        {"origins of streams, 10 records", sizeOfOriginRecords(10)},
+        {"ask for an origin", sizeOfOriginAsk()},
+        {"answer with an origin", sizeOfOriginAnswer()},
     };
 }
 
