--- a/bench/originways.cpp
+++ b/bench/originways.cpp
@@ -295,6 +295,7 @@
 
     bool ask(const Stream &stream, int from, int to)
     {
+        ++this->m_asked;
         this->countAsked(askBytes, 1);
         if (this->measured()) {
             ++this->m_asks;
@@ -303,7 +304,12 @@
             return false;
         }
         this->countAsked(answerBytes, 1);
-        return this->draw() >= this->m_load.datagramLoss && this->holds(stream, to);
+        const bool received = this->draw() >= this->m_load.datagramLoss;
+        const bool known = this->holds(stream, to);
+        if (received && !known && this->vmOf(to).incarnation == 0) {
+            ++this->m_denied;
+        }
+        return received && known;
     }
 
     bool askAll(const Stream &stream, int from, const std::vector<int> &asked)
@@ -451,12 +457,16 @@
             }
             return;
         }
+        this->m_asked = 0;
+        this->m_denied = 0;
         const bool known = this->find(stream, taker);
         const bool derived = this->m_way.mechanism == OriginMechanism::Derived;
         if (this->measured()) {
             ++this->m_resumptions;
             this->m_known += known ? 1 : 0;
             this->m_wrong += !known && derived ? 1 : 0;
+            this->m_oneDenied += !known && this->m_denied > 0 ? 1 : 0;
+            this->m_allDenied += !known && this->m_denied > 1 && this->m_denied == this->m_asked ? 1 : 0;
         }
         if (known) {
             stream.vm = taker;
@@ -587,6 +597,8 @@
         result.resumptions = this->m_resumptions;
         result.known = this->m_known;
         result.wrong = this->m_wrong;
+        result.unknownButOneDenied = this->m_oneDenied;
+        result.unknownAndAllDenied = this->m_allDenied;
         result.asksPerResumption = this->m_resumptions > 0
             ? static_cast<double>(this->m_asks) / static_cast<double>(this->m_resumptions)
             : 0;
@@ -632,6 +644,10 @@
     std::int64_t m_resumptions = 0;
     std::int64_t m_known = 0;
     std::int64_t m_wrong = 0;
+    std::int64_t m_oneDenied = 0;
+    std::int64_t m_allDenied = 0;
+    int m_asked = 0; // for the resumption at hand
+    int m_denied = 0;
     std::int64_t m_asks = 0;
     std::int64_t m_datagrams = 0;
     double m_appends = 0;
--- a/bench/originways.h
+++ b/bench/originways.h
@@ -64,6 +64,8 @@
     std::int64_t resumptions = 0;
     std::int64_t known = 0;
     std::int64_t wrong = 0; ///< went on at a version that the stream did not begin at
+    std::int64_t unknownButOneDenied = 0; ///< unknown, and a VM that has run from the beginning has no record
+    std::int64_t unknownAndAllDenied = 0; ///< unknown, and all that were asked, two at least, are such VMs without it
     double asksPerResumption = 0;
     double recordBytesPerVm = 0; ///< a second, mean of the VMs
     double askBytesPerVm = 0; ///< with the answers
--- a/bench/originwaysbench.cpp
+++ b/bench/originwaysbench.cpp
@@ -2,7 +2,8 @@
 // each kind of trouble, and what each way sends, asks and keeps. Deterministic: the same output for the same seeds.
 //
 //   build/originwaysbench [six|shifted|design]…
-//   build/originwaysbench costs     processor time of a datagram with records, of this machine and build
+//   build/originwaysbench denials   what "no record" proves
+//   build/originwaysbench costs      processor time of a datagram with records, of this machine and build
 
 #include <chrono>
 #include <cstdio>
@@ -177,6 +178,51 @@
     }
 }
 
+/// All streams simulated are recorded, so whoever takes "no record" for a proof of an earlier start errs each time.
+void printDenials(const Case &which)
+{
+    std::vector<NamedWay> ways;
+    for (int holders = 1; holders <= 2; ++holders) {
+        for (const bool far : {false, true}) {
+            OriginWay way;
+            way.holders = holders;
+            way.farHolder = far;
+            way.asksAllZones = !far;
+            ways.push_back({"hashed k=" + std::to_string(holders) + " handed over" + (far ? ", 1 far" : ""), way});
+        }
+    }
+    std::printf(
+        "\n%s: of 1000 resumptions unknown although one VM / all VMs asked have run from the beginning and have "
+        "no record\n| way |",
+        which.deployment.name.c_str());
+    for (const NamedTrouble &trouble : allTroubles()) {
+        std::printf(" %s |", trouble.name.c_str());
+    }
+    std::printf("\n");
+    for (const NamedWay &way : ways) {
+        std::printf("| %s |", way.name.c_str());
+        for (const NamedTrouble &trouble : allTroubles()) {
+            std::int64_t one = 0;
+            std::int64_t whole = 0;
+            std::int64_t all = 0;
+            for (std::uint64_t seed = 1; seed <= which.seeds; ++seed) {
+                OriginLoad load;
+                load.startsShare = which.troubleShare;
+                load.datagramLoss = trouble.loss;
+                const OriginWayResult result
+                    = simulateOriginWay(which.deployment, way.way, trouble.trouble, load, seed);
+                one += result.unknownButOneDenied;
+                whole += result.unknownAndAllDenied;
+                all += result.resumptions;
+            }
+            const double scale = all > 0 ? 1000.0 / static_cast<double>(all) : 0.0;
+            std::printf(" %.1f / %.1f |", scale * static_cast<double>(one), scale * static_cast<double>(whole));
+            std::fflush(stdout);
+        }
+        std::printf("\n");
+    }
+}
+
 double microsecondsSince(std::chrono::steady_clock::time_point start, int rounds)
 {
     return std::chrono::duration<double, std::micro>(std::chrono::steady_clock::now() - start).count() / rounds;
@@ -250,6 +296,11 @@
         {{"design", 23, 590, 53000, 20}, 0.01, 0.05, 3},
     };
     const std::vector<NamedWay> ways = allWays();
+    if (argc > 1 && std::string_view(argv[1]) == "denials") {
+        printDenials(cases[0]);
+        printDenials(cases[1]);
+        return 0;
+    }
     for (const Case &which : cases) {
         bool wanted = argc < 2;
         for (int i = 1; i < argc; ++i) {
