--- a/bench/originways.cpp
+++ b/bench/originways.cpp
@@ -68,35 +68,36 @@
 class Simulation
 {
 public:
-    Simulation(const OriginDeployment &deployment, const OriginWay &way, const OriginLoad &load, std::uint64_t seed)
-        : m_deployment(deployment),
-          m_way(way),
-          m_load(load),
-          m_random(seed),
-          m_vms(static_cast<std::size_t>(deployment.vms)),
-          m_zoneVms(static_cast<std::size_t>(deployment.zones)),
-          m_flushAt(static_cast<std::size_t>(deployment.vms) * static_cast<std::size_t>(deployment.vms), -1.0),
-          m_storeFlushAt(static_cast<std::size_t>(deployment.vms), -1.0)
+    Simulation(const OriginDeployment &simulated, const OriginWay &simulatedWay, const OriginLoad &simulatedLoad,
+               std::uint64_t seed)
+        : deployment(simulated),
+          way(simulatedWay),
+          load(simulatedLoad),
+          random(seed),
+          vms(static_cast<std::size_t>(simulated.vms)),
+          zoneVms(static_cast<std::size_t>(simulated.zones)),
+          flushTimes(static_cast<std::size_t>(simulated.vms) * static_cast<std::size_t>(simulated.vms), -1.0),
+          storeFlushTimes(static_cast<std::size_t>(simulated.vms), -1.0)
     {
-        for (int vm = 0; vm < deployment.vms; ++vm) {
-            const int zone = vm * deployment.zones / deployment.vms;
+        for (int vm = 0; vm < simulated.vms; ++vm) {
+            const int zone = vm * simulated.zones / simulated.vms;
             this->vmOf(vm).zone = zone;
-            this->m_zoneVms[static_cast<std::size_t>(zone)].push_back(vm);
+            this->zoneVms[static_cast<std::size_t>(zone)].push_back(vm);
         }
     }
 
     OriginWayResult run(OriginTrouble trouble)
     {
-        const double settled = recordLives * this->m_deployment.longestLife;
+        const double settled = recordLives * this->deployment.longestLife;
         const double troubleEnd = settled + this->schedule(trouble, settled);
         const double end = troubleEnd + 5;
-        this->m_measuredFrom = settled;
-        this->m_peaks.assign(static_cast<std::size_t>(end) + 1, 0.0);
+        this->measuredFrom = settled;
+        this->askPeaks.assign(static_cast<std::size_t>(end) + 1, 0.0);
         this->startLater(0);
-        while (!this->m_events.empty() && this->m_events.top().at < end) {
-            const Event event = this->m_events.top();
-            this->m_events.pop();
-            this->m_now = event.at;
+        while (!this->events.empty() && this->events.top().at < end) {
+            const Event event = this->events.top();
+            this->events.pop();
+            this->now = event.at;
             event.action();
         }
         return this->result(end - settled);
@@ -115,42 +116,42 @@
 
     void at(double when, std::function<void()> action)
     {
-        this->m_events.push({when, this->m_eventNumber++, std::move(action)});
+        this->events.push({when, this->eventNumber++, std::move(action)});
     }
 
     Vm &vmOf(int vm)
     {
-        return this->m_vms[static_cast<std::size_t>(vm)];
+        return this->vms[static_cast<std::size_t>(vm)];
     }
 
     double draw()
     {
-        return std::uniform_real_distribution<double>(0.0, 1.0)(this->m_random);
+        return std::uniform_real_distribution<double>(0.0, 1.0)(this->random);
     }
 
     bool measured() const
     {
-        return this->m_now >= this->m_measuredFrom;
+        return this->now >= this->measuredFrom;
     }
 
     bool listed(int vm)
     {
         const Vm &state = this->vmOf(vm);
-        return state.up ? this->m_now >= state.listedFrom : this->m_now < state.listedUntil;
+        return state.up ? this->now >= state.listedFrom : this->now < state.listedUntil;
     }
 
     bool reaches(int from, int to)
     {
         const int zoneA = this->vmOf(from).zone;
         const int zoneB = this->vmOf(to).zone;
-        return zoneA == zoneB || (zoneA != this->m_cutZone && zoneB != this->m_cutZone);
+        return zoneA == zoneB || (zoneA != this->cutZone && zoneB != this->cutZone);
     }
 
     /// Listed VMs of the zone by rendezvous hash, best first, without the one given.
     std::vector<int> ranked(int zone, std::uint64_t key, int count, int without)
     {
         std::vector<std::pair<std::uint64_t, int>> order;
-        for (const int vm : this->m_zoneVms[static_cast<std::size_t>(zone)]) {
+        for (const int vm : this->zoneVms[static_cast<std::size_t>(zone)]) {
             if (vm != without && this->listed(vm)) {
                 order.emplace_back(mix(key, static_cast<std::uint64_t>(vm)), vm);
             }
@@ -169,7 +170,7 @@
     int farZone(std::uint64_t key, int without) const
     {
         int best = -1;
-        for (int zone = 0; zone < this->m_deployment.zones; ++zone) {
+        for (int zone = 0; zone < this->deployment.zones; ++zone) {
             if (zone != without
                 && (best < 0
                     || mix(~key, static_cast<std::uint64_t>(zone)) > mix(~key, static_cast<std::uint64_t>(best)))) {
@@ -183,21 +184,21 @@
     {
         const int zone = this->vmOf(recorder).zone;
         std::vector<int> holders;
-        switch (this->m_way.mechanism) {
+        switch (this->way.mechanism) {
         case OriginMechanism::HashedHolders:
         case OriginMechanism::Derived:
-            holders = this->ranked(zone, key, this->m_way.holders, recorder);
+            holders = this->ranked(zone, key, this->way.holders, recorder);
             break;
         case OriginMechanism::RecorderHolders:
-            holders = this->ranked(zone, static_cast<std::uint64_t>(recorder), this->m_way.holders, recorder);
+            holders = this->ranked(zone, static_cast<std::uint64_t>(recorder), this->way.holders, recorder);
             break;
         case OriginMechanism::ZoneTold:
-            holders = this->ranked(zone, key, this->m_deployment.vms, recorder);
+            holders = this->ranked(zone, key, this->deployment.vms, recorder);
             break;
         case OriginMechanism::Store:
             break;
         }
-        if (this->m_way.farHolder && this->m_deployment.zones > 1) {
+        if (this->way.farHolder && this->deployment.zones > 1) {
             const std::vector<int> far = this->ranked(this->farZone(key, zone), key, 1, recorder);
             holders.insert(holders.end(), far.begin(), far.end());
         }
@@ -206,7 +207,7 @@
 
     void hold(std::size_t number, int vm, double from)
     {
-        Stream &stream = this->m_streams[number];
+        Stream &stream = this->streams[number];
         Vm &holder = this->vmOf(vm);
         for (const Copy &copy : stream.copies) {
             if (copy.vm == vm && copy.incarnation == holder.incarnation) {
@@ -221,27 +222,27 @@
     {
         const Vm &holder = this->vmOf(vm);
         return std::any_of(stream.copies.begin(), stream.copies.end(), [&](const Copy &copy) {
-            return copy.vm == vm && copy.incarnation == holder.incarnation && copy.from <= this->m_now;
+            return copy.vm == vm && copy.incarnation == holder.incarnation && copy.from <= this->now;
         });
     }
 
     void record(std::size_t number)
     {
-        Stream &stream = this->m_streams[number];
+        Stream &stream = this->streams[number];
         const int recorder = stream.vm;
-        if (this->m_way.mechanism == OriginMechanism::Derived && !stream.exception) {
+        if (this->way.mechanism == OriginMechanism::Derived && !stream.exception) {
             return;
         }
-        if (this->m_way.mechanism == OriginMechanism::Store) {
+        if (this->way.mechanism == OriginMechanism::Store) {
             this->append(stream);
             return;
         }
-        this->hold(number, recorder, this->m_now);
+        this->hold(number, recorder, this->now);
         for (const int holder : this->holdersOf(stream.key, recorder)) {
-            double &flushAt = this->m_flushAt[static_cast<std::size_t>(recorder) * this->m_vms.size()
-                                              + static_cast<std::size_t>(holder)];
-            if (flushAt < this->m_now) {
-                flushAt = this->m_now + this->m_way.window;
+            double &flushAt = this->flushTimes[static_cast<std::size_t>(recorder) * this->vms.size()
+                                               + static_cast<std::size_t>(holder)];
+            if (flushAt < this->now) {
+                flushAt = this->now + this->way.window;
                 this->countRecords(headBytes, 1);
             }
             this->countRecords(recordBytes, 0);
@@ -251,8 +252,8 @@
                 const Vm &sender = this->vmOf(recorder);
                 const bool sent = sender.incarnation == incarnation || sender.listedUntil < 0;
                 if (sent && this->vmOf(holder).up && this->reaches(recorder, holder)
-                    && this->draw() >= this->m_load.datagramLoss) {
-                    this->hold(number, holder, this->m_now + transit);
+                    && this->draw() >= this->load.datagramLoss) {
+                    this->hold(number, holder, this->now + transit);
                 }
             });
         }
@@ -260,18 +261,18 @@
 
     void append(Stream &stream)
     {
-        double &flushAt = this->m_storeFlushAt[static_cast<std::size_t>(stream.vm)];
-        if (flushAt < this->m_now) {
-            flushAt = this->m_now + this->m_way.window;
+        double &flushAt = this->storeFlushTimes[static_cast<std::size_t>(stream.vm)];
+        if (flushAt < this->now) {
+            flushAt = this->now + this->way.window;
             if (this->measured()) {
-                this->m_appends += 1;
-                this->m_storeBytes += storeRecordBytes;
+                this->appends += 1;
+                this->storeBytesAppended += storeRecordBytes;
             }
         }
         if (this->measured()) {
-            this->m_storeBytes += recordBytes;
+            this->storeBytesAppended += recordBytes;
         }
-        if (this->vmOf(stream.vm).zone != this->m_cutZone) {
+        if (this->vmOf(stream.vm).zone != this->cutZone) {
             stream.storedFrom = flushAt;
         }
     }
@@ -279,35 +280,35 @@
     void countRecords(double bytes, int datagrams)
     {
         if (this->measured()) {
-            this->m_recordBytes += bytes;
-            this->m_datagrams += datagrams;
+            this->recordBytesSent += bytes;
+            this->datagramsSent += datagrams;
         }
     }
 
     void countAsked(double bytes, int datagrams)
     {
         if (this->measured()) {
-            this->m_askBytes += bytes;
-            this->m_datagrams += datagrams;
-            this->m_peaks[static_cast<std::size_t>(this->m_now)] += bytes;
+            this->askBytesSent += bytes;
+            this->datagramsSent += datagrams;
+            this->askPeaks[static_cast<std::size_t>(this->now)] += bytes;
         }
     }
 
     bool ask(const Stream &stream, int from, int to)
     {
-        ++this->m_asked;
+        ++this->askedNow;
         this->countAsked(askBytes, 1);
         if (this->measured()) {
-            ++this->m_asks;
+            ++this->asks;
         }
-        if (!this->vmOf(to).up || !this->reaches(from, to) || this->draw() < this->m_load.datagramLoss) {
+        if (!this->vmOf(to).up || !this->reaches(from, to) || this->draw() < this->load.datagramLoss) {
             return false;
         }
         this->countAsked(answerBytes, 1);
-        const bool received = this->draw() >= this->m_load.datagramLoss;
+        const bool received = this->draw() >= this->load.datagramLoss;
         const bool known = this->holds(stream, to);
         if (received && !known && this->vmOf(to).incarnation == 0) {
-            ++this->m_denied;
+            ++this->deniedNow;
         }
         return received && known;
     }
@@ -324,12 +325,11 @@
     /// @return whether the version that the stream began at is known at the VM
     bool find(const Stream &stream, int taker)
     {
-        if (this->m_way.mechanism == OriginMechanism::Store) {
-            this->m_reads += this->measured() ? 1 : 0;
-            return this->vmOf(taker).zone != this->m_cutZone && stream.storedFrom >= 0
-                && stream.storedFrom <= this->m_now;
+        if (this->way.mechanism == OriginMechanism::Store) {
+            this->reads += this->measured() ? 1 : 0;
+            return this->vmOf(taker).zone != this->cutZone && stream.storedFrom >= 0 && stream.storedFrom <= this->now;
         }
-        if (this->m_way.mechanism == OriginMechanism::Derived && !stream.exception) {
+        if (this->way.mechanism == OriginMechanism::Derived && !stream.exception) {
             // The exceptions' holders are asked all the same: that there is no record is known only from them.
             this->askAll(stream, taker, this->askedIn(this->vmOf(taker).zone, stream.key, taker));
             return true;
@@ -341,7 +341,7 @@
         if (this->askAll(stream, taker, this->askedIn(zone, stream.key, taker))) {
             return true;
         }
-        if (this->m_way.farHolder && this->m_deployment.zones > 1) {
+        if (this->way.farHolder && this->deployment.zones > 1) {
             // The far zone of a record depends on its recorder's zone: the first zone by hash, or the second.
             const int first = this->farZone(stream.key, -1);
             const int second = this->farZone(stream.key, first);
@@ -353,8 +353,8 @@
             }
         }
         std::vector<int> others;
-        for (int other = 0; other < this->m_deployment.zones; ++other) {
-            if (other != zone && this->m_way.asksAllZones) {
+        for (int other = 0; other < this->deployment.zones; ++other) {
+            if (other != zone && this->way.asksAllZones) {
                 const std::vector<int> asked = this->askedIn(other, stream.key, taker);
                 others.insert(others.end(), asked.begin(), asked.end());
             }
@@ -362,19 +362,19 @@
         if (this->askAll(stream, taker, others)) {
             return true;
         }
-        if (this->m_way.storesAtStop) {
-            this->m_reads += this->measured() ? 1 : 0;
-            return zone != this->m_cutZone && stream.storedFrom >= 0 && stream.storedFrom <= this->m_now;
+        if (this->way.storesAtStop) {
+            this->reads += this->measured() ? 1 : 0;
+            return zone != this->cutZone && stream.storedFrom >= 0 && stream.storedFrom <= this->now;
         }
         return false;
     }
 
     std::vector<int> askedIn(int zone, std::uint64_t key, int taker)
     {
-        int count = this->m_way.holders + askedBeyondHolders;
-        if (this->m_way.mechanism == OriginMechanism::RecorderHolders) {
-            count = this->m_deployment.vms;
-        } else if (this->m_way.mechanism == OriginMechanism::ZoneTold) {
+        int count = this->way.holders + askedBeyondHolders;
+        if (this->way.mechanism == OriginMechanism::RecorderHolders) {
+            count = this->deployment.vms;
+        } else if (this->way.mechanism == OriginMechanism::ZoneTold) {
             count = 2;
         }
         return this->ranked(zone, key, count, taker);
@@ -382,17 +382,17 @@
 
     void startLater(double when)
     {
-        std::exponential_distribution<double> gap(this->m_deployment.startsPerSecond * this->m_load.startsShare);
-        this->at(when + gap(this->m_random), [this] {
+        std::exponential_distribution<double> gap(this->deployment.startsPerSecond * this->load.startsShare);
+        this->at(when + gap(this->random), [this] {
             this->start();
-            this->startLater(this->m_now);
+            this->startLater(this->now);
         });
     }
 
     int chooseVm(int zone, bool anyZone)
     {
         std::vector<int> serving;
-        for (int vm = 0; vm < this->m_deployment.vms; ++vm) {
+        for (int vm = 0; vm < this->deployment.vms; ++vm) {
             if (this->vmOf(vm).up && (anyZone || this->vmOf(vm).zone == zone)) {
                 serving.push_back(vm);
             }
@@ -405,75 +405,75 @@
 
     void start()
     {
-        const int vm = static_cast<int>(this->draw() * static_cast<double>(this->m_deployment.vms));
+        const int vm = static_cast<int>(this->draw() * static_cast<double>(this->deployment.vms));
         if (!this->vmOf(vm).up) {
             return;
         }
-        const std::size_t number = this->m_streams.size();
-        const double longest = this->m_deployment.longestLife;
+        const std::size_t number = this->streams.size();
+        const double longest = this->deployment.longestLife;
         std::exponential_distribution<double> lives(3 / longest);
-        const double life = std::min(lives(this->m_random), longest);
-        Stream &stream = this->m_streams.emplace_back();
-        stream.key = this->m_random();
+        const double life = std::min(lives(this->random), longest);
+        Stream &stream = this->streams.emplace_back();
+        stream.key = this->random();
         stream.vm = vm;
-        stream.end = this->m_now + life;
-        stream.recordUntil = this->m_now + recordLives * longest;
-        stream.exception = this->draw() < this->m_way.exceptions;
-        this->m_startsMeasured += this->measured() ? 1 : 0;
-        this->m_relayed.resize(this->m_vms.size());
-        this->m_relayed[static_cast<std::size_t>(vm)].push_back(number);
+        stream.end = this->now + life;
+        stream.recordUntil = this->now + recordLives * longest;
+        stream.exception = this->draw() < this->way.exceptions;
+        this->startsMeasured += this->measured() ? 1 : 0;
+        this->relayed.resize(this->vms.size());
+        this->relayed[static_cast<std::size_t>(vm)].push_back(number);
         this->record(number);
-        if (this->draw() < this->m_load.breakShare) {
-            this->at(this->m_now + this->draw() * life, [this, number] { this->breakStream(number, false); });
+        if (this->draw() < this->load.breakShare) {
+            this->at(this->now + this->draw() * life, [this, number] { this->breakStream(number, false); });
         }
     }
 
     void breakStream(std::size_t number, bool leavesZone)
     {
-        Stream &stream = this->m_streams[number];
-        if (!stream.relayed || this->m_now >= stream.end) {
+        Stream &stream = this->streams[number];
+        if (!stream.relayed || this->now >= stream.end) {
             return;
         }
         stream.relayed = false;
         const double delay = 0.1 + 0.9 * this->draw();
-        this->at(this->m_now + delay, [this, number, leavesZone] { this->resume(number, leavesZone); });
+        this->at(this->now + delay, [this, number, leavesZone] { this->resume(number, leavesZone); });
     }
 
     void resume(std::size_t number, bool leavesZone)
     {
-        Stream &stream = this->m_streams[number];
+        Stream &stream = this->streams[number];
         const int zone = this->vmOf(stream.vm).zone;
-        const bool other = leavesZone || this->draw() < this->m_load.otherZoneShare;
+        const bool other = leavesZone || this->draw() < this->load.otherZoneShare;
         int taker = other ? -1 : this->chooseVm(zone, false);
         for (int tries = 0; taker < 0 && tries < 100; ++tries) {
             taker = this->chooseVm(zone, true);
-            if (leavesZone && taker >= 0 && this->vmOf(taker).zone == this->m_cutZone) {
+            if (leavesZone && taker >= 0 && this->vmOf(taker).zone == this->cutZone) {
                 taker = -1;
             }
         }
         if (taker < 0) {
-            if (this->m_now < stream.recordUntil) {
-                this->at(this->m_now + 0.5, [this, number, leavesZone] { this->resume(number, leavesZone); });
+            if (this->now < stream.recordUntil) {
+                this->at(this->now + 0.5, [this, number, leavesZone] { this->resume(number, leavesZone); });
             }
             return;
         }
-        this->m_asked = 0;
-        this->m_denied = 0;
+        this->askedNow = 0;
+        this->deniedNow = 0;
         const bool known = this->find(stream, taker);
-        const bool derived = this->m_way.mechanism == OriginMechanism::Derived;
+        const bool derived = this->way.mechanism == OriginMechanism::Derived;
         if (this->measured()) {
-            ++this->m_resumptions;
-            this->m_known += known ? 1 : 0;
-            this->m_wrong += !known && derived ? 1 : 0;
-            this->m_oneDenied += !known && this->m_denied > 0 ? 1 : 0;
-            this->m_allDenied += !known && this->m_denied > 1 && this->m_denied == this->m_asked ? 1 : 0;
+            ++this->resumptions;
+            this->takenUp += known ? 1 : 0;
+            this->takenUpWrongly += !known && derived ? 1 : 0;
+            this->oneDenied += !known && this->deniedNow > 0 ? 1 : 0;
+            this->allDenied += !known && this->deniedNow > 1 && this->deniedNow == this->askedNow ? 1 : 0;
         }
         if (known) {
             stream.vm = taker;
             stream.relayed = true;
-            stream.recordUntil = this->m_now + recordLives * this->m_deployment.longestLife;
-            stream.end = std::max(stream.end, this->m_now + 1);
-            this->m_relayed[static_cast<std::size_t>(taker)].push_back(number);
+            stream.recordUntil = this->now + recordLives * this->deployment.longestLife;
+            stream.end = std::max(stream.end, this->now + 1);
+            this->relayed[static_cast<std::size_t>(taker)].push_back(number);
             this->record(number);
         }
     }
@@ -481,15 +481,15 @@
     void stop(int vm, bool orderly)
     {
         Vm &state = this->vmOf(vm);
-        if (orderly && this->m_way.handOver) {
+        if (orderly && this->way.handOver) {
             this->handOver(vm);
         }
         state.up = false;
-        state.listedUntil = orderly ? -1 : this->m_now + killNoticed;
+        state.listedUntil = orderly ? -1 : this->now + killNoticed;
         ++state.incarnation;
         state.held.clear();
-        for (const std::size_t number : std::exchange(this->m_relayed[static_cast<std::size_t>(vm)], {})) {
-            if (this->m_streams[number].vm == vm) {
+        for (const std::size_t number : std::exchange(this->relayed[static_cast<std::size_t>(vm)], {})) {
+            if (this->streams[number].vm == vm) {
                 this->breakStream(number, false);
             }
         }
@@ -499,40 +499,40 @@
     {
         Vm &state = this->vmOf(vm);
         state.up = true;
-        state.listedFrom = this->m_now + changeNoticed;
+        state.listedFrom = this->now + changeNoticed;
     }
 
     void handOver(int vm)
     {
-        std::vector<double> bytes(this->m_vms.size(), 0.0);
-        std::vector<bool> lost(this->m_vms.size(), false);
+        std::vector<double> bytes(this->vms.size(), 0.0);
+        std::vector<bool> lost(this->vms.size(), false);
         double stored = 0;
         for (const std::size_t number : this->vmOf(vm).held) {
-            Stream &stream = this->m_streams[number];
+            Stream &stream = this->streams[number];
             // Only what may still be taken up. The VM knows this of streams that it relays; of others it knows when
             // the record expires.
             const bool own = stream.vm == vm;
-            if (this->m_now >= stream.recordUntil || (own && this->m_now >= stream.end)) {
+            if (this->now >= stream.recordUntil || (own && this->now >= stream.end)) {
                 continue;
             }
-            if (this->m_way.storesAtStop) {
+            if (this->way.storesAtStop) {
                 stored += recordBytes;
-                stream.storedFrom = this->m_now;
+                stream.storedFrom = this->now;
             }
             for (const int holder : this->holdersOf(stream.key, vm)) {
                 double &sent = bytes[static_cast<std::size_t>(holder)];
                 if (std::fmod(sent, fullDatagram) < recordBytes) {
-                    lost[static_cast<std::size_t>(holder)] = this->draw() < this->m_load.datagramLoss;
+                    lost[static_cast<std::size_t>(holder)] = this->draw() < this->load.datagramLoss;
                 }
                 sent += recordBytes;
                 if (!lost[static_cast<std::size_t>(holder)] && this->vmOf(holder).up && this->reaches(vm, holder)) {
-                    this->hold(number, holder, this->m_now + transit);
+                    this->hold(number, holder, this->now + transit);
                 }
             }
         }
-        if (this->m_way.storesAtStop && this->vmOf(vm).zone != this->m_cutZone) {
-            this->m_appends += std::max(1.0, std::ceil(stored / largestAppend));
-            this->m_storeBytes += stored;
+        if (this->way.storesAtStop && this->vmOf(vm).zone != this->cutZone) {
+            this->appends += std::max(1.0, std::ceil(stored / largestAppend));
+            this->storeBytesAppended += stored;
         }
         for (const double sent : bytes) {
             const double datagrams = std::ceil(sent / (fullDatagram - headBytes));
@@ -544,12 +544,13 @@
     double schedule(OriginTrouble trouble, double from)
     {
         std::vector<int> order;
-        for (int vm = 0; vm < this->m_deployment.vms; ++vm) {
+        order.reserve(this->vms.size());
+        for (int vm = 0; vm < this->deployment.vms; ++vm) {
             order.push_back(vm);
         }
-        this->m_relayed.resize(this->m_vms.size());
+        this->relayed.resize(this->vms.size());
         if (trouble != OriginTrouble::RollingStopByZone) {
-            std::shuffle(order.begin(), order.end(), this->m_random);
+            std::shuffle(order.begin(), order.end(), this->random);
         }
         switch (trouble) {
         case OriginTrouble::None:
@@ -558,7 +559,7 @@
             this->at(from, [this, vm = order.front()] { this->stop(vm, false); });
             return 3;
         case OriginTrouble::MostKilled:
-            for (int i = 0; i < std::lround(killedShare * this->m_deployment.vms); ++i) {
+            for (int i = 0; i < std::lround(killedShare * this->deployment.vms); ++i) {
                 const int vm = order[static_cast<std::size_t>(i)];
                 this->at(from, [this, vm] { this->stop(vm, false); });
                 this->at(from + away, [this, vm] { this->restart(vm); });
@@ -574,16 +575,16 @@
             return stopInterval * static_cast<double>(order.size()) + away;
         case OriginTrouble::ZoneCutOff:
             this->at(from, [this] {
-                this->m_cutZone = 0;
-                for (const int vm : this->m_zoneVms.front()) {
-                    for (const std::size_t number : std::exchange(this->m_relayed[static_cast<std::size_t>(vm)], {})) {
-                        if (this->m_streams[number].vm == vm) {
+                this->cutZone = 0;
+                for (const int vm : this->zoneVms.front()) {
+                    for (const std::size_t number : std::exchange(this->relayed[static_cast<std::size_t>(vm)], {})) {
+                        if (this->streams[number].vm == vm) {
                             this->breakStream(number, true);
                         }
                     }
                 }
             });
-            this->at(from + cutDuration, [this] { this->m_cutZone = -1; });
+            this->at(from + cutDuration, [this] { this->cutZone = -1; });
             return 3;
         }
         return 0;
@@ -591,25 +592,24 @@
 
     OriginWayResult result(double seconds)
     {
-        const double vmSeconds = seconds * static_cast<double>(this->m_vms.size());
+        const double vmSeconds = seconds * static_cast<double>(this->vms.size());
         OriginWayResult result;
-        result.streams = this->m_startsMeasured;
-        result.resumptions = this->m_resumptions;
-        result.known = this->m_known;
-        result.wrong = this->m_wrong;
-        result.unknownButOneDenied = this->m_oneDenied;
-        result.unknownAndAllDenied = this->m_allDenied;
-        result.asksPerResumption = this->m_resumptions > 0
-            ? static_cast<double>(this->m_asks) / static_cast<double>(this->m_resumptions)
-            : 0;
-        result.recordBytesPerVm = this->m_recordBytes / vmSeconds;
-        result.askBytesPerVm = this->m_askBytes / vmSeconds;
-        result.datagramsPerVm = static_cast<double>(this->m_datagrams) / vmSeconds;
-        result.peakBytesPerVm = *std::max_element(this->m_peaks.begin(), this->m_peaks.end())
-            / static_cast<double>(this->m_vms.size()) / this->m_load.startsShare;
+        result.streams = this->startsMeasured;
+        result.resumptions = this->resumptions;
+        result.known = this->takenUp;
+        result.wrong = this->takenUpWrongly;
+        result.unknownButOneDenied = this->oneDenied;
+        result.unknownAndAllDenied = this->allDenied;
+        result.asksPerResumption
+            = this->resumptions > 0 ? static_cast<double>(this->asks) / static_cast<double>(this->resumptions) : 0;
+        result.recordBytesPerVm = this->recordBytesSent / vmSeconds;
+        result.askBytesPerVm = this->askBytesSent / vmSeconds;
+        result.datagramsPerVm = static_cast<double>(this->datagramsSent) / vmSeconds;
+        result.peakBytesPerVm = *std::max_element(this->askPeaks.begin(), this->askPeaks.end())
+            / static_cast<double>(this->vms.size()) / this->load.startsShare;
         std::size_t entries = 0;
-        for (Stream &stream : this->m_streams) {
-            if (this->m_now < stream.recordUntil) {
+        for (Stream &stream : this->streams) {
+            if (this->now < stream.recordUntil) {
                 entries += static_cast<std::size_t>(
                     std::count_if(stream.copies.begin(), stream.copies.end(), [this](const Copy &copy) {
                         return copy.incarnation == this->vmOf(copy.vm).incarnation;
@@ -617,45 +617,45 @@
             }
         }
         result.entriesPerVm
-            = static_cast<double>(entries) / static_cast<double>(this->m_vms.size()) / this->m_load.startsShare;
-        result.storeAppends = this->m_appends / seconds;
-        result.storeReads = static_cast<double>(this->m_reads) / seconds;
-        result.storeBytes = this->m_storeBytes / seconds;
+            = static_cast<double>(entries) / static_cast<double>(this->vms.size()) / this->load.startsShare;
+        result.storeAppends = this->appends / seconds;
+        result.storeReads = static_cast<double>(this->reads) / seconds;
+        result.storeBytes = this->storeBytesAppended / seconds;
         return result;
     }
 
-    OriginDeployment m_deployment;
-    OriginWay m_way;
-    OriginLoad m_load;
-    std::mt19937_64 m_random;
-    std::vector<Vm> m_vms;
-    std::vector<std::vector<int>> m_zoneVms;
-    std::vector<std::vector<std::size_t>> m_relayed;
-    std::vector<double> m_flushAt;
-    std::vector<double> m_storeFlushAt;
-    std::vector<Stream> m_streams;
-    std::priority_queue<Event> m_events;
-    std::uint64_t m_eventNumber = 0;
-    double m_now = 0;
-    double m_measuredFrom = 0;
-    int m_cutZone = -1;
-
-    std::int64_t m_startsMeasured = 0;
-    std::int64_t m_resumptions = 0;
-    std::int64_t m_known = 0;
-    std::int64_t m_wrong = 0;
-    std::int64_t m_oneDenied = 0;
-    std::int64_t m_allDenied = 0;
-    int m_asked = 0; // for the resumption at hand
-    int m_denied = 0;
-    std::int64_t m_asks = 0;
-    std::int64_t m_datagrams = 0;
-    double m_appends = 0;
-    std::int64_t m_reads = 0;
-    double m_recordBytes = 0;
-    double m_askBytes = 0;
-    double m_storeBytes = 0;
-    std::vector<double> m_peaks;
+    OriginDeployment deployment;
+    OriginWay way;
+    OriginLoad load;
+    std::mt19937_64 random;
+    std::vector<Vm> vms;
+    std::vector<std::vector<int>> zoneVms;
+    std::vector<std::vector<std::size_t>> relayed;
+    std::vector<double> flushTimes;
+    std::vector<double> storeFlushTimes;
+    std::vector<Stream> streams;
+    std::priority_queue<Event> events;
+    std::uint64_t eventNumber = 0;
+    double now = 0;
+    double measuredFrom = 0;
+    int cutZone = -1;
+
+    std::int64_t startsMeasured = 0;
+    std::int64_t resumptions = 0;
+    std::int64_t takenUp = 0;
+    std::int64_t takenUpWrongly = 0;
+    std::int64_t oneDenied = 0;
+    std::int64_t allDenied = 0;
+    int askedNow = 0; // for the resumption at hand
+    int deniedNow = 0;
+    std::int64_t asks = 0;
+    std::int64_t datagramsSent = 0;
+    double appends = 0;
+    std::int64_t reads = 0;
+    double recordBytesSent = 0;
+    double askBytesSent = 0;
+    double storeBytesAppended = 0;
+    std::vector<double> askPeaks;
 };
 
 } // namespace
--- a/bench/originwaysbench.cpp
+++ b/bench/originwaysbench.cpp
@@ -153,6 +153,9 @@
                 OriginLoad load;
                 load.startsShare = trouble.trouble == OriginTrouble::VmKilled ? which.killedShare : which.troubleShare;
                 load.datagramLoss = trouble.loss;
+                if (trouble.trouble == OriginTrouble::VmKilled || trouble.trouble == OriginTrouble::ZoneCutOff) {
+                    load.breakShare = 0; // they would hide the few that break with the VM or the zone
+                }
                 result = simulateOriginWay(which.deployment, way.way, trouble.trouble, load, seed);
                 known += result.known;
                 wrong += result.wrong;
