--- a/lacewing/testing/endpointchoicetest.cpp
+++ b/lacewing/testing/endpointchoicetest.cpp
@@ -215,3 +215,71 @@
     cr_assert(isIncarnation(fleet, "e1", 2000));
     cr_assert_not(isIncarnation(fleet, "e1", 1000));
 }
+
+namespace {
+
+EndpointEntry makeVersioned(const std::string &id, const std::string &softwareVersion, HeldVersions held = {})
+{
+    EndpointEntry entry = makeEntry(id, "a", std::move(held));
+    entry.softwareVersion = softwareVersion;
+    return entry;
+}
+
+EndpointRequirements needVersion(const std::string &softwareVersion, const std::string &weights = {})
+{
+    EndpointRequirements wanted = need(weights);
+    wanted.softwareVersion = softwareVersion;
+    return wanted;
+}
+
+} // namespace
+
+Test(endpointchoice, onlyTheWantedSoftwareVersionIsSelectedHoweverBusyItIs)
+{
+    Fleet fleet;
+    putEndpoint(fleet, makeVersioned("e1", "v1"), start);
+    putEndpoint(fleet, makeVersioned("e2", "v1.1"), start);
+    putEndpoint(fleet, makeVersioned("e3", ""), start);
+    putHoldings(fleet, "e1", 0, {}, 60, start);
+    constexpr std::uint64_t draws = 20;
+    for (std::uint64_t draw = 0; draw < draws; ++draw) {
+        EndpointRequirements wanted = needVersion("v1");
+        wanted.draw = draw;
+        wanted.reserved = "e2";
+        wanted.suspected = draw % 2 == 0;
+        cr_assert_eq(chooseEndpoint(fleet, wanted, start).endpoint, "e1");
+    }
+    cr_assert_eq(chooseEndpoint(fleet, needVersion(""), start).endpoint, "e3", "not stated is no wildcard");
+    cr_assert_neq(chooseEndpoint(fleet, need(), start).endpoint, "e1", "any version, so the least loaded one");
+}
+
+Test(endpointchoice, aSoftwareVersionIsGoneOnceAllItsEndpointsLeave)
+{
+    Fleet fleet;
+    cr_assert_eq(chooseEndpoint(fleet, needVersion("v1"), start).result, ChoiceResult::NoEndpoint);
+    EndpointEntry old = makeVersioned("e1", "v1");
+    putEndpoint(fleet, old, start);
+    putEndpoint(fleet, makeVersioned("e2", "v1.1"), start);
+    EndpointRequirements retry = needVersion("v1");
+    const std::vector<EndpointName> tried {"e1"};
+    retry.avoid = tried;
+    cr_assert_eq(chooseEndpoint(fleet, retry, start).result, ChoiceResult::NoEndpoint, "tried, but not gone");
+    old.leaving = true;
+    putEndpoint(fleet, old, start);
+    cr_assert_eq(chooseEndpoint(fleet, needVersion("v1"), start).result, ChoiceResult::VersionGone);
+    removeEndpoint(fleet, "e1");
+    cr_assert_eq(chooseEndpoint(fleet, needVersion("v1"), start).result, ChoiceResult::VersionGone);
+    cr_assert_eq(chooseEndpoint(fleet, needVersion("v1.1"), start).endpoint, "e2");
+}
+
+Test(endpointchoice, weightsOfAnotherSoftwareVersionAreWaitedFor)
+{
+    Fleet fleet;
+    putEndpoint(fleet, makeVersioned("e1", "v1", {{"m", 1}}), start);
+    putEndpoint(fleet, makeVersioned("e2", "v1.1", {{"m", 1}, {"m/x", 1}}), start);
+    cr_assert_eq(chooseEndpoint(fleet, needVersion("v1", "m/x"), start).result, ChoiceResult::NotHeld);
+    putHoldings(fleet, "e1", 1, {{"m", 1}, {"m/x", 1}}, 0, start);
+    cr_assert_eq(chooseEndpoint(fleet, needVersion("v1", "m/x"), start).endpoint, "e1");
+    putHoldings(fleet, "e1", 2, {{"m", 1}, {"m/x", 1}}, 64, start);
+    cr_assert_eq(chooseEndpoint(fleet, needVersion("v1", "m/x"), start).result, ChoiceResult::AllFull);
+}
