--- a/lacewing/testing/endpointchoicetest.cpp
+++ b/lacewing/testing/endpointchoicetest.cpp
@@ -283,3 +283,15 @@
     putHoldings(fleet, "e1", 2, {{"m", 1}, {"m/x", 1}}, 64, start);
     cr_assert_eq(chooseEndpoint(fleet, needVersion("v1", "m/x"), start).result, ChoiceResult::AllFull);
 }
+
+Test(endpointchoice, anIncarnationKeepsItsSoftwareVersionAndANewOneDoesNot)
+{
+    Fleet fleet;
+    putEndpoint(fleet, makeVersioned("e1", "v1"), start);
+    EndpointEntry entry = makeEntry("e1", "a");
+    putEndpoint(fleet, entry, start);
+    cr_assert_eq(chooseEndpoint(fleet, needVersion("v1"), start).result, ChoiceResult::Chosen);
+    entry.born += 1;
+    putEndpoint(fleet, entry, start);
+    cr_assert_eq(chooseEndpoint(fleet, needVersion("v1"), start).result, ChoiceResult::VersionGone);
+}
--- a/lacewing/testing/peerchoicetest.cpp
+++ b/lacewing/testing/peerchoicetest.cpp
@@ -47,6 +47,7 @@
     request.ageMicroseconds = 34567;
     request.attemptsLeft = 2;
     request.serviceName = "s";
+    request.__set_softwareVersion("v1.1");
     HttpHeaders headers {{"Host", "h"}, {"lacewing-forwarded", "sent by the caller"}};
     writeForwarding(headers, request);
     cr_assert_eq(headers.size(), 2U);
