--- a/lacewing/originexchange.cpp
+++ b/lacewing/originexchange.cpp
@@ -81,6 +81,7 @@
     }
     std::sort(scores.begin(), scores.end());
     std::vector<OriginVm> ranked;
+    ranked.reserve(scores.size());
     for (const auto &[score, index] : scores) {
         ranked.push_back(std::move(vms[index]));
     }
