--- a/lacewing/relay.cpp
+++ b/lacewing/relay.cpp
@@ -283,6 +283,7 @@
               {"endpoint", choice.endpoint},
               {"weights", this->weights},
               {"version", std::to_string(choice.version)},
+              {"software_version", target.entry.softwareVersion},
               {"running", std::to_string(estimateRunning(target))},
               {"tokens", std::to_string(this->info.promptTokens)},
               {"ahead", std::to_string(tokensAhead(target.prompts, this->ticket))},
