--- a/lacewing/fleet.cpp
+++ b/lacewing/fleet.cpp
@@ -63,10 +63,10 @@
     const bool leaving
         = known.entry.leaving || entry.leaving; // an incarnation that is leaving never becomes ready again
     // It belongs to the incarnation. A VM of a build that doesn't know versions passes entries on without it.
-    std::string softwareVersion
-        = entry.softwareVersion.empty() ? std::move(known.entry.softwareVersion) : entry.softwareVersion;
+    const std::string softwareVersion
+        = entry.softwareVersion.empty() ? known.entry.softwareVersion : entry.softwareVersion;
     known.entry = entry;
-    known.entry.softwareVersion = std::move(softwareVersion);
+    known.entry.softwareVersion = softwareVersion;
     known.entry.leaving = leaving;
     if (orders > entry.orders) {
         known.entry.orders = orders;
