--- a/bench/originways.cpp
+++ b/bench/originways.cpp
@@ -19,7 +19,7 @@
 constexpr double answerBytes = 72 + 28;
 constexpr double fullDatagram = 1200;
 constexpr double largestAppend = 64000;
-constexpr double storeRecordBytes = 148; // of the configuration's log, as measured
+constexpr double storeRecordBytes = 148; ///< of the configuration log
 
 constexpr double transit = 0.001;
 constexpr double killNoticed = 1.0; // until the others no longer take a killed VM for alive
