--- a/lacewing/entrynode.cpp
+++ b/lacewing/entrynode.cpp
@@ -115,9 +115,8 @@
             this->onConfigBehind(offset);
         }
     };
-    this->gossip.onConfigVersion = [this](const VmId &vm, const ZoneName &, std::int64_t version) {
-        this->receiveConfigVersion(vm, version);
-    };
+    this->gossip.onConfigVersion
+        = [this](const VmId &vm, const ZoneName &, std::int64_t version) { this->receiveConfigVersion(vm, version); };
     this->gossip.onConfigRead = [this](const wire::ConfigRead &read) { this->receiveConfigRead(read); };
     this->gossip.onPromptUpdate = [this](const wire::PromptSent &prompt) { this->dataPath.applyPromptUpdate(prompt); };
     this->gossip.onUpdateRequest
