CONFIG: a VM that is behind gets the configuration from a VM that has it

Callers got 404 for routes that had been added, or ran by routes that had been dropped, at VMs that the store refused, whose connections to it had gone silent, or that had started on an old answer. Cause: a configuration reached a VM by its own read of the store alone; between VMs only offsets travelled, which name no version and mean nothing after a dropped history.

- A VM that has known of a newer version for 300 ms asks a VM that states it; the record comes over the connections of VMs, with the token and to the address that the asking VM has announced, so it needs no call on the store.
- A call that times out on a kept connection, or a store that answers again, replaces a read that has waited for a second or more: a read on a silent connection otherwise hangs for 20 s, and if all VMs hang nobody has anything to tell.
- The owner of a zone states a new version at once.
- While it is behind, at most 10 s, a VM answers 503 (216, config_outdated, with Retry-After) in place of 404, and is not ready for at most 2 s after its start.
- A record that holds callers' keys is neither kept as text nor sent.

--- a/lacewing/entrynode.cpp
+++ b/lacewing/entrynode.cpp
@@ -77,6 +77,7 @@
       owner(ioContext, this->clock, this->port, this->settings.zone),
       quota(this->clock, this->quotaSettings(), this->quotaPorts()),
       origins(this->clock, this->originSettings(), this->originPorts()),
+      configTransfer(ioContext, this->clock, this->settings.vm, this->configTransferPorts()),
       random(static_cast<std::uint64_t>(this->gossip.ownIncarnation())),
       readyServer(ioContext,
                   [this](std::string_view path) {
@@ -115,8 +116,6 @@
             this->onConfigBehind(offset);
         }
     };
-    this->gossip.onConfigVersion
-        = [this](const VmId &vm, const ZoneName &, std::int64_t version) { this->receiveConfigVersion(vm, version); };
     this->gossip.onConfigRead = [this](const wire::ConfigRead &read) { this->receiveConfigRead(read); };
     this->gossip.onPromptUpdate = [this](const wire::PromptSent &prompt) { this->dataPath.applyPromptUpdate(prompt); };
     this->gossip.onUpdateRequest
@@ -146,6 +145,7 @@
         }
     };
     this->gossip.millicores = this->settings.millicores;
+    this->connectConfigTransfer();
     this->connectQuota();
     this->connectOrigins();
     this->connectForwarding();
@@ -171,6 +171,7 @@
             logEvent("metrics_not_served", {{"address", this->settings.metricsAddress}, {"error", failed.message()}});
         }
     }
+    this->startedAt = this->clock.now();
     this->awaitSignal();
     this->announce();
     beginClaim(this->claim, this->clock.now());
@@ -232,18 +233,6 @@
     });
 }
 
-void EntryNode::setConfig(std::shared_ptr<const RouteConfig> config)
-{
-    if (this->dataPath.setConfig(std::move(config))) {
-        this->gossip.configVersion = this->dataPath.config()->version;
-        recordInForce(this->configCatchUp, this->gossip.configVersion, this->clock.now());
-        this->configLagLogged = false;
-        this->quota.setConfig(this->dataPath.config());
-        setStreamLives(this->versions, *this->dataPath.config());
-        this->onFleetChanged();
-    }
-}
-
 void EntryNode::setVersion(std::string_view weights, std::int32_t version)
 {
     this->dataPath.setVersion(weights, version, this->operatorChangesRead);
@@ -276,6 +265,9 @@
     if (answered != this->storeUp) {
         this->storeUp = answered;
         logEvent(answered ? "store_regained" : "store_lost", {});
+        if (answered && this->onStoreRegained) {
+            this->onStoreRegained();
+        }
     }
 }
 
@@ -317,7 +309,7 @@
 bool EntryNode::ready() const
 {
     const bool listed = this->dataPath.fleet().list.offset != noOffset;
-    return !this->stopping && this->dataPath.config() && listed;
+    return !this->stopping && this->dataPath.config() && listed && !this->isCatchingUpAtStart();
 }
 
 void EntryNode::awaitSignal()
--- a/lacewing/entrynode.h
+++ b/lacewing/entrynode.h
@@ -22,7 +22,7 @@
 #include <boost/asio/signal_set.hpp>
 
 #include "clock.h"
-#include "configcatchup.h"
+#include "configtransfer.h"
 #include "gateway.h"
 #include "originexchange.h"
 #include "placementowner.h"
@@ -58,10 +58,10 @@
     double retryBurst = 50; ///< of all VMs together
 };
 
-/// Source from which this VM learned of a change of the platform's list.
-enum class ListSource {
+/// Source from which this VM learned of a change.
+enum class UpdateSource {
     Read, ///< read from the platform by this VM
-    PassedOn, ///< forwarded by the owner of the zone
+    PassedOn, ///< forwarded by another VM
 };
 
 class EntryNode
@@ -80,8 +80,12 @@
     /// @param next valid settings
     void applySettings(const EntryNodeSettings &next);
 
-    /// Applies a configuration that was read.
-    void setConfig(std::shared_ptr<const RouteConfig> config);
+    /// Applies a configuration that was read or that another VM has sent, if it is newer than the one in force.
+    /// @param config decoded
+    /// @param record from which it was decoded; empty: it is not passed on to other VMs
+    /// @param source from which the record came
+    void setConfig(std::shared_ptr<const RouteConfig> config, std::string record = {},
+                   UpdateSource source = UpdateSource::Read);
     /// Applies a version of an adapter that was read.
     void setVersion(std::string_view weights, std::int32_t version);
     /// Applies an entry of the platform's list that was read.
@@ -126,6 +130,12 @@
     std::function<void(std::int64_t offset)> onConfigBehind;
     /// Called to read at once whether there are newer operators' changes; set by the component that reads them.
     std::function<void()> onConfigCheck;
+    /// Called when the store answers again after calls that failed; set by the component that reads the operators'
+    /// changes, whose connection may have gone silent.
+    std::function<void()> onStoreRegained;
+    /// Called with the record of a configuration that another VM has sent, for setConfig(); set by the component that
+    /// decodes records.
+    std::function<void(const std::string &record)> onConfigRecord;
 
 private:
     struct EndpointIncarnation {
@@ -189,7 +199,10 @@
     ListedVersion listedVersion(const EndpointName &id) const;
     void recordVersionChange(const EndpointName &id, const ListedVersion &before);
     void receiveConfigRead(const wire::ConfigRead &read);
-    void receiveConfigVersion(const VmId &vm, std::int64_t version);
+    void connectConfigTransfer();
+    ConfigTransferPorts configTransferPorts();
+    bool isConfigOutdated() const;
+    bool isCatchingUpAtStart() const;
     void recordOwnDemand();
     wire::DemandReport demandFor(const ZoneName &ownerZone, const wire::DemandReport &all) const;
     bool hasOwner(const ZoneName &zone) const;
@@ -206,8 +219,8 @@
     void receiveEndpointUpdate(const VmId &vm, const ZoneName &vmZone, const wire::EndpointNews &news);
     void sendDemandReport(const ZoneName &ownerZone, const VmId &vm, const wire::DemandReport &all);
     void dropEndpoint(const EndpointName &id);
-    void applyListed(const EndpointEntry &entry, ListSource source);
-    void applyRemoval(const EndpointName &id, ListSource source);
+    void applyListed(const EndpointEntry &entry, UpdateSource source);
+    void applyRemoval(const EndpointName &id, UpdateSource source);
     bool isSuperseded(std::int64_t offset) const;
     void queueListed(const EndpointEntry &entry);
     void forwardListChange();
@@ -240,6 +253,7 @@
     PlacementOwner owner;
     QuotaExchange quota;
     OriginExchange origins;
+    ConfigTransfer configTransfer;
     SoftwareVersions versions; ///< of the endpoints' software, by service
     int versionRounds = 0; ///< in which other VMs were asked for the versions that they have seen
     std::mt19937_64 random;
@@ -255,8 +269,7 @@
         pendingRemovals; ///< removed from the list around an outage of the store, and kept for now
     asio::signal_set signals;
     TimePoint lastStoreFailure; ///< when a call last failed in an outage of the store
-    ConfigCatchUp configCatchUp;
-    bool configLagLogged = false; ///< the present lag has been logged
+    TimePoint startedAt;
     std::optional<TimePoint> configCheckBegun; ///< start of the latest read on request
     wire::ConfigRead receivedAtConfigCheck; ///< datagrams that had been received by then; for the zone's reader
     wire::ListChange pendingListChange; ///< changes read by this VM and not forwarded yet
--- a/lacewing/entrynodeconfig.cpp
+++ b/lacewing/entrynodeconfig.cpp
@@ -1,34 +1,88 @@
 // Reads of the operators' changes that prove that the configuration is current, and those that the placement owner of
-// the zone passes on (configproof.h).
+// the zone passes on (configproof.h); configurations that other VMs pass on (configtransfer.h).
 
 #include "entrynode.h"
 
 #include <algorithm>
 #include <utility>
 
-#include "eventlog.h"
+#include "peereligibility.h"
 
 namespace lacewing {
 
 namespace {
 
-/// A lag that lasts longer than this is logged.
-constexpr Duration loggedLag = milliseconds(1000);
+/// A VM that has just started is not ready while it is behind, for at most this time.
+constexpr Duration maxStartCatchUp = milliseconds(2000);
+/// A VM may have been unable to decode the newest configuration for longer than this: it is then not outdated.
+constexpr Duration maxOutdatedTime = milliseconds(10000);
 
 } // namespace
 
-void EntryNode::receiveConfigVersion(const VmId &vm, std::int64_t version)
+void EntryNode::setConfig(std::shared_ptr<const RouteConfig> config, std::string record, UpdateSource source)
 {
-    const TimePoint now = this->clock.now();
-    recordStatedVersion(this->configCatchUp, vm, version, this->gossip.configVersion, now);
-    const std::optional<Duration> lag = timeBehind(this->configCatchUp, now);
-    if (lag && *lag >= loggedLag && !this->configLagLogged) {
-        this->configLagLogged = true;
-        logEvent("config_behind",
-                 {{"version", std::to_string(this->gossip.configVersion)},
-                  {"behind_ms", inMilliseconds(*lag)},
-                  {"holders", std::to_string(this->configCatchUp.holders.size())}});
+    if (!this->dataPath.setConfig(std::move(config), source == UpdateSource::Read ? "read" : "passed_on")) {
+        return;
+    }
+    const auto &inForce = this->dataPath.config();
+    this->gossip.configVersion = inForce->version;
+    // A record with callers' keys is not kept: only digests of keys are, and those are valid in this process alone.
+    this->configTransfer.recordInForce(inForce->version, inForce->requiresKeys ? std::string() : std::move(record));
+    if (this->owner.active()) { // VMs of the zone whose reads hang learn of it now and not by the next heartbeat
+        this->gossip.sendHeartbeat();
     }
+    this->quota.setConfig(inForce);
+    setStreamLives(this->versions, *inForce);
+    this->onFleetChanged();
+}
+
+void EntryNode::connectConfigTransfer()
+{
+    this->gossip.onConfigVersion = [this](const VmId &vm, const ZoneName &zone, std::int64_t version) {
+        this->configTransfer.recordStated(vm, zone == this->settings.zone, version);
+    };
+    this->gossip.onConfigAsk
+        = [this](const VmId &vm, std::int64_t known) { this->configTransfer.answerAsk(vm, known); };
+    this->dataPath.isConfigOutdated = [this] { return this->isConfigOutdated(); };
+    this->dataPath.onConfigRecord
+        = [this](const VmId &vm, const std::string &record) { this->configTransfer.receive(vm, record); };
+}
+
+ConfigTransferPorts EntryNode::configTransferPorts()
+{
+    ConfigTransferPorts ports;
+    ports.versionInForce = [this] {
+        const auto &config = this->dataPath.config();
+        return config ? config->version : 0;
+    };
+    ports.contactOf = [this](const VmId &vm) -> std::optional<VmContact> {
+        const auto known = this->gossip.vms().find(vm);
+        const auto contact = this->contacts.find(vm);
+        const bool found = known != this->gossip.vms().end() && contact != this->contacts.end();
+        if (!found || !isAtAnnouncedAddress(known->second, contact->second, this->clock.now())) {
+            return std::nullopt;
+        }
+        return contact->second;
+    };
+    ports.onContactUnknown = [this] { this->refreshContacts(); };
+    ports.sendAsk = [this](const VmId &vm, std::int64_t known) { this->gossip.sendConfigAsk(vm, known); };
+    ports.onRecord = [this](const std::string &record) {
+        if (this->onConfigRecord) {
+            this->onConfigRecord(record);
+        }
+    };
+    return ports;
+}
+
+bool EntryNode::isConfigOutdated() const
+{
+    const std::optional<Duration> behind = this->configTransfer.behind();
+    return behind && *behind < maxOutdatedTime;
+}
+
+bool EntryNode::isCatchingUpAtStart() const
+{
+    return this->configTransfer.behind() && this->clock.now() - this->startedAt < maxStartCatchUp;
 }
 
 bool EntryNode::needsConfigProofs() const
--- a/lacewing/entrynodelist.cpp
+++ b/lacewing/entrynodelist.cpp
@@ -17,9 +17,9 @@
 /// A change of the list is sent again after these delays, in case a datagram is lost.
 constexpr std::array<Duration, 2> repeatDelays {milliseconds(100), milliseconds(300)};
 
-std::string_view nameOf(ListSource source)
+std::string_view nameOf(UpdateSource source)
 {
-    return source == ListSource::Read ? "read" : "passed_on";
+    return source == UpdateSource::Read ? "read" : "passed_on";
 }
 
 EndpointEntry entryOf(const wire::ListedEndpoint &listed)
@@ -76,10 +76,10 @@
         return;
     }
     this->queueListed(entry);
-    this->applyListed(entry, ListSource::Read);
+    this->applyListed(entry, UpdateSource::Read);
 }
 
-void EntryNode::applyListed(const EndpointEntry &entry, ListSource source)
+void EntryNode::applyListed(const EndpointEntry &entry, UpdateSource source)
 {
     if (isOutdated(this->dataPath.fleet(), entry)) {
         logEvent("entry_outdated", {{"endpoint", entry.id}, {"born", std::to_string(entry.born)}});
@@ -115,7 +115,7 @@
     }
     // Forwarded even if this VM did not know the endpoint: another VM may have read it while it was listed.
     this->pendingListChange.removed.push_back(id);
-    this->applyRemoval(id, ListSource::Read);
+    this->applyRemoval(id, UpdateSource::Read);
 }
 
 void EntryNode::dropUnusable(const EndpointName &id, std::int64_t offset)
@@ -125,7 +125,7 @@
     }
 }
 
-void EntryNode::applyRemoval(const EndpointName &id, ListSource source)
+void EntryNode::applyRemoval(const EndpointName &id, UpdateSource source)
 {
     const TimePoint now = this->clock.now();
     const auto known = this->dataPath.fleet().endpoints.find(id);
@@ -209,10 +209,10 @@
 void EntryNode::applyListChange(const wire::ListChange &change)
 {
     for (const wire::ListedEndpoint &listed : change.listed) {
-        this->applyListed(entryOf(listed), ListSource::PassedOn);
+        this->applyListed(entryOf(listed), UpdateSource::PassedOn);
     }
     for (const EndpointName &id : change.removed) {
-        this->applyRemoval(id, ListSource::PassedOn);
+        this->applyRemoval(id, UpdateSource::PassedOn);
     }
 }
 
--- a/lacewing/entrynodemetrics.cpp
+++ b/lacewing/entrynodemetrics.cpp
@@ -51,8 +51,11 @@
         line("list_age_milliseconds", toMilliseconds(this->clock.now() - list.current));
     }
     line("config_version", this->dataPath.config() ? this->dataPath.config()->version : 0);
-    line("config_behind_milliseconds",
-         toMilliseconds(timeBehind(this->configCatchUp, this->clock.now()).value_or(Duration {0})));
+    line("config_behind_milliseconds", toMilliseconds(this->configTransfer.behind().value_or(Duration {0})));
+    line("config_asks_total", this->configTransfer.counts.asked);
+    line("config_asks_refused_total", this->configTransfer.counts.refused);
+    line("configs_received_total", this->configTransfer.counts.received);
+    line("configs_sent_total", this->configTransfer.counts.sent);
     line("placement_owner", this->owner.active() ? 1 : 0);
     line("records_unreadable_total", this->unreadableRecords);
     line("store_up", this->storeUp ? 1 : 0);
--- a/lacewing/forwarding.cpp
+++ b/lacewing/forwarding.cpp
@@ -75,6 +75,7 @@
     case ResultCode::ForwardRefused:
     case ResultCode::ShuttingDown:
     case ResultCode::NoConfiguration:
+    case ResultCode::ConfigOutdated:
     case ResultCode::KeyUnproven:
     case ResultCode::NoEndpoint:
         return true;
--- a/lacewing/gateway.cpp
+++ b/lacewing/gateway.cpp
@@ -10,6 +10,7 @@
 
 #include "callerconnection.h"
 #include "clock.h"
+#include "configcatchup.h"
 #include "eventlog.h"
 #include "handlerguard.h"
 #include "organisationmetrics.h"
@@ -70,7 +71,10 @@
         return;
     }
     CallerLimits limits = this->configInForce ? this->configInForce->limits : CallerLimits {};
-    limits.headBytes += sender == Sender::Vm ? maxForwardingHeaderBytes : 0;
+    if (sender == Sender::Vm) {
+        limits.headBytes += maxForwardingHeaderBytes;
+        limits.bodyBytes = std::max(limits.bodyBytes, maxConfigRecordBytes);
+    }
     const auto caller = std::make_shared<CallerConnection>(std::move(socket), limits);
     caller->closing = this->stopping;
     this->callers[caller] = {};
@@ -139,7 +143,7 @@
     }
 }
 
-bool Gateway::setConfig(std::shared_ptr<const RouteConfig> next)
+bool Gateway::setConfig(std::shared_ptr<const RouteConfig> next, std::string_view source)
 {
     if (this->configInForce && next->version <= this->configInForce->version) {
         return false;
@@ -147,6 +151,7 @@
     this->configInForce = std::move(next);
     logEvent("config_in_force",
              {{"version", std::to_string(this->configInForce->version)},
+              {"source", std::string(source)},
               {"routes", std::to_string(this->configInForce->routes.size())}});
     return true;
 }
--- a/lacewing/gateway.h
+++ b/lacewing/gateway.h
@@ -101,8 +101,9 @@
     NetError listenForVms(std::string_view address, std::string token);
 
     /// @param next configuration; applied if its version is higher than that of the current one
+    /// @param source for the log: by which way it came
     /// @return whether the configuration was applied
-    bool setConfig(std::shared_ptr<const RouteConfig> next);
+    bool setConfig(std::shared_ptr<const RouteConfig> next, std::string_view source = "read");
 
     /// Changes the state of the endpoints, then retries the placement of waiting requests.
     /// @param change modifies the state
@@ -186,6 +187,10 @@
 
     /// How current the configuration is known to be.
     ConfigProof configProof;
+    /// Returns whether another VM is known to have a newer configuration; if not set, none is.
+    std::function<bool()> isConfigOutdated;
+    /// Called with the record of a configuration that another VM has sent.
+    std::function<void(const VmId &, const std::string &record)> onConfigRecord;
 
     /// Charges a request to the quota of its organisation; if not set, no quota is kept.
     std::function<void(const Organisation &, double units, QuotaDone)> acquireQuota;
@@ -222,6 +227,7 @@
     void addCaller(Tcp::socket socket, Sender sender);
     void onRequest(const std::shared_ptr<CallerConnection> &caller, HttpRequestHead head, std::string body);
     void onForwardedRequest(const std::shared_ptr<CallerConnection> &caller, HttpRequestHead head, std::string body);
+    void takeConfigRecord(CallerConnection &vm, const VmId &from, const std::string &record) const;
     void startRequest(const std::shared_ptr<CallerConnection> &caller, HttpRequestHead head, std::string body,
                       std::optional<wire::ForwardedRequest> forwarded);
     std::vector<ForwardingPeer> availablePeers(const ServiceName &service, std::span<const VmId> tried) const;
--- a/lacewing/gatewayforwarding.cpp
+++ b/lacewing/gatewayforwarding.cpp
@@ -38,10 +38,28 @@
         caller->finishAnswer();
         return;
     }
+    if (forwarded->carriesConfig) {
+        this->takeConfigRecord(*caller, forwarded->vm, body);
+        return;
+    }
     this->counts.takenOver += 1;
     this->startRequest(caller, std::move(head), std::move(body), std::move(forwarded));
 }
 
+void Gateway::takeConfigRecord(CallerConnection &vm, const VmId &from, const std::string &record) const
+{
+    if (this->onConfigRecord) {
+        this->onConfigRecord(from, record);
+    }
+    constexpr int statusNoContent = 204;
+    HttpResponseHead answer;
+    answer.status = statusNoContent;
+    answer.reason = "taken";
+    answer.length = 0;
+    vm.beginAnswer(answer, BodyFraming::Length, true);
+    vm.finishAnswer();
+}
+
 std::vector<ForwardingPeer> Gateway::availablePeers(const ServiceName &service, std::span<const VmId> tried) const
 {
     std::vector<ForwardingPeer> peers;
--- a/lacewing/httpclient.cpp
+++ b/lacewing/httpclient.cpp
@@ -126,11 +126,14 @@
         const NetError error = co_await exchange(*connection, request, parser);
         if (!error) {
             const bool keep = parser.get().keep_alive();
+            const bool silent = reply.keptConnectionSilent;
             reply = readReply(parser.get());
+            reply.keptConnectionSilent = silent;
             if (keep) {
                 pool.release(std::move(connection));
             }
         } else if (connection->reused && !parser.got_some()) {
+            reply.keptConnectionSilent = error == beast::error::timeout;
             fresh = true;
             retry = true;
         }
--- a/lacewing/httpclient.h
+++ b/lacewing/httpclient.h
@@ -85,6 +85,7 @@
     int status = 0; ///< 0: no reply was received
     std::string body;
     Duration retryAfter {0};
+    bool keptConnectionSilent = false; ///< a kept connection timed out, and the request was sent on a new one
 };
 
 /// Maximum size of a reply's body in bytes.
--- a/lacewing/lacewing.thrift
+++ b/lacewing/lacewing.thrift
@@ -410,7 +410,8 @@
   4: i64 ageMicroseconds,              // since the caller's request arrived
   5: i32 attemptsLeft,                 // endpoints on which it may still run
   6: string serviceName,
-  7: optional string softwareVersion   // of the endpoints that may run it; absent: any
+  7: optional string softwareVersion,  // of the endpoints that may run it; absent: any
+  8: optional bool carriesConfig       // no request is forwarded: the body is the record of a configuration
 }
 
 /** Streams that have begun, and the software version of the endpoint of each. The lists have one element a stream. */
@@ -458,5 +459,6 @@
   25: optional OriginRecords originRecords,
   26: optional OriginAsk originAsk,
   27: optional OriginAnswer originAnswer,
-  28: optional i64 configVersion        // with a heartbeat: version of the configuration in force at the sender
+  28: optional i64 configVersion,       // with a heartbeat: version of the configuration in force at the sender
+  29: optional i64 configAsk            // the sender has this version in force and asks for a newer configuration
 }
--- a/lacewing/peereligibility.h
+++ b/lacewing/peereligibility.h
@@ -12,6 +12,12 @@
 struct KnownVm;
 struct VmContact;
 
+/// @param vm what is known of another VM from its datagrams
+/// @param contact the VM as announced through the platform
+/// @param now time
+/// @return whether the VM takes requests of other VMs and is alive at the announced address
+bool isAtAnnouncedAddress(const KnownVm &vm, const VmContact &contact, TimePoint now);
+
 /// @param vm what is known of another VM from its datagrams
 /// @param contact the VM as announced through the platform
 /// @param service of the request
--- a/lacewing/relayadmission.cpp
+++ b/lacewing/relayadmission.cpp
@@ -31,7 +31,9 @@
     }
     this->route = findRoute(*this->config, findHeader(this->head.headers, "host"), this->head.target);
     if (this->route == nullptr) {
-        this->sendGatewayAnswer(ResultCode::NotFound, Duration {0});
+        const bool outdated = this->gateway.isConfigOutdated && this->gateway.isConfigOutdated();
+        this->sendGatewayAnswer(outdated ? ResultCode::ConfigOutdated : ResultCode::NotFound,
+                                outdated ? otherVmRetryAfter : Duration {0});
         return;
     }
     if (!this->identify()) {
--- a/lacewing/resultcode.h
+++ b/lacewing/resultcode.h
@@ -44,6 +44,7 @@
     QuotaUnknown = 213,
     OriginUnknown = 214,
     VersionGone = 215,
+    ConfigOutdated = 216,
     // 3xx: internal reasons for trying elsewhere
     NotOwner = 300,
     NotResident = 301,
--- a/lacewing/vmgossip.cpp
+++ b/lacewing/vmgossip.cpp
@@ -193,6 +193,9 @@
     if (datagram.configVersion > this->configVersion && this->onConfigVersion) {
         this->onConfigVersion(datagram.vm, datagram.zone, datagram.configVersion);
     }
+    if (datagram.__isset.configAsk && this->onConfigAsk) {
+        this->onConfigAsk(datagram.vm, datagram.configAsk);
+    }
     if (datagram.__isset.configRead && datagram.zone == this->self.zone && this->onConfigRead) {
         this->onConfigRead(datagram.configRead);
     }
@@ -391,6 +394,13 @@
     return vms;
 }
 
+void VmGossip::sendConfigAsk(const VmId &vm, std::int64_t known)
+{
+    wire::VmDatagram datagram = this->newDatagram();
+    datagram.__set_configAsk(known);
+    this->sendToVm(vm, datagram);
+}
+
 void VmGossip::sendConfigRead(const wire::ConfigRead &read)
 {
     wire::VmDatagram datagram = this->newDatagram();
--- a/lacewing/vmgossip.h
+++ b/lacewing/vmgossip.h
@@ -75,6 +75,10 @@
     void sendOriginAnswer(const VmId &vm, const wire::OriginAnswer &answer);
     /// @return the other VMs of this zone that may be running
     std::vector<ZoneVm> otherZoneVms() const;
+    /// Asks a VM for its configuration.
+    /// @param vm to ask
+    /// @param known version in force at this VM
+    void sendConfigAsk(const VmId &vm, std::int64_t known);
     /// Tells the VMs of this zone how far the operators' changes went.
     void sendConfigRead(const wire::ConfigRead &read);
     /// @return processes of this zone that are alive, with the number of the last datagram of each; the offset is not
@@ -133,6 +137,8 @@
     std::function<void(std::int64_t)> onConfigOffset; ///< another VM has read further than this one
     /// Another VM has a newer configuration in force.
     std::function<void(const VmId &, const ZoneName &, std::int64_t version)> onConfigVersion;
+    /// Another VM that has a version in force asks for a newer configuration.
+    std::function<void(const VmId &, std::int64_t known)> onConfigAsk;
 
 private:
     bool claimsBefore(const VmId &vm, std::int32_t vmMillicores) const;
