LIMIT: all VMs know of each rejection by an endpoint that falls over when it rejects too many

Callers lost what ran at endpoints that fell over, one after the other. Cause: Server-Brittle was not decoded, and a rejection changed nothing: each VM saw only its own rejections, a rejected request was tried at up to seven further endpoints, each of which rejected it too, and all VMs chose the endpoint that looked emptiest in views some hundred milliseconds old.

A rejection is announced, and all VMs consider the endpoint for a smaller share of their requests; the share recovers at a rate at which it rejects a quarter of what it states, and half of it within a second stops all sends. Of two endpoints drawn at random the better one gets a request, two at most one after the other; one that has just started begins with a fifth of the share.

A service whose endpoints state nothing is treated as before.

--- a/lacewing/endpointchoice.cpp
+++ b/lacewing/endpointchoice.cpp
@@ -73,6 +73,47 @@
     return estimateRunning(endpoint) + crashSuspectWeight * endpoint.ownCrashSuspects;
 }
 
+/// @return whether the candidate's endpoint gets a request for this draw
+bool isConsidered(const Candidate &candidate, TimePoint now)
+{
+    constexpr double drawRange = 18446744073709551616.0; // 2^64
+    return static_cast<double>(finalizeHash(candidate.draw)) / drawRange
+        < requestShare(candidate.endpoint->rejections, now);
+}
+
+/// Selects among candidates whose service has a rejection limit: a few are drawn at random, those of this zone if there
+/// are any, and each is considered for its share of the requests.
+/// @return the best of the candidates that are considered; without an endpoint: none is
+Candidate chooseConsidered(std::vector<Candidate> candidates, const ZoneName &zone, TimePoint now)
+{
+    const auto isNear = [&zone](const Candidate &one) { return one.trusted && one.endpoint->entry.zone == zone; };
+    if (std::any_of(candidates.begin(), candidates.end(), isNear)) {
+        std::erase_if(candidates, [&isNear](const Candidate &one) { return !isNear(one); });
+    }
+    const auto sampled
+        = candidates.begin() + static_cast<std::ptrdiff_t>(std::min(candidates.size(), sampledEndpoints));
+    std::partial_sort(candidates.begin(), sampled, candidates.end(),
+                      [](const Candidate &one, const Candidate &other) { return one.draw < other.draw; });
+    Candidate best;
+    for (auto candidate = candidates.begin(); candidate != sampled; ++candidate) {
+        if (isConsidered(*candidate, now) && isBetter(*candidate, best)) {
+            best = *candidate;
+        }
+    }
+    return best;
+}
+
+/// @return until one of the candidates may be considered; 0: unknown
+Duration untilConsidered(const std::vector<Candidate> &candidates, TimePoint now)
+{
+    Duration soonest {0};
+    for (const Candidate &candidate : candidates) {
+        const Duration until = timeUntilConsidered(candidate.endpoint->rejections, now);
+        soonest = soonest.count() == 0 ? until : std::min(soonest, until);
+    }
+    return soonest;
+}
+
 /// Checks whether an endpoint that has stated a request limit accepts another request from this VM.
 class LimitCheck
 {
@@ -126,6 +167,7 @@
     bool anyFull = false;
     bool anyOfVersion = false;
     bool anyOfOtherVersion = false;
+    std::vector<Candidate> candidates; // if the service has a rejection limit
     LimitCheck limitCheck(fleet, need, now);
     std::uint64_t draw = need.draw;
     for (const EndpointName &id : endpointsOf(fleet, need.service)) {
@@ -168,15 +210,23 @@
         candidate.trusted = isTrusted(endpoint.trust, now) && !shunned;
         candidate.load = need.suspected ? requestsAtRisk(endpoint) : loadOf(endpoint, need.zone);
         candidate.draw = draw;
-        if (isBetter(candidate, best)) {
+        if (need.limitsRejections) {
+            candidates.push_back(candidate);
+        } else if (isBetter(candidate, best)) {
             best = candidate;
         }
     }
+    if (!candidates.empty()) {
+        best = chooseConsidered(candidates, need.zone, now);
+    }
     EndpointChoice choice;
     if (best.endpoint != nullptr) {
         choice = {ChoiceResult::Chosen, best.endpoint->entry.id, best.version};
     } else if (anyOfOtherVersion && !anyOfVersion) {
         choice.result = ChoiceResult::VersionGone;
+    } else if (!candidates.empty()) {
+        choice.result = need.weights.empty() ? ChoiceResult::Limited : ChoiceResult::AllFull;
+        choice.untilCapacity = untilConsidered(candidates, now);
     } else if (anyEndpoint && limitCheck.anyAtLimit) {
         choice.result = need.weights.empty() ? ChoiceResult::Limited : ChoiceResult::AllFull;
         choice.untilCapacity = limitCheck.soonestCapacity;
--- a/lacewing/endpointchoice.h
+++ b/lacewing/endpointchoice.h
@@ -34,6 +34,7 @@
     ZoneName zone; ///< zone of this VM
     std::span<const EndpointName> avoid; ///< endpoints that must not be selected: already tried
     std::uint64_t draw = 0; ///< random number that breaks ties
+    bool limitsRejections = false; ///< the service has a rejection limit (rejectionlimit.h)
     bool suspected = false; ///< the request may crash its endpoint: select the one with the fewest requests in progress
     EndpointName reserved; ///< where prompt pacing reserved a turn: preferred among trusted endpoints; may be empty
 };
@@ -41,8 +42,8 @@
 enum class ChoiceResult {
     Chosen,
     NotHeld, ///< the service has endpoints, but none of them holds the weights
-    AllFull, ///< every endpoint that holds the weights has all slots in use or is at its request limit
-    Limited, ///< plain service: its endpoints are at their request limits
+    AllFull, ///< every endpoint that holds the weights has all slots in use, is at its request limit or not considered
+    Limited, ///< plain service: its endpoints are at their request limits or not considered
     VersionGone, ///< the service has endpoints, but all of the wanted software version are leaving or gone
     NoEndpoint, ///< every endpoint of the service is leaving or already tried, or there is none
 };
--- a/lacewing/entrynodelist.cpp
+++ b/lacewing/entrynodelist.cpp
@@ -100,6 +100,7 @@
             this->dataPath.dropEndpoint(entry.id);
         }
         if (listed == ListedAs::Restarted || listed == ListedAs::New) {
+            this->dataPath.recordEndpointStart(entry.id);
             logEvent("endpoint_listed",
                      {{"endpoint", entry.id},
                       {"born", std::to_string(entry.born)},
--- a/lacewing/entrynodemetrics.cpp
+++ b/lacewing/entrynodemetrics.cpp
@@ -35,6 +35,8 @@
     line("endpoint_connections_failed_total", counters.connectionsFailed);
     line("reach_rounds_total", this->dataPath.reachWatch().roundsStarted);
     line("limits_ignored_total", counters.limitsIgnored);
+    line("endpoint_rejections_total", counters.rejections);
+    line("endpoint_rejections_told_total", counters.rejectionsTold);
     const CrashCounters &crashes = this->dataPath.crashWatch().counts;
     line("endpoint_crashes_total", crashes.crashes);
     line("endpoint_crashes_refuted_total", crashes.refuted);
--- a/lacewing/entrynodeupdates.cpp
+++ b/lacewing/entrynodeupdates.cpp
@@ -160,11 +160,11 @@
 
 void EntryNode::sendLimitUpdate(const wire::LimitNews &news)
 {
-    // An update about a sent request concerns only VMs that may send requests to the endpoint.
+    // An update about a sent or rejected request concerns only VMs that may send requests to the endpoint.
     const Fleet &fleet = this->dataPath.fleet();
     const EndpointEntry &entry = fleet.endpoints.at(news.endpoint).entry;
     const std::set<ZoneName> zones = this->gossip.zonesInUse();
-    const bool zoneOnly = news.sent > 0 && entry.zone == this->settings.zone
+    const bool zoneOnly = (news.sent > 0 || news.__isset.rejected) && entry.zone == this->settings.zone
         && std::all_of(zones.begin(), zones.end(),
                        [&](const ZoneName &zone) { return hasEndpointInZone(fleet, entry.service, zone); });
     this->gossip.sendLimitUpdate(news, zoneOnly);
--- a/lacewing/fleet.h
+++ b/lacewing/fleet.h
@@ -17,6 +17,7 @@
 #include "endpointtrust.h"
 #include "listfreshness.h"
 #include "promptpacing.h"
+#include "rejectionlimit.h"
 #include "rememberedadapters.h"
 #include "sharedfailures.h"
 #include "types.h"
@@ -45,6 +46,7 @@
     EndpointTrust trust;
     SharedFailures failures;
     EndpointLimit limit;
+    EndpointRejections rejections; ///< while the service has a rejection limit
     RememberedAdapters rememberedAdapters; ///< adapters unloaded since, by the placement owner's updates
     PromptQueue prompts; ///< of all VMs, as far as they announced them
     std::int32_t ownRunning = 0; ///< requests of this VM in progress there
--- a/lacewing/gateway.h
+++ b/lacewing/gateway.h
@@ -71,6 +71,8 @@
     std::int64_t connectionsMade = 0; ///< new ones, to endpoints
     std::int64_t connectionsFailed = 0; ///< to endpoints, not established
     std::int64_t limitsIgnored = 0; ///< implausible limits sent by endpoints
+    std::int64_t rejections = 0; ///< requests of this VM that endpoints rejected for want of room
+    std::int64_t rejectionsTold = 0; ///< the same of other VMs, by endpoints with a rejection limit
     std::int64_t originsUnknown = 0; ///< resumptions refused since it was not known which version began their stream
     std::map<std::string, std::int64_t> streamsResumed; ///< by how the version that began the stream was found
     std::map<ResultCode, std::int64_t> ownAnswers;
@@ -157,6 +159,10 @@
     /// @return counts and latencies by organisation
     OrganisationMetrics &organisationMetrics();
     const OrganisationMetrics &organisationMetrics() const;
+    /// Records that an endpoint has started.
+    /// @param id of the endpoint, which is listed
+    void recordEndpointStart(const EndpointName &id);
+
     /// @return detection of requests that crash endpoints
     CrashWatch &crashWatch();
     const CrashWatch &crashWatch() const;
@@ -244,6 +250,10 @@
     void recordEndpointSuccess(const EndpointName &id);
     void recordLimit(const EndpointName &id, const AnswerInfo &answer, bool success);
     void announceLimit(const EndpointName &id, double perSecond);
+    void recordRejectionLimit(const ServiceName &service, const AnswerInfo &answer, bool success);
+    void recordRejection(const EndpointName &id);
+    void applyRejections(const wire::LimitNews &update);
+    bool limitsRejections(const ServiceName &service) const;
     void recordSend(const EndpointName &id);
     std::size_t countShunned(const ServiceName &service) const;
     void wakePaced(const EndpointName &id);
@@ -260,6 +270,7 @@
     std::string token; ///< that the other VMs have to present
     std::shared_ptr<const RouteConfig> configInForce;
     Fleet fleetState;
+    std::unordered_map<ServiceName, RejectionLimit> rejectionLimits;
     AdapterVersions versionsNamed;
     EndpointPool pool;
     EndpointPool peerPool; ///< connections to other VMs
--- a/lacewing/gatewayupdates.cpp
+++ b/lacewing/gatewayupdates.cpp
@@ -153,6 +153,11 @@
     if (!isIncarnation(this->fleetState, update.endpoint, update.born)) {
         return;
     }
+    if (update.__isset.rejected && update.__isset.maxRejections) {
+        this->counts.rejectionsTold += update.rejected;
+        this->applyRejections(update);
+        return;
+    }
     EndpointLimit &limit = this->fleetState.endpoints.at(update.endpoint).limit;
     const TimePoint now = this->now();
     const TimePoint at = now - milliseconds(std::max<std::int64_t>(0, update.ageMilliseconds));
--- a/lacewing/lacewing.thrift
+++ b/lacewing/lacewing.thrift
@@ -306,7 +306,9 @@
   2: i64 born = 0,                     // start of its incarnation, Unix milliseconds
   3: double perSecond = -1,            // as its answer named it; 0: its answer named none; -1: not said
   4: i64 ageMilliseconds = 0,          // since that answer came
-  5: i32 sent = 0                      // requests that the sender has just sent there
+  5: i32 sent = 0,                     // requests that the sender has just sent there
+  6: optional i32 rejected,            // requests of the sender that the endpoint has just rejected for want of room
+  7: optional double maxRejections     // a second, all VMs together: with more of them the endpoint falls over
 }
 
 /** An endpoint ended with requests of the sender in progress. */
--- /dev/null
+++ b/lacewing/rejectionlimit.cpp
@@ -0,0 +1,102 @@
+// The share is computed from its last change when it is needed.
+
+#include "rejectionlimit.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace lacewing {
+
+namespace {
+
+constexpr std::size_t maxRecentRejections = 256;
+/// A refused request is sent again after this time, if the endpoint is not stopped.
+constexpr Duration shareRetryTime = milliseconds(300);
+
+/// @return part by which one rejection lowers the share
+double decreaseFor(double rate)
+{
+    return std::min(maxShareDecrease, 1.5 / rate);
+}
+
+/// @return growth rate at which settlingShare of the limit keeps the share constant, 1/s
+double recoveryFor(double rate)
+{
+    return -std::log(1 - decreaseFor(rate)) * settlingShare * rate;
+}
+
+double shareAt(const EndpointRejections &rejections, TimePoint now)
+{
+    const double elapsed = std::chrono::duration<double>(now - rejections.changed).count();
+    return std::min(1.0, rejections.share * std::exp(rejections.recovery * std::max(0.0, elapsed)));
+}
+
+} // namespace
+
+bool isPlausibleRejectionLimit(double rate)
+{
+    return std::isfinite(rate) && rate >= minRejectionRate && rate <= maxRejectionRate;
+}
+
+bool recordRejectionLimit(RejectionLimit &limit, double rate, TimePoint now)
+{
+    const bool changed = rate != limit.rate || !hasRejectionLimit(limit, now);
+    limit.rate = rate;
+    limit.lastStated = now;
+    return changed;
+}
+
+bool recordNoRejectionLimit(RejectionLimit &limit, TimePoint now)
+{
+    if (limit.rate == 0 || now < limit.lastStated + rejectionLimitReorderWindow) {
+        return false;
+    }
+    limit.rate = 0;
+    return true;
+}
+
+bool hasRejectionLimit(const RejectionLimit &limit, TimePoint now)
+{
+    return limit.rate > 0 && now - limit.lastStated < rejectionLimitLifetime;
+}
+
+void recordRejections(EndpointRejections &rejections, std::int32_t count, double rate, double draw, TimePoint now)
+{
+    std::vector<TimePoint> &recent = rejections.recent;
+    std::erase_if(recent, [now](TimePoint at) { return now - at >= rejectionWindow; });
+    const std::size_t room = maxRecentRejections - std::min(maxRecentRejections, recent.size());
+    recent.insert(recent.end(), std::min(room, static_cast<std::size_t>(std::max(0, count))), now);
+    rejections.share = std::max(minRequestShare, shareAt(rejections, now) * std::pow(1 - decreaseFor(rate), count));
+    rejections.recovery = recoveryFor(rate);
+    rejections.changed = now;
+    const auto allowed = static_cast<std::size_t>(stoppingShare * rate);
+    if (recent.size() > allowed) { // until another one is allowed; VMs that resume at the same time would be too many
+        const TimePoint leaves = recent[recent.size() - allowed - 1] + rejectionWindow;
+        const auto spread = std::chrono::duration_cast<Duration>(rejectionWindow * draw * stoppingShare);
+        rejections.stoppedUntil = std::max(rejections.stoppedUntil, leaves + spread);
+        // The share does not recover meanwhile: nothing shows that there is room.
+        rejections.changed = rejections.stoppedUntil;
+    }
+}
+
+void recordStart(EndpointRejections &rejections, double rate, TimePoint now)
+{
+    rejections.share = startRequestShare;
+    rejections.recovery = recoveryFor(rate);
+    rejections.changed = now;
+}
+
+double requestShare(const EndpointRejections &rejections, TimePoint now)
+{
+    return now < rejections.stoppedUntil ? 0 : shareAt(rejections, now);
+}
+
+Duration timeUntilConsidered(const EndpointRejections &rejections, TimePoint now)
+{
+    if (now < rejections.stoppedUntil) {
+        return rejections.stoppedUntil - now;
+    }
+    return shareAt(rejections, now) < 1 ? shareRetryTime : Duration {0};
+}
+
+} // namespace lacewing
--- a/lacewing/relay.cpp
+++ b/lacewing/relay.cpp
@@ -89,6 +89,10 @@
     need.avoid = this->triedEndpoints;
     need.draw = this->gateway.random();
     need.reserved = this->pacedTo;
+    need.limitsRejections = this->gateway.limitsRejections(this->service);
+    if (need.limitsRejections && !this->awaitedWeights.empty() && now < this->nextDrawAt) {
+        return; // each try draws the endpoints anew: more tries would undo their shares
+    }
     need.suspected = this->suspicion() == Suspicion::Suspected;
     EndpointChoice choice = chooseEndpoint(this->gateway.fleetState, need, now);
     const bool noneAvailable = choice.result == ChoiceResult::NoEndpoint || choice.result == ChoiceResult::Limited;
@@ -97,6 +101,7 @@
         choice = chooseEndpoint(this->gateway.fleetState, need, now);
     }
     if (choice.result != ChoiceResult::Chosen) {
+        this->nextDrawAt = now + choice.untilCapacity;
         this->pacedTo.clear();
         this->leaveQueue();
         this->waitFor(choice);
--- a/lacewing/relay.h
+++ b/lacewing/relay.h
@@ -178,6 +178,7 @@
     Duration pacingDelay {0}; ///< length of the pacing delay
     BodyFraming endpointFraming = BodyFraming::Length; ///< of the endpoint's answer
     std::optional<EventStreamPosition> eventStream; ///< of the endpoint's answer, if it is a stream without a length
+    TimePoint nextDrawAt; ///< while it waits for an endpoint of a service with a rejection limit
     bool noPromptsAhead = false; ///< the queue was empty ahead of the prompt when it was sent
     bool countedAsSuspect = false; ///< counted in the endpoint's ownCrashSuspects
     bool awaitsOrigin = false; ///< waits until it is known which software version may run it
--- a/lacewing/relayanswer.cpp
+++ b/lacewing/relayanswer.cpp
@@ -58,13 +58,21 @@
     if (isIncarnation(this->gateway.fleetState, this->endpoint, this->incarnationStart)) {
         this->gateway.recordLimit(this->endpoint, answerInfo, answerInfo.fromEndpoint && answer.head.status < 300);
     }
+    if (answerInfo.fromEndpoint || answerInfo.notRun) {
+        this->gateway.recordRejectionLimit(this->service, answerInfo,
+                                           answerInfo.fromEndpoint && answer.head.status < 300);
+    }
     FleetEndpoint *target = nullptr;
     if (const auto found = this->gateway.fleetState.endpoints.find(this->endpoint);
         found != this->gateway.fleetState.endpoints.end()) {
         target = &found->second;
     }
     constexpr int misdirected = 421;
+    constexpr int unavailable = 503;
     if (answerInfo.notRun || answer.head.status == misdirected) {
+        if (answer.head.status == unavailable) {
+            this->gateway.recordRejection(this->endpoint);
+        }
         if (target != nullptr && answer.head.status == misdirected && !this->weights.empty()) {
             target->entry.held.erase(this->weights); // until the next endpoint update lists them again
         }
--- a/lacewing/relayend.cpp
+++ b/lacewing/relayend.cpp
@@ -154,6 +154,12 @@
 void Relay::attemptEnded(AttemptEnding ending, std::string_view reason)
 {
     this->history.mayHaveRun += ending == AttemptEnding::MayHaveRun ? 1 : 0;
+    const bool rejected = ending == AttemptEnding::NotRun && this->history.sends >= maxSendsWithRejectionLimit
+        && this->gateway.limitsRejections(this->service);
+    if (rejected) { // a further endpoint would most probably reject it as well
+        this->sendGatewayAnswer(ResultCode::QueueFull, refusedRetryAfter);
+        return;
+    }
     const NextStep step = decideNextStep(this->history);
     const bool repeat
         = ending != AttemptEnding::NotSent; // a request that was never sent does not reach the service twice
--- a/lacewing/requestformat.h
+++ b/lacewing/requestformat.h
@@ -55,6 +55,8 @@
     bool notRun = false; ///< the endpoint states that the request has not run
     std::optional<double> limit; ///< requests per second that the endpoint accepts from all VMs together; not
                                  ///< range-checked, NaN: unparsable
+    std::optional<double> maxRejections; ///< requests per second of all VMs together that the endpoint can reject
+                                         ///< without falling over; as `limit`
     std::optional<Duration> keepAlive; ///< how long the endpoint keeps an idle connection
 };
 
