--- a/lacewing/crashledger.cpp
+++ b/lacewing/crashledger.cpp
@@ -93,9 +93,36 @@
     });
 }
 
-/// @return the crashes that count, one for each group of crashes that may have a common cause
+/// @return up to limit of the digests, different ones in each round
+std::vector<RequestDigest> selectRoundRobin(std::vector<RequestDigest> all, std::uint64_t round, std::size_t limit)
+{
+    if (all.size() <= limit) {
+        return all;
+    }
+    std::sort(all.begin(), all.end());
+    std::rotate(all.begin(), all.begin() + static_cast<std::ptrdiff_t>(round * limit % all.size()), all.end());
+    all.resize(limit);
+    return all;
+}
+
+SuspectStatement statementOf(const CrashLedger &ledger, RequestDigest digest, TimePoint now)
+{
+    const Suspect &suspect = ledger.suspects.at(digest);
+    SuspectStatement statement;
+    statement.digest = digest;
+    statement.charged = countedCrashes(ledger, digest, suspect, now);
+    for (const ChargedCrash &crash : suspect.crashes) {
+        if (crash.cleared) {
+            statement.cleared.push_back(crash.key);
+        }
+    }
+    return statement;
+}
+
+} // namespace
+
 std::vector<CrashKey> countedCrashes(const CrashLedger &ledger, RequestDigest digest, const Suspect &suspect,
-                                     TimePoint now, bool includeLate = false)
+                                     TimePoint now, bool includeLate)
 {
     std::vector<CrashKey> counted;
     TimePoint groupSince;
@@ -115,7 +142,6 @@
     return counted;
 }
 
-/// @return whether another request of one of these crashes has at least as many crashes
 bool hasRival(const CrashLedger &ledger, RequestDigest digest, const std::vector<CrashKey> &counted, TimePoint now)
 {
     for (const CrashKey key : counted) {
@@ -136,7 +162,6 @@
     return false;
 }
 
-/// Clears the crashes of a proven request from all other requests.
 void clearExplainedCharges(CrashLedger &ledger, RequestDigest proven)
 {
     for (const ChargedCrash &charged : ledger.suspects.at(proven).crashes) {
@@ -159,34 +184,6 @@
                   [now](const EndpointCrash &crash) { return now - crash.firstReported >= suspicionRetention; });
 }
 
-/// @return up to limit of the digests, different ones in each round
-std::vector<RequestDigest> selectRoundRobin(std::vector<RequestDigest> all, std::uint64_t round, std::size_t limit)
-{
-    if (all.size() <= limit) {
-        return all;
-    }
-    std::sort(all.begin(), all.end());
-    std::rotate(all.begin(), all.begin() + static_cast<std::ptrdiff_t>(round * limit % all.size()), all.end());
-    all.resize(limit);
-    return all;
-}
-
-SuspectStatement statementOf(const CrashLedger &ledger, RequestDigest digest, TimePoint now)
-{
-    const Suspect &suspect = ledger.suspects.at(digest);
-    SuspectStatement statement;
-    statement.digest = digest;
-    statement.charged = countedCrashes(ledger, digest, suspect, now);
-    for (const ChargedCrash &crash : suspect.crashes) {
-        if (crash.cleared) {
-            statement.cleared.push_back(crash.key);
-        }
-    }
-    return statement;
-}
-
-} // namespace
-
 CrashKey crashKeyOf(std::string_view endpoint, std::int64_t born)
 {
     return XXH3_64bits_withSeed(endpoint.data(), endpoint.size(), static_cast<std::uint64_t>(born));
@@ -312,6 +309,20 @@
                        [now](const EndpointCrash &crash) { return now - crash.firstReported < settlingTime; });
 }
 
+std::vector<CrashKey> crashesOf(const CrashLedger &ledger, RequestDigest digest)
+{
+    std::vector<CrashKey> keys;
+    const auto found = ledger.suspects.find(digest);
+    if (found != ledger.suspects.end()) {
+        for (const ChargedCrash &crash : found->second.crashes) {
+            if (!crash.cleared) {
+                keys.push_back(crash.key);
+            }
+        }
+    }
+    return keys;
+}
+
 Suspicion suspicionOf(const CrashLedger &ledger, RequestDigest digest)
 {
     const auto found = ledger.suspects.find(digest);
--- a/lacewing/crashledger.h
+++ b/lacewing/crashledger.h
@@ -140,6 +140,32 @@
 /// @param now current time
 void applyStatement(CrashLedger &ledger, const SuspectStatement &statement, TimePoint now);
 
+/// @param ledger of this VM
+/// @param digest of a suspect
+/// @param suspect the suspect
+/// @param now current time
+/// @param includeLate whether crashes of endpoints count that had been answering for longer than earlyCrashWindow
+/// @return the settled crashes that count, one for each group of crashes that may have a common cause
+std::vector<CrashKey> countedCrashes(const CrashLedger &ledger, RequestDigest digest, const Suspect &suspect,
+                                     TimePoint now, bool includeLate = false);
+
+/// @param ledger of this VM
+/// @param digest of a suspect
+/// @param counted its crashes that count
+/// @param now current time
+/// @return whether another suspect of one of these crashes has at least as many crashes
+bool hasRival(const CrashLedger &ledger, RequestDigest digest, const std::vector<CrashKey> &counted, TimePoint now);
+
+/// Clears the crashes of a proven suspect from all others.
+/// @param ledger changed
+/// @param proven digest of the suspect
+void clearExplainedCharges(CrashLedger &ledger, RequestDigest proven);
+
+/// Removes expired suspects and crashes.
+/// @param ledger changed
+/// @param now current time
+void removeExpired(CrashLedger &ledger, TimePoint now);
+
 /// Removes expired entries, then evaluates the crashes that have settled.
 /// @param ledger changed
 /// @param now current time
@@ -151,6 +177,11 @@
 /// @return whether a crash is too recent to count yet
 bool hasUnsettledCrash(const CrashLedger &ledger, TimePoint now);
 
+/// @param ledger of this VM
+/// @param digest of a suspect
+/// @return its crashes that are not cleared
+std::vector<CrashKey> crashesOf(const CrashLedger &ledger, RequestDigest digest);
+
 /// @param ledger of this VM
 /// @param digest of a request
 /// @return whether the request is suspected or proven to crash endpoints
--- a/lacewing/crashwatch.cpp
+++ b/lacewing/crashwatch.cpp
@@ -11,6 +11,7 @@
 #include "eventlog.h"
 #include "fleet.h"
 #include "handlerguard.h"
+#include "promptparts.h"
 
 namespace lacewing {
 
@@ -24,37 +25,23 @@
 constexpr std::size_t maxUnconfirmed = 512; ///< incarnations with broken requests
 /// Requests that break within this time are reported in one datagram.
 constexpr Duration flushDelay = milliseconds(20);
-/// Completions are numerous after many endpoints crash, and not urgent, so they are batched for longer.
-constexpr Duration completionDelay = milliseconds(200);
-/// Bound of the digests that wait to be sent. A VM has at most hundreds of requests in progress.
-constexpr std::size_t maxUnsent = 512;
-/// Keeps a datagram below the size at which networks fragment it.
-constexpr std::size_t maxDigestsPerDatagram = 96;
-/// The names of an endpoint and its service take about as much space as this many digests.
-constexpr std::size_t namesSizeInDigests = 5;
-/// Suspects in one periodic update, which is one datagram.
-constexpr std::size_t maxStatementsPerUpdate = 4;
 /// Answers in flight when the endpoint crashed have arrived after this time.
 constexpr Duration answerInFlightTime = milliseconds(50);
 
-std::int64_t toWire(std::uint64_t value)
+void addTo(ContentInProgress &inProgress, const RequestContent &content, bool late)
 {
-    return static_cast<std::int64_t>(value);
-}
-
-std::uint64_t fromWire(std::int64_t value)
-{
-    return static_cast<std::uint64_t>(value);
-}
-
-std::vector<std::int64_t> toWire(const std::vector<std::uint64_t> &values)
-{
-    return {values.begin(), values.end()};
+    (late ? inProgress.requests.late : inProgress.requests.early).push_back(content.digest);
+    std::vector<RequestDigest> &parts = late ? inProgress.parts.late : inProgress.parts.early;
+    for (const RequestDigest part : content.parts) {
+        if (std::find(parts.begin(), parts.end(), part) == parts.end()) {
+            parts.push_back(part);
+        }
+    }
 }
 
-std::vector<std::uint64_t> fromWire(const std::vector<std::int64_t> &values)
+std::size_t countRequests(const ContentInProgress &inProgress)
 {
-    return {values.begin(), values.end()};
+    return inProgress.requests.early.size() + inProgress.requests.late.size();
 }
 
 } // namespace
@@ -64,12 +51,13 @@
 {
 }
 
-void CrashWatch::recordBrokenConnection(const EndpointIncarnation &incarnation, RequestDigest digest, bool late)
+void CrashWatch::recordBrokenConnection(const EndpointIncarnation &incarnation, const RequestContent &content,
+                                        bool late)
 {
     const CrashKey key = crashKeyOf(incarnation.endpoint, incarnation.born);
     if (firstReportTime(this->ledger, key)) {
-        InProgress one;
-        (late ? one.late : one.early).push_back(digest);
+        ContentInProgress one;
+        addTo(one, content, late);
         this->reportCrash(incarnation, one);
         return;
     }
@@ -80,7 +68,7 @@
     UnconfirmedCrash &crash = this->unconfirmed[key];
     crash.incarnation = incarnation;
     crash.since = this->clock.now();
-    (late ? crash.requests.late : crash.requests.early).push_back(digest);
+    addTo(crash.inProgress, content, late);
     if (!crash.probing) {
         this->probe(key);
     }
@@ -140,18 +128,19 @@
              {{"endpoint", crash.incarnation.endpoint},
               {"born", std::to_string(crash.incarnation.born)},
               {"evidence", std::string(evidence)},
-              {"in_progress", std::to_string(crash.requests.early.size() + crash.requests.late.size())}});
-    this->reportCrash(crash.incarnation, crash.requests);
+              {"in_progress", std::to_string(countRequests(crash.inProgress))}});
+    this->reportCrash(crash.incarnation, crash.inProgress);
 }
 
-void CrashWatch::reportCrash(const EndpointIncarnation &incarnation, const InProgress &requests)
+void CrashWatch::reportCrash(const EndpointIncarnation &incarnation, const ContentInProgress &inProgress)
 {
     const CrashKey key = crashKeyOf(incarnation.endpoint, incarnation.born);
+    const TimePoint now = this->clock.now();
     this->counts.crashes += firstReportTime(this->ledger, key) ? 0 : 1;
-    recordCrash(this->ledger, key, incarnation.service, requests, this->clock.now());
+    recordCrash(this->ledger, key, incarnation.service, inProgress.requests, now);
+    recordCrash(this->parts, key, incarnation.service, inProgress.parts, now);
     this->scheduleReview();
-    this->queueReport(incarnation, requests.early, false);
-    this->queueReport(incarnation, requests.late, true);
+    this->queueReports(incarnation, inProgress);
     if (this->flushPending || this->unsentReports.empty()) {
         return;
     }
@@ -165,82 +154,15 @@
     });
 }
 
-void CrashWatch::queueReport(const EndpointIncarnation &incarnation, const std::vector<RequestDigest> &digests,
-                             bool late)
+void CrashWatch::recordCompletion(const RequestContent &content)
 {
-    const std::size_t room = maxUnsent - std::min(maxUnsent, this->unsentDigests);
-    const std::size_t queued = std::min(room, digests.size());
-    this->counts.untold += static_cast<std::int64_t>(digests.size() - queued);
-    this->unsentDigests += queued;
-    for (std::size_t first = 0; first < queued; first += maxDigestsPerDatagram) {
-        wire::CrashReport report;
-        report.endpoint = incarnation.endpoint;
-        report.born = incarnation.born;
-        report.serviceName = incarnation.service;
-        const auto begin = digests.begin() + static_cast<std::ptrdiff_t>(first);
-        const auto end = begin + static_cast<std::ptrdiff_t>(std::min(maxDigestsPerDatagram, queued - first));
-        (late ? report.lateDigests : report.digests).assign(begin, end);
-        this->unsentReports.push_back(std::move(report));
+    if (lacewing::recordCompletion(this->ledger, content.digest)) {
+        this->queueCompletion(this->unsentCompletions, content.digest);
     }
-}
-
-void CrashWatch::flushReports()
-{
-    const std::vector<wire::CrashReport> reports = std::exchange(this->unsentReports, {});
-    this->unsentDigests = 0;
-    wire::CrashNews update;
-    std::size_t size = 0;
-    for (const wire::CrashReport &report : reports) {
-        const std::size_t digests = report.digests.size() + report.lateDigests.size();
-        if (size > 0 && size + digests > maxDigestsPerDatagram) {
-            this->broadcast(std::exchange(update, {}));
-            size = 0;
+    for (const RequestDigest part : content.parts) {
+        if (lacewing::recordCompletion(this->parts, part)) {
+            this->queueCompletion(this->unsentPartCompletions, part);
         }
-        update.crashes.push_back(report);
-        size += digests + namesSizeInDigests;
-    }
-    if (!update.crashes.empty()) {
-        this->broadcast(update);
-    }
-}
-
-void CrashWatch::broadcast(const wire::CrashNews &update) const
-{
-    if (this->onUpdate) {
-        this->onUpdate(update);
-    }
-}
-
-void CrashWatch::recordCompletion(RequestDigest digest)
-{
-    if (!lacewing::recordCompletion(this->ledger, digest)) {
-        return;
-    }
-    if (this->unsentCompletions.size() >= maxUnsent) {
-        this->counts.untold += 1;
-        return;
-    }
-    this->unsentCompletions.push_back(toWire(digest));
-    if (this->unsentCompletions.size() > 1) {
-        return;
-    }
-    this->completionTimer.expires_after(completionDelay);
-    this->completionTimer.async_wait([this](const NetError &error) {
-        if (!error) {
-            runGuarded("crash_news", [this] { this->flushCompletions(); });
-        }
-    });
-}
-
-void CrashWatch::flushCompletions()
-{
-    const std::vector<std::int64_t> digests = std::exchange(this->unsentCompletions, {});
-    for (std::size_t first = 0; first < digests.size(); first += maxDigestsPerDatagram) {
-        wire::CrashNews update;
-        const auto begin = digests.begin() + static_cast<std::ptrdiff_t>(first);
-        update.completed.assign(
-            begin, begin + static_cast<std::ptrdiff_t>(std::min(maxDigestsPerDatagram, digests.size() - first)));
-        this->broadcast(update);
     }
 }
 
@@ -257,12 +179,13 @@
     }
     this->refute(key);
     wire::CrashNews update;
-    update.refuted.push_back(toWire(key));
+    update.refuted.push_back(static_cast<std::int64_t>(key));
     this->broadcast(update);
 }
 
 void CrashWatch::refute(CrashKey key)
 {
+    refuteCrash(this->parts, key);
     if (refuteCrash(this->ledger, key)) {
         this->counts.refuted += 1;
         logEvent("crash_refuted", {{"crash", describe(key)}});
@@ -283,53 +206,20 @@
     }
 }
 
-void CrashWatch::recordRefusal(RequestDigest digest)
+void CrashWatch::recordRefusal(const RequestContent &content)
 {
-    lacewing::recordRefusal(this->ledger, digest, this->clock.now());
+    lacewing::recordRefusal(this->ledger, content.digest, this->clock.now());
 }
 
-Suspicion CrashWatch::suspicionOf(RequestDigest digest) const
+Suspicion CrashWatch::suspicionOf(const RequestContent &content) const
 {
-    return lacewing::suspicionOf(this->ledger, digest);
+    const Suspicion ofRequest = lacewing::suspicionOf(this->ledger, content.digest);
+    return std::max(ofRequest, suspicionOfParts(this->parts, content.parts));
 }
 
-void CrashWatch::take(const wire::CrashNews &update)
+bool CrashWatch::hasProvenPart(const RequestContent &content) const
 {
-    const TimePoint now = this->clock.now();
-    for (const wire::CrashReport &report : update.crashes) {
-        const CrashKey key = crashKeyOf(report.endpoint, report.born);
-        this->counts.crashes += firstReportTime(this->ledger, key) ? 0 : 1;
-        const InProgress requests {fromWire(report.digests), fromWire(report.lateDigests)};
-        recordCrash(this->ledger, key, report.serviceName, requests, now);
-        this->confirm(key, "told");
-    }
-    for (const std::int64_t digest : update.completed) {
-        lacewing::recordCompletion(this->ledger, fromWire(digest));
-    }
-    for (const std::int64_t key : update.refuted) {
-        this->refute(fromWire(key));
-    }
-    for (const wire::SuspectStatement &suspect : update.suspects) {
-        applyStatement(this->ledger, {fromWire(suspect.digest), fromWire(suspect.charged), fromWire(suspect.cleared)},
-                       now);
-    }
-    if (!update.crashes.empty() || !update.suspects.empty()) {
-        this->scheduleReview();
-    }
-}
-
-wire::CrashNews CrashWatch::periodicUpdate()
-{
-    wire::CrashNews update;
-    for (const SuspectStatement &statement :
-         selectStatements(this->ledger, this->round++, maxStatementsPerUpdate, this->clock.now())) {
-        wire::SuspectStatement suspect;
-        suspect.digest = toWire(statement.digest);
-        suspect.charged = toWire(statement.charged);
-        suspect.cleared = toWire(statement.cleared);
-        update.suspects.push_back(std::move(suspect));
-    }
-    return update;
+    return suspicionOfParts(this->parts, content.parts) == Suspicion::Proven;
 }
 
 void CrashWatch::scheduleReview()
@@ -350,15 +240,23 @@
 void CrashWatch::review()
 {
     const TimePoint now = this->clock.now();
-    const std::vector<RequestDigest> proven = reviewLedger(this->ledger, now);
-    for (const RequestDigest digest : proven) {
+    const std::vector<RequestDigest> requests = reviewLedger(this->ledger, now);
+    for (const RequestDigest digest : requests) {
         this->counts.proven += 1;
         logEvent("request_proven_to_crash", {{"digest", describe(digest)}});
+        clearExplainedCrashes(this->parts, crashesOf(this->ledger, digest));
+    }
+    const std::vector<RequestDigest> provenParts = reviewParts(this->parts, now);
+    for (const RequestDigest part : provenParts) {
+        const std::vector<CrashKey> crashes = crashesOf(this->parts, part);
+        this->counts.partsProven += 1;
+        logEvent("part_proven_to_crash", {{"part", describe(part)}, {"crashes", std::to_string(crashes.size())}});
+        clearExplainedCrashes(this->ledger, crashes);
     }
     if (hasUnsettledCrash(this->ledger, now)) {
         this->scheduleReview();
     }
-    if (!proven.empty() && this->onProven) {
+    if ((!requests.empty() || !provenParts.empty()) && this->onProven) {
         this->onProven();
     }
 }
--- a/lacewing/crashwatch.h
+++ b/lacewing/crashwatch.h
@@ -1,8 +1,9 @@
 // Detects endpoints that crash while requests of this VM are in progress, and exchanges the crashes with other VMs.
+// Keeps a ledger of the requests and one of the parts of their prompts.
 //
 //   CrashWatch watch(context, clock);
-//   watch.recordBrokenConnection(incarnation, digest, late);  // a connection broke while a request was in progress
-//   watch.suspicionOf(digest);                    // before a request is sent
+//   watch.recordBrokenConnection(incarnation, content, late);  // a connection broke while a request was in progress
+//   watch.suspicionOf(content);                   // before a request is sent
 //   watch.take(update);                           // from another VM
 //
 // A broken connection alone is no evidence of a crash: the network may be partitioned, an answer malformed or an idle
@@ -22,6 +23,7 @@
 
 #include "crashledger.h"
 #include "lacewing_types.h"
+#include "requestcontent.h"
 
 namespace lacewing {
 
@@ -41,6 +43,7 @@
     std::int64_t crashes = 0; ///< of endpoints, seen by any VM
     std::int64_t refuted = 0; ///< of these crashes
     std::int64_t proven = 0; ///< requests that crash endpoints
+    std::int64_t partsProven = 0; ///< parts of prompts that crash endpoints
     std::int64_t untold = 0; ///< digests omitted from updates because too many were pending
 };
 
@@ -53,12 +56,12 @@
 
     /// Records a connection that broke while a request was in progress.
     /// @param incarnation to which the request was sent
-    /// @param digest of the request
+    /// @param content of the request
     /// @param late whether the request had been answered for longer than earlyCrashWindow
-    void recordBrokenConnection(const EndpointIncarnation &incarnation, RequestDigest digest, bool late);
+    void recordBrokenConnection(const EndpointIncarnation &incarnation, const RequestContent &content, bool late);
     /// Records that an endpoint answered a request completely.
-    /// @param digest of the request
-    void recordCompletion(RequestDigest digest);
+    /// @param content of the request
+    void recordCompletion(const RequestContent &content);
     /// Records that an endpoint started to answer a request.
     /// @param endpoint its id
     /// @param born start of its incarnation
@@ -68,12 +71,15 @@
     /// @param entry as listed
     void recordListedEntry(const EndpointEntry &entry);
     /// Records that a request was refused because it is proven to crash endpoints.
-    /// @param digest of the request
-    void recordRefusal(RequestDigest digest);
+    /// @param content of the request
+    void recordRefusal(const RequestContent &content);
 
-    /// @param digest of a request
-    /// @return whether the request is suspected or proven to crash endpoints
-    Suspicion suspicionOf(RequestDigest digest) const;
+    /// @param content of a request
+    /// @return whether the request or a part of its prompt is suspected or proven to crash endpoints
+    Suspicion suspicionOf(const RequestContent &content) const;
+    /// @param content of a request
+    /// @return whether a part of its prompt is proven to crash endpoints
+    bool hasProvenPart(const RequestContent &content) const;
 
     /// @param update of another VM
     void take(const wire::CrashNews &update);
@@ -85,14 +91,22 @@
 
     /// Called with each update for the other VMs.
     std::function<void(const wire::CrashNews &)> onUpdate;
-    /// Called when requests are newly proven to crash endpoints.
+    /// Called when requests or parts are newly proven to crash endpoints.
     std::function<void()> onProven;
 
 private:
+    /// What the digests of a report belong to.
+    enum class DigestKind {
+        Requests,
+        LateRequests,
+        Parts,
+        LateParts,
+    };
+
     /// An incarnation with broken requests that may have crashed.
     struct UnconfirmedCrash {
         EndpointIncarnation incarnation;
-        InProgress requests;
+        ContentInProgress inProgress;
         TimePoint since;
         bool probing = false;
     };
@@ -100,9 +114,12 @@
     void probe(CrashKey key);
     void onProbed(CrashKey key, const NetError &error);
     void confirm(CrashKey key, std::string_view evidence);
-    void reportCrash(const EndpointIncarnation &incarnation, const InProgress &requests);
+    void reportCrash(const EndpointIncarnation &incarnation, const ContentInProgress &inProgress);
     void broadcast(const wire::CrashNews &update) const;
-    void queueReport(const EndpointIncarnation &incarnation, const std::vector<RequestDigest> &digests, bool late);
+    void queueReports(const EndpointIncarnation &incarnation, const ContentInProgress &inProgress);
+    void queueReport(const EndpointIncarnation &incarnation, const std::vector<RequestDigest> &digests,
+                     DigestKind kind);
+    void queueCompletion(std::vector<std::int64_t> &queue, RequestDigest digest);
     void flushReports();
     void flushCompletions();
     void scheduleReview();
@@ -112,11 +129,13 @@
 
     asio::io_context &context;
     RuntimeClock &clock;
-    CrashLedger ledger;
+    CrashLedger ledger; ///< of requests
+    CrashLedger parts; ///< of parts of prompts
     std::map<CrashKey, UnconfirmedCrash> unconfirmed;
     std::vector<wire::CrashReport> unsentReports; ///< of this VM's own requests
     std::size_t unsentDigests = 0;
     std::vector<std::int64_t> unsentCompletions; ///< digests of requests
+    std::vector<std::int64_t> unsentPartCompletions; ///< digests of parts
     asio::steady_timer flushTimer;
     asio::steady_timer completionTimer;
     asio::steady_timer reviewTimer;
--- a/lacewing/entrynodemetrics.cpp
+++ b/lacewing/entrynodemetrics.cpp
@@ -41,6 +41,7 @@
     line("endpoint_crashes_total", crashes.crashes);
     line("endpoint_crashes_refuted_total", crashes.refuted);
     line("requests_proven_to_crash_total", crashes.proven);
+    line("parts_proven_to_crash_total", crashes.partsProven);
     line("crash_digests_untold_total", crashes.untold);
     line("requests_open", static_cast<std::int64_t>(this->dataPath.openRequests()));
     line("orders_total", this->owner.ordersSent);
--- a/lacewing/lacewing.thrift
+++ b/lacewing/lacewing.thrift
@@ -317,7 +317,9 @@
   2: i64 born,                         // start of the incarnation that ended, Unix milliseconds
   3: string serviceName,
   4: list<i64> digests,                // of requests that had just begun, or had not begun
-  5: list<i64> lateDigests             // of requests that had been answered for a while
+  5: list<i64> lateDigests,            // of requests that had been answered for a while
+  6: optional list<i64> partDigests,   // of the parts of prompts of the former
+  7: optional list<i64> latePartDigests // of those of the latter alone
 }
 
 /** Crashes that count against a request, and such as count no more. */
@@ -328,7 +330,9 @@
   1: list<CrashReport> crashes,
   2: list<i64> completed,              // digests of requests that an endpoint has answered whole
   3: list<SuspectStatement> suspects,  // told again and again
-  4: list<i64> refuted                 // crashes of endpoints that are alive
+  4: list<i64> refuted,                // crashes of endpoints that are alive
+  5: optional list<i64> completedParts, // digests of parts of prompts that an endpoint has answered whole
+  6: optional list<SuspectStatement> suspectParts // told again and again
 }
 
 /** An endpoint as the platform lists it, without what it holds. */
--- a/lacewing/relay.cpp
+++ b/lacewing/relay.cpp
@@ -283,7 +283,7 @@
     this->link = this->gateway.pool.take(choice.endpoint, target.entry.address, now, !mayRepeat(this->history));
     logEvent("request_sent",
              {{"id", this->info.id},
-              {"digest", describe(this->digest)},
+              {"digest", describe(this->content.digest)},
               {"route", this->route->name},
               {"endpoint", choice.endpoint},
               {"weights", this->weights},
--- a/lacewing/relay.h
+++ b/lacewing/relay.h
@@ -18,7 +18,7 @@
 #include "endpointlink.h"
 #include "eventstream.h"
 #include "forwarding.h"
-#include "requestdigest.h"
+#include "requestcontent.h"
 #include "requestformat.h"
 #include "resultcode.h"
 #include "retrydecision.h"
@@ -149,7 +149,7 @@
     ServiceName service;
     std::string weights;
     std::optional<std::string> softwareVersion; ///< of the endpoints that may run the request; nothing: any
-    RequestDigest digest = 0; ///< of the content that an endpoint executes
+    RequestContent content; ///< that an endpoint executes
     std::string awaitedWeights;
     TimePoint arrived;
     TimePoint sentAt;
--- a/lacewing/relayadmission.cpp
+++ b/lacewing/relayadmission.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 
 #include "gateway.h"
+#include "promptparts.h"
 #include "waitlimits.h"
 
 namespace lacewing {
@@ -60,7 +61,11 @@
         this->weights = this->info.adapter.empty() ? this->info.model : this->info.model + "/" + this->info.adapter;
     }
     const std::string_view host = findHeader(this->head.headers, "host");
-    this->digest = digestOf({this->head.method, host, this->head.target, this->weights}, this->body);
+    this->content.digest = digestOf({this->head.method, host, this->head.target, this->weights}, this->body);
+    const std::vector<std::string> &parts = this->info.sharedPromptParts;
+    for (std::size_t index = 0; index < std::min(parts.size(), maxRecordedParts); ++index) {
+        this->content.parts.push_back(partDigestOf(this->service, parts[index]));
+    }
     const Duration callerTimeout = this->info.callerTimeout.value_or(this->route->timeout) - answerMargin;
     this->deadline = this->arrived + std::min(callerTimeout, this->route->timeout);
     const Duration silenceLimit = this->route->silenceTimeout;
--- a/lacewing/relayanswer.cpp
+++ b/lacewing/relayanswer.cpp
@@ -190,7 +190,7 @@
         this->gateway.organisationMetrics().recordAnswer(this->organisation->name, this->timeToFirstByte);
     }
     if (status < 300 && this->peer.empty()) {
-        this->gateway.crashes.recordCompletion(this->digest);
+        this->gateway.crashes.recordCompletion(this->content);
     }
     logEvent("request_answered",
              {{"id", this->info.id},
--- a/lacewing/relayend.cpp
+++ b/lacewing/relayend.cpp
@@ -44,14 +44,14 @@
 
 Suspicion Relay::suspicion() const
 {
-    return this->gateway.crashes.suspicionOf(this->digest);
+    return this->gateway.crashes.suspicionOf(this->content);
 }
 
 void Relay::recordBrokenConnection(const std::string &address)
 {
     const bool late = this->timeToFirstByte.count() > 0 && this->age() - this->timeToFirstByte >= earlyCrashWindow;
     this->gateway.crashes.recordBrokenConnection({this->endpoint, this->incarnationStart, this->service, address},
-                                                 this->digest, late);
+                                                 this->content, late);
 }
 
 bool Relay::refuseIfProvenCrashing()
@@ -59,8 +59,9 @@
     if (this->suspicion() != Suspicion::Proven) {
         return false;
     }
-    this->gateway.crashes.recordRefusal(this->digest);
-    this->sendGatewayAnswer(ResultCode::CrashesEndpoints, Duration {0});
+    const bool byPart = this->gateway.crashes.hasProvenPart(this->content);
+    this->gateway.crashes.recordRefusal(this->content);
+    this->sendGatewayAnswer(byPart ? ResultCode::PartCrashesEndpoints : ResultCode::CrashesEndpoints, Duration {0});
     return true;
 }
 
@@ -126,7 +127,7 @@
     this->gateway.counts.repeats += reachesServiceAgain ? 1 : 0;
     logEvent("request_retried",
              {{"id", this->info.id},
-              {"digest", describe(this->digest)},
+              {"digest", describe(this->content.digest)},
               {"endpoint", this->endpoint},
               {"reason", std::string(reason)}});
     if (!this->endpoint.empty()) {
@@ -198,7 +199,7 @@
     this->gateway.counts.brokenAnswers += 1;
     logEvent("answer_broken_off",
              {{"id", this->info.id},
-              {"digest", describe(this->digest)},
+              {"digest", describe(this->content.digest)},
               {"endpoint", this->endpoint},
               {"framing", std::string(toString(this->endpointFraming))},
               {"reason", std::string(reason)},
@@ -224,7 +225,7 @@
               {"code", std::to_string(static_cast<int>(code))},
               {"reason", std::string(result.type)},
               {"cause", std::string(resultCodeInfo(wanted).type)},
-              {"digest", describe(this->digest)},
+              {"digest", describe(this->content.digest)},
               {"quota_units", std::to_string(std::lround(this->quotaUnits))},
               {"retry_after_ms", inMilliseconds(retryAfter)},
               {"weights", this->weights},
--- a/lacewing/requestformat.h
+++ b/lacewing/requestformat.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "callerkeys.h"
 #include "httphead.h"
@@ -35,6 +36,7 @@
     std::int32_t maxOutputTokens = 0;
     bool resumes = false; ///< takes up a stream that was broken off
     std::string resumedAttempt; ///< if it does: id of the attempt that brought its first event; empty: not named
+    std::vector<std::string> sharedPromptParts; ///< names of all parts of the prompt but the last, in order
     std::string sharedPromptPrefix; ///< last section of the prompt that is shared with other requests; empty: none
 };
 
--- a/lacewing/resultcode.cpp
+++ b/lacewing/resultcode.cpp
@@ -26,6 +26,8 @@
     ResultCodeInfo {ResultCode::CrashesEndpoints, 400, "crashes_endpoints",
                     "endpoints ended while they ran this request; it is not run again"},
     ResultCodeInfo {ResultCode::UnknownKey, 401, "unknown_key", "no organisation holds the key that was given"},
+    ResultCodeInfo {ResultCode::PartCrashesEndpoints, 400, "part_crashes_endpoints",
+                    "endpoints ended while they ran requests with a part of this prompt; none is run any more"},
     ResultCodeInfo {ResultCode::QueueFull, 503, "queue_full", "the queue is full"},
     ResultCodeInfo {ResultCode::MemberLimit, 429, "member_limit", "the member has too many requests open"},
     ResultCodeInfo {ResultCode::DeadlineWouldPass, 503, "deadline_would_pass", "the deadline would pass while waiting"},
--- a/lacewing/resultcode.h
+++ b/lacewing/resultcode.h
@@ -27,6 +27,7 @@
     InvalidKey = 109,
     CrashesEndpoints = 110,
     UnknownKey = 111,
+    PartCrashesEndpoints = 112,
     // 2xx: refused for now, not run
     QueueFull = 200,
     MemberLimit = 201,
--- a/lacewing/vmgossip.cpp
+++ b/lacewing/vmgossip.cpp
@@ -291,7 +291,7 @@
 void VmGossip::sendHeartbeat(const wire::CrashNews &news)
 {
     wire::VmDatagram datagram = this->newDatagram();
-    if (!news.suspects.empty()) {
+    if (!news.suspects.empty() || !news.suspectParts.empty()) {
         datagram.__set_crashNews(news);
     }
     if (this->configVersion > 0) {
