--- a/lacewing/testing/rejectionlimittest.cpp
+++ b/lacewing/testing/rejectionlimittest.cpp
@@ -157,9 +157,9 @@
                 this->outcome.offered += 1;
                 this->requests[now].push_back({anyVm(this->random), now, 0, {}});
             }
-            const auto now_ = std::move(this->requests[now]);
+            const auto sent = std::move(this->requests[now]);
             this->requests.erase(now);
-            for (const ModelRequest &request : now_) {
+            for (const ModelRequest &request : sent) {
                 this->send(request, now);
             }
         }
