CONFIG: a configuration that cannot be decoded is not asked for again and again

Found in reading the change. A VM that cannot decode the newest configuration stays behind, and would have fetched it five times a second for ever, up to 600 KB/s from each VM that it asks. It asks nobody for 30 s now after such a record. The test failed to compile before, as nothing recorded that a record was unusable.

--- a/lacewing/configcatchup.cpp
+++ b/lacewing/configcatchup.cpp
@@ -42,7 +42,8 @@
 std::optional<VmId> holderToAsk(const ConfigCatchUp &catchUp, std::uint64_t draw, TimePoint now)
 {
     const std::optional<Duration> behind = timeBehind(catchUp, now);
-    if (!behind || *behind < ownReadTime || now - catchUp.lastAsk < askInterval) {
+    const bool tooEarly = now - catchUp.lastAsk < askInterval || now < catchUp.pausedUntil;
+    if (!behind || *behind < ownReadTime || tooEarly) {
         return std::nullopt;
     }
     std::vector<VmId> near;
@@ -68,6 +69,11 @@
     }
 }
 
+void recordUnusable(ConfigCatchUp &catchUp, TimePoint now)
+{
+    catchUp.pausedUntil = now + unusableRecordPause;
+}
+
 bool takeConfigBytes(ConfigSendBudget &budget, std::size_t size, TimePoint now)
 {
     const double elapsed = std::chrono::duration<double>(now - budget.refilled).count();
--- a/lacewing/configcatchup.h
+++ b/lacewing/configcatchup.h
@@ -32,6 +32,9 @@
 /// A VM that has not stated its version for this time, four heartbeats, is not asked.
 constexpr Duration holderLifetime = milliseconds(4000);
 constexpr std::size_t maxConfigHolders = 128;
+/// After a record that could not be decoded, nobody is asked for this time: another copy would not be readable
+/// either.
+constexpr Duration unusableRecordPause = milliseconds(30000);
 
 /// Limit of the size of a configuration that another VM sends.
 constexpr std::uint64_t maxConfigRecordBytes = std::uint64_t {1024} * 1024;
@@ -52,6 +55,7 @@
     std::map<VmId, ConfigHolder> holders;
     TimePoint behindSince; ///< when the first of the holders stated its version; valid if there are holders
     TimePoint lastAsk;
+    TimePoint pausedUntil; ///< nobody is asked before
 };
 
 /// Records that another VM has a configuration in force.
@@ -87,6 +91,11 @@
 /// @param now current time
 void recordAsked(ConfigCatchUp &catchUp, const VmId &vm, TimePoint now);
 
+/// Records that a VM has sent a configuration that could not be decoded.
+/// @param catchUp changed
+/// @param now current time
+void recordUnusable(ConfigCatchUp &catchUp, TimePoint now);
+
 /// Bytes of configurations that a VM may send to others; may be negative, since a configuration is sent whole.
 struct ConfigSendBudget {
     double bytes = configSendBurst;
--- a/lacewing/configtransfer.cpp
+++ b/lacewing/configtransfer.cpp
@@ -79,7 +79,9 @@
              {{"vm", vm},
               {"bytes", std::to_string(configRecord.size())},
               {"behind_ms", inMilliseconds(this->behind().value_or(Duration {0}))}});
-    this->ports.onRecord(configRecord);
+    if (!this->ports.onRecord(configRecord)) {
+        recordUnusable(this->catchUp, this->clock.now());
+    }
 }
 
 void ConfigTransfer::scheduleCheck(Duration delay)
--- a/lacewing/configtransfer.h
+++ b/lacewing/configtransfer.h
@@ -46,8 +46,8 @@
     std::function<std::optional<VmContact>(const VmId &)> contactOf;
     /// Called when a VM asks whose contact is not known.
     std::function<void()> onContactUnknown;
-    /// Decodes a record and puts the configuration into force if it is newer.
-    std::function<void(const std::string &record)> onRecord;
+    /// Decodes a record and puts the configuration into force if it is newer. Returns whether it could be decoded.
+    std::function<bool(const std::string &record)> onRecord;
 };
 
 class ConfigTransfer
--- a/lacewing/entrynode.h
+++ b/lacewing/entrynode.h
@@ -134,8 +134,8 @@
     /// changes, whose connection may have gone silent.
     std::function<void()> onStoreRegained;
     /// Called with the record of a configuration that another VM has sent, for setConfig(); set by the component that
-    /// decodes records.
-    std::function<void(const std::string &record)> onConfigRecord;
+    /// decodes records. Returns whether the record could be decoded.
+    std::function<bool(const std::string &record)> onConfigRecord;
 
 private:
     struct EndpointIncarnation {
--- a/lacewing/entrynodeconfig.cpp
+++ b/lacewing/entrynodeconfig.cpp
@@ -66,11 +66,7 @@
     };
     ports.onContactUnknown = [this] { this->refreshContacts(); };
     ports.sendAsk = [this](const VmId &vm, std::int64_t known) { this->gossip.sendConfigAsk(vm, known); };
-    ports.onRecord = [this](const std::string &record) {
-        if (this->onConfigRecord) {
-            this->onConfigRecord(record);
-        }
-    };
+    ports.onRecord = [this](const std::string &record) { return this->onConfigRecord && this->onConfigRecord(record); };
     return ports;
 }
 
--- a/lacewing/testing/configcatchuptest.cpp
+++ b/lacewing/testing/configcatchuptest.cpp
@@ -57,6 +57,16 @@
     cr_expect_not(holderToAsk(catchUp, 0, start + holderLifetime).has_value());
 }
 
+// A record that this VM cannot decode would otherwise be sent again and again.
+Test(configcatchup, afterAnUnusableRecordNobodyIsAskedForAWhile)
+{
+    ConfigCatchUp catchUp = behindSince(start);
+    recordUnusable(catchUp, start);
+    recordStatedVersion(catchUp, "near", true, 8, 7, start + unusableRecordPause);
+    cr_expect_not(holderToAsk(catchUp, 0, start + unusableRecordPause - milliseconds(1)).has_value());
+    cr_expect(holderToAsk(catchUp, 0, start + unusableRecordPause).has_value());
+}
+
 Test(configcatchup, holdersOfOlderVersionsAreForgotten)
 {
     ConfigCatchUp catchUp = behindSince(start);
