LIMIT: draws for the share of an endpoint are independent, and a paced prompt keeps its endpoint

The draw that decides whether an endpoint is considered was a hash of its tie-break, and so was the next candidate's tie-break: of two equal endpoints, one with a share of 0.2, the latter got 28 of 1,000 requests in place of some 100. Salted, it gets between 50 and 200 (endpointchoicetest; failed before).

--- a/lacewing/endpointchoice.cpp
+++ b/lacewing/endpointchoice.cpp
@@ -77,7 +77,9 @@
 bool isConsidered(const Candidate &candidate, TimePoint now)
 {
     constexpr double drawRange = 18446744073709551616.0; // 2^64
-    return static_cast<double>(finalizeHash(candidate.draw)) / drawRange
+    // The next candidate's draw is a hash of this one's, so a plain hash would not be independent of it.
+    constexpr std::uint64_t salt = 0x9e3779b97f4a7c15ULL;
+    return static_cast<double>(finalizeHash(finalizeHash(candidate.draw ^ salt) ^ salt)) / drawRange
         < requestShare(candidate.endpoint->rejections, now);
 }
 
@@ -86,6 +88,13 @@
 /// @return the best of the candidates that are considered; without an endpoint: none is
 Candidate chooseConsidered(std::vector<Candidate> candidates, const ZoneName &zone, TimePoint now)
 {
+    // A paced prompt has its place in the queue of its endpoint; drawing again would move it at each check.
+    const auto reserved = std::find_if(candidates.begin(), candidates.end(), [now](const Candidate &one) {
+        return one.reserved && one.trusted && requestShare(one.endpoint->rejections, now) > 0;
+    });
+    if (reserved != candidates.end()) {
+        return *reserved;
+    }
     const auto isNear = [&zone](const Candidate &one) { return one.trusted && one.endpoint->entry.zone == zone; };
     if (std::any_of(candidates.begin(), candidates.end(), isNear)) {
         std::erase_if(candidates, [&isNear](const Candidate &one) { return !isNear(one); });
--- a/lacewing/testing/endpointchoicetest.cpp
+++ b/lacewing/testing/endpointchoicetest.cpp
@@ -295,3 +295,53 @@
     putEndpoint(fleet, entry, start);
     cr_assert_eq(chooseEndpoint(fleet, needVersion("v1"), start).result, ChoiceResult::VersionGone);
 }
+
+// A request of a service with a rejection limit draws endpoints at random.
+Test(endpointchoice, anEndpointThatRejectsRequestsIsConsideredForItsShareOnly)
+{
+    Fleet fleet;
+    putEndpoint(fleet, makeEntry("e1", "a"), start);
+    putEndpoint(fleet, makeEntry("e2", "a"), start);
+    recordStart(fleet.endpoints.at("e1").rejections, 5, start);
+    EndpointRequirements wanted = need();
+    wanted.limitsRejections = true;
+    int atFirst = 0;
+    for (std::uint64_t draw = 0; draw < 1000; ++draw) {
+        wanted.draw = draw * 0x9e3779b97f4a7c15ULL;
+        const EndpointChoice choice = chooseEndpoint(fleet, wanted, start);
+        cr_assert_eq(choice.result, ChoiceResult::Chosen);
+        atFirst += choice.endpoint == "e1" ? 1 : 0;
+    }
+    cr_expect(atFirst > 50 && atFirst < 200, "%d", atFirst);
+}
+
+Test(endpointchoice, ifNoEndpointIsConsideredTheTimeUntilOneIsIsStated)
+{
+    Fleet fleet;
+    putEndpoint(fleet, makeEntry("e1", "a"), start);
+    recordRejections(fleet.endpoints.at("e1").rejections, 5, 5, 0, start);
+    EndpointRequirements wanted = need();
+    wanted.limitsRejections = true;
+    const EndpointChoice choice = chooseEndpoint(fleet, wanted, start);
+    cr_expect_eq(choice.result, ChoiceResult::Limited);
+    cr_expect_eq(choice.untilCapacity, rejectionWindow);
+    wanted.limitsRejections = false;
+    cr_expect_eq(chooseEndpoint(fleet, wanted, start).result, ChoiceResult::Chosen, "the limit has ended");
+}
+
+// The check of a paced prompt every few milliseconds must not move it to another endpoint.
+Test(endpointchoice, aReservedTurnIsKeptWhereRejectionsAreLimited)
+{
+    Fleet fleet;
+    for (const std::string id : {"e1", "e2", "e3", "e4"}) {
+        putEndpoint(fleet, makeEntry(id, "a"), start);
+    }
+    recordStart(fleet.endpoints.at("e3").rejections, 5, start);
+    EndpointRequirements wanted = need();
+    wanted.limitsRejections = true;
+    wanted.reserved = "e3";
+    for (std::uint64_t draw = 0; draw < 50; ++draw) {
+        wanted.draw = draw;
+        cr_assert_eq(chooseEndpoint(fleet, wanted, start).endpoint, "e3");
+    }
+}
