--- a/lacewing/promptparts.h
+++ b/lacewing/promptparts.h
@@ -22,8 +22,7 @@
 //   crashes both are proven.
 // - Crashes that one request explains, since it was sent again and again, do not count against its parts.
 // - Crashes of a proven part are explained by it and no longer count against other parts or requests.
-// - A proof ends after proofRetention without a crash. The next crash of the part then proves it again, so that one
-//   request is what it costs to learn that the part is still bad.
+// - A proof ends after proofRetention without a crash. The next crash of the part proves it again.
 //
 // The last part is never bad by itself, and is not recorded: it would fill the ledger with parts that occur once.
 
--- a/lacewing/testing/rejectionlimittest.cpp
+++ b/lacewing/testing/rejectionlimittest.cpp
@@ -20,7 +20,7 @@
 
 } // namespace
 
-Test(rejectionlimit, implausibleStatementsAreTold)
+Test(rejectionlimit, implausibleLimitsAreRecognized)
 {
     for (const double rate : {0.0, -1.0, 1e9, std::numeric_limits<double>::quiet_NaN()}) {
         cr_expect_not(isPlausibleRejectionLimit(rate));
