What endpoints state of themselves in answers is decoded into one struct, kept by instance, logged and counted

AnswerInfo now has one EndpointStatement; the fleet keeps by instance what decides on sends, also while the instance is not listed (bounded to 4096 and ten minutes). leaving_stated and rest_stated are logged, two counters are on the metrics page. Nothing is decided by it yet. gatewaytest, endpointchoicetest, decodetest and brittleservertest pass.

--- a/lacewing/entrynode.h
+++ b/lacewing/entrynode.h
@@ -138,18 +138,13 @@
     std::function<bool(const std::string &record)> onConfigRecord;
 
 private:
-    struct EndpointIncarnation {
-        EndpointName id;
-        std::int64_t born = 0;
-    };
-
     struct ZoneOwner {
         VmId vm;
         std::int64_t fencing = 0;
         TimePoint heard;
         std::int32_t idlePlaces = -1; ///< free adapter places in the zone; -1: not known
         UpdateProgress news;
-        std::vector<EndpointIncarnation> byIndex; ///< endpoints in the order of the loads in its notices
+        std::vector<EndpointInstance> byIndex; ///< endpoints in the order of the loads in its notices
         bool updateRequestPending = false; ///< a check for missed updates is scheduled
     };
 
--- a/lacewing/entrynodelist.cpp
+++ b/lacewing/entrynodelist.cpp
@@ -240,7 +240,8 @@
 {
     this->dataPath.dropEndpoint(id);
     const ListedVersion before = this->listedVersion(id);
-    this->dataPath.changeFleet([&id](Fleet &fleet) { lacewing::removeEndpoint(fleet, id); });
+    this->dataPath.changeFleet(
+        [this, &id](Fleet &fleet) { lacewing::removeEndpoint(fleet, id, this->clock.now()); });
     this->recordVersionChange(id, before);
 }
 
--- a/lacewing/entrynodemetrics.cpp
+++ b/lacewing/entrynodemetrics.cpp
@@ -35,6 +35,8 @@
     line("endpoint_connections_failed_total", counters.connectionsFailed);
     line("reach_rounds_total", this->dataPath.reachWatch().roundsStarted);
     line("limits_ignored_total", counters.limitsIgnored);
+    line("endpoints_stated_leaving_total", counters.leavingStated);
+    line("rests_stated_total", counters.restsStated);
     line("endpoint_rejections_total", counters.rejections);
     line("endpoint_rejections_told_total", counters.rejectionsTold);
     const CrashCounters &crashes = this->dataPath.crashWatch().counts;
--- a/lacewing/entrynodeupdates.cpp
+++ b/lacewing/entrynodeupdates.cpp
@@ -100,7 +100,7 @@
 
 void EntryNode::recordEndpointIndices(const wire::PlacementNotice &notice)
 {
-    std::vector<EndpointIncarnation> &byIndex = this->owners[notice.zone].byIndex;
+    std::vector<EndpointInstance> &byIndex = this->owners[notice.zone].byIndex;
     constexpr std::size_t maxIndices = 65536; // bounds the memory that a malformed notice can allocate
     for (const wire::EndpointHoldings &holdings : notice.endpoints) {
         const auto index = static_cast<std::size_t>(std::max(0, holdings.index));
@@ -148,10 +148,10 @@
     if (zoneOwner == this->owners.end()) {
         return;
     }
-    const std::vector<EndpointIncarnation> &byIndex = zoneOwner->second.byIndex;
+    const std::vector<EndpointInstance> &byIndex = zoneOwner->second.byIndex;
     for (std::size_t index = 0; index < std::min(notice.loads.size(), byIndex.size()); ++index) {
         const auto running = static_cast<unsigned char>(notice.loads[index]);
-        const EndpointIncarnation &endpoint = byIndex[index];
+        const EndpointInstance &endpoint = byIndex[index];
         if (running != unknownLoad && isIncarnation(fleet, endpoint.id, endpoint.born)) {
             putRunning(fleet, endpoint.id, running);
         }
--- a/lacewing/fleet.cpp
+++ b/lacewing/fleet.cpp
@@ -15,6 +15,7 @@
 {
     FleetEndpoint endpoint;
     endpoint.entry = entry;
+    endpoint.stated = takeStatements(fleet.unlisted, {entry.id, entry.born}, now);
     endpoint.lastListed = now;
     fleet.endpoints.emplace(entry.id, std::move(endpoint));
     fleet.byService[entry.service].push_back(entry.id);
@@ -53,7 +54,7 @@
         return ListedAs::Outdated;
     }
     if (entry.born > known.entry.born) {
-        removeEndpoint(fleet, entry.id);
+        removeEndpoint(fleet, entry.id, now);
         addEndpoint(fleet, entry, now);
         return ListedAs::Restarted;
     }
@@ -86,12 +87,27 @@
     return isIncarnation(fleet, id, born) && fleet.endpoints.at(id).entry.leaving;
 }
 
-void removeEndpoint(Fleet &fleet, const EndpointName &id)
+void changeStatements(Fleet &fleet, const EndpointInstance &instance,
+                      const std::function<void(InstanceStatements &)> &change, TimePoint now)
+{
+    if (isIncarnation(fleet, instance.id, instance.born)) {
+        change(fleet.endpoints.at(instance.id).stated);
+        return;
+    }
+    InstanceStatements statements = takeStatements(fleet.unlisted, instance, now);
+    change(statements);
+    keepStatements(fleet.unlisted, instance, std::move(statements), now);
+}
+
+void removeEndpoint(Fleet &fleet, const EndpointName &id, TimePoint now)
 {
     const auto found = fleet.endpoints.find(id);
     if (found == fleet.endpoints.end()) {
         return;
     }
+    if (const InstanceStatements &stated = found->second.stated; stated.leavingSince || now < stated.restUntil) {
+        keepStatements(fleet.unlisted, {id, found->second.entry.born}, stated, now);
+    }
     std::erase(fleet.byService[found->second.entry.service], id);
     fleet.endpoints.erase(found);
 }
--- a/lacewing/fleet.h
+++ b/lacewing/fleet.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <string_view>
@@ -15,6 +16,7 @@
 
 #include "endpointlimit.h"
 #include "endpointtrust.h"
+#include "instancestatements.h"
 #include "listfreshness.h"
 #include "promptpacing.h"
 #include "rejectionlimit.h"
@@ -45,6 +47,7 @@
     EndpointEntry entry; ///< `held` and `orders` are from the fresher source
     EndpointTrust trust;
     SharedFailures failures;
+    InstanceStatements stated;
     EndpointLimit limit;
     EndpointRejections rejections; ///< while the service has a rejection limit
     RememberedAdapters rememberedAdapters; ///< adapters unloaded since, by the placement owner's updates
@@ -59,6 +62,7 @@
 struct Fleet {
     std::unordered_map<EndpointName, FleetEndpoint> endpoints;
     std::unordered_map<ServiceName, std::vector<EndpointName>> byService;
+    UnlistedStatements unlisted;
     ListFreshness list;
 };
 
@@ -90,7 +94,16 @@
 
 /// @param fleet updated
 /// @param id of an endpoint that is gone
-void removeEndpoint(Fleet &fleet, const EndpointName &id);
+/// @param now current time
+void removeEndpoint(Fleet &fleet, const EndpointName &id, TimePoint now);
+
+/// Changes the statements of an instance, whether it is listed or not.
+/// @param fleet updated
+/// @param instance that states something about itself
+/// @param change modifies its statements
+/// @param now current time
+void changeStatements(Fleet &fleet, const EndpointInstance &instance,
+                      const std::function<void(InstanceStatements &)> &change, TimePoint now);
 
 /// Merges a full report of the placement owner on an endpoint.
 /// @param fleet updated; unchanged if the endpoint is unknown
--- a/lacewing/gateway.h
+++ b/lacewing/gateway.h
@@ -29,6 +29,7 @@
 #include "configproof.h"
 #include "coresettings.h"
 #include "crashwatch.h"
+#include "endpointinstance.h"
 #include "endpointlink.h"
 #include "fleet.h"
 #include "forwarding.h"
@@ -71,6 +72,8 @@
     std::int64_t connectionsMade = 0; ///< new ones, to endpoints
     std::int64_t connectionsFailed = 0; ///< to endpoints, not established
     std::int64_t limitsIgnored = 0; ///< implausible limits sent by endpoints
+    std::int64_t leavingStated = 0; ///< endpoints whose answers state that they are leaving
+    std::int64_t restsStated = 0; ///< answers of endpoints that ask this VM to send nothing for some time
     std::int64_t rejections = 0; ///< requests of this VM that endpoints rejected for want of room
     std::int64_t rejectionsTold = 0; ///< the same of other VMs, by endpoints with a rejection limit
     std::int64_t originsUnknown = 0; ///< resumptions refused since it was not known which version began their stream
@@ -248,6 +251,7 @@
     void announceEndpointStatus(const EndpointName &id, bool works);
     void recordEndpointFailure(const EndpointName &id, EndpointFailure failure, const std::string &request);
     void recordEndpointSuccess(const EndpointName &id);
+    void recordStatement(const EndpointInstance &instance, const AnswerInfo &answer);
     void recordLimit(const EndpointName &id, const AnswerInfo &answer, bool success);
     void announceLimit(const EndpointName &id, double perSecond);
     void recordRejectionLimit(const ServiceName &service, const AnswerInfo &answer, bool success);
--- a/lacewing/gatewayrejections.cpp
+++ b/lacewing/gatewayrejections.cpp
@@ -20,7 +20,7 @@
 void Gateway::recordRejectionLimit(const ServiceName &service, const AnswerInfo &answer, bool success)
 {
     const TimePoint now = this->now();
-    if (!answer.maxRejections) {
+    if (!answer.stated.maxRejections) {
         const auto known = this->rejectionLimits.find(service);
         if (success && known != this->rejectionLimits.end() && recordNoRejectionLimit(known->second, now)) {
             logEvent("rejection_limit_ended", {{"service", service}, {"id", answer.id}});
@@ -28,7 +28,7 @@
         }
         return;
     }
-    const double rate = *answer.maxRejections;
+    const double rate = *answer.stated.maxRejections;
     if (!isPlausibleRejectionLimit(rate)) {
         this->counts.limitsIgnored += 1;
         logEvent("limit_ignored", {{"service", service}, {"id", answer.id}, {"rejections", std::to_string(rate)}});
--- a/lacewing/gatewayupdates.cpp
+++ b/lacewing/gatewayupdates.cpp
@@ -97,7 +97,7 @@
     }
     EndpointLimit &limit = found->second.limit;
     const TimePoint now = this->now();
-    if (!answer.limit) {
+    if (!answer.stated.limit) {
         if (success && recordNoLimit(limit, now)) {
             logEvent("limit_ended", {{"endpoint", id}, {"id", answer.id}});
             this->announceLimit(id, 0);
@@ -105,14 +105,16 @@
         }
         return;
     }
-    if (!isPlausibleLimit(*answer.limit)) {
+    if (!isPlausibleLimit(*answer.stated.limit)) {
         this->counts.limitsIgnored += 1;
-        logEvent("limit_ignored", {{"endpoint", id}, {"id", answer.id}, {"per_second", std::to_string(*answer.limit)}});
+        logEvent("limit_ignored",
+                 {{"endpoint", id}, {"id", answer.id}, {"per_second", std::to_string(*answer.stated.limit)}});
         return;
     }
-    const bool changed = lacewing::recordLimit(limit, *answer.limit, now, now);
+    const bool changed = lacewing::recordLimit(limit, *answer.stated.limit, now, now);
     if (changed) {
-        logEvent("limit_named", {{"endpoint", id}, {"id", answer.id}, {"per_second", std::to_string(*answer.limit)}});
+        logEvent("limit_named",
+                 {{"endpoint", id}, {"id", answer.id}, {"per_second", std::to_string(*answer.stated.limit)}});
     }
     if (changed || shouldAnnounceLimit(limit, now)) {
         this->announceLimit(id, limit.rate);
--- /dev/null
+++ b/lacewing/instancestatements.cpp
@@ -0,0 +1,34 @@
+// Few instances are unlisted at a time, so the oldest is found by a scan.
+
+#include "instancestatements.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lacewing {
+
+void keepStatements(UnlistedStatements &unlisted, const EndpointInstance &instance, InstanceStatements statements,
+                    TimePoint now)
+{
+    auto &kept = unlisted.byInstance;
+    kept[instance] = {std::move(statements), now};
+    std::erase_if(kept, [now](const auto &entry) { return now - entry.second.since > unlistedLifetime; });
+    if (kept.size() > maxUnlisted) {
+        kept.erase(std::min_element(kept.begin(), kept.end(), [](const auto &one, const auto &other) {
+            return one.second.since < other.second.since;
+        }));
+    }
+}
+
+InstanceStatements takeStatements(UnlistedStatements &unlisted, const EndpointInstance &instance, TimePoint now)
+{
+    const auto found = unlisted.byInstance.find(instance);
+    if (found == unlisted.byInstance.end()) {
+        return {};
+    }
+    const UnlistedStatements::Kept kept = std::move(found->second);
+    unlisted.byInstance.erase(found);
+    return now - kept.since > unlistedLifetime ? InstanceStatements {} : kept.statements;
+}
+
+} // namespace lacewing
--- a/lacewing/relayanswer.cpp
+++ b/lacewing/relayanswer.cpp
@@ -43,8 +43,8 @@
 {
     ResponseReader &answer = this->link->answer();
     const AnswerInfo answerInfo = this->gateway.format.readAnswer(answer.head);
-    if (answerInfo.keepAlive) {
-        this->link->keepAlive = *answerInfo.keepAlive;
+    if (answerInfo.stated.keepAlive) {
+        this->link->keepAlive = *answerInfo.stated.keepAlive;
     }
     if (!answerInfo.id.empty() && answerInfo.id != this->info.id) { // a late answer to an earlier request
         if (answer.complete()) {
@@ -55,6 +55,11 @@
         }
         return;
     }
+    constexpr int misdirected = 421;
+    constexpr int unavailable = 503;
+    if (answer.head.status != misdirected) { // which may come from another endpoint at the same address
+        this->gateway.recordStatement({this->endpoint, this->incarnationStart}, answerInfo);
+    }
     if (isIncarnation(this->gateway.fleetState, this->endpoint, this->incarnationStart)) {
         this->gateway.recordLimit(this->endpoint, answerInfo, answerInfo.fromEndpoint && answer.head.status < 300);
     }
@@ -67,8 +72,6 @@
         found != this->gateway.fleetState.endpoints.end()) {
         target = &found->second;
     }
-    constexpr int misdirected = 421;
-    constexpr int unavailable = 503;
     if (answerInfo.notRun || answer.head.status == misdirected) {
         if (answer.head.status == unavailable) {
             this->gateway.recordRejection(this->endpoint);
--- a/lacewing/requestformat.h
+++ b/lacewing/requestformat.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "callerkeys.h"
+#include "endpointstatement.h"
 #include "httphead.h"
 #include "types.h"
 
@@ -55,11 +56,7 @@
     std::string id; ///< of the request that is answered; empty: not stated
     bool fromEndpoint = false; ///< carries the marker that only an endpoint sets in its own answers
     bool notRun = false; ///< the endpoint states that the request has not run
-    std::optional<double> limit; ///< requests per second that the endpoint accepts from all VMs together; not
-                                 ///< range-checked, NaN: unparsable
-    std::optional<double> maxRejections; ///< requests per second of all VMs together that the endpoint can reject
-                                         ///< without falling over; as `limit`
-    std::optional<Duration> keepAlive; ///< how long the endpoint keeps an idle connection
+    EndpointStatement stated; ///< what the endpoint states about itself
 };
 
 struct RequestFormat {
--- a/lacewing/testing/endpointchoicetest.cpp
+++ b/lacewing/testing/endpointchoicetest.cpp
@@ -100,7 +100,7 @@
     putEndpoint(fleet, makeEntry("new", "b", {{"m/x", 2}}), start);
     putHoldings(fleet, "new", 0, {{"m/x", 2}}, 20, start);
     cr_assert_eq(chooseEndpoint(fleet, need("m/x"), start).endpoint, "new");
-    removeEndpoint(fleet, "new");
+    removeEndpoint(fleet, "new", start);
     cr_assert_eq(chooseEndpoint(fleet, need("m/x"), start).endpoint, "old");
     EndpointRequirements strict = need("m/x");
     strict.oldestVersion = 2;
@@ -267,7 +267,7 @@
     old.leaving = true;
     putEndpoint(fleet, old, start);
     cr_assert_eq(chooseEndpoint(fleet, needVersion("v1"), start).result, ChoiceResult::VersionGone);
-    removeEndpoint(fleet, "e1");
+    removeEndpoint(fleet, "e1", start);
     cr_assert_eq(chooseEndpoint(fleet, needVersion("v1"), start).result, ChoiceResult::VersionGone);
     cr_assert_eq(chooseEndpoint(fleet, needVersion("v1.1"), start).endpoint, "e2");
 }
