DRAIN: an endpoint whose answers state that it is leaving gets no more requests

Callers' requests were sent for up to 13 s to an endpoint that had stated in its answers that it was leaving, and may be cut off with it. Cause: the platform's list was the only source, and the store that keeps it was away. Ruled out by the record: requests that waited (they were sent 2 to 6 ms after they came). Shown by the new test: a statement was also lost with the entry, and never known to a VM that had relayed it for another VM.

What an instance states in any answer now counts like the list: in the head of an answer to a caller's request, an order or a report; in an answer that another VM has got, which names the instance. It outlives the entry. An answer 421 says nothing, as another instance may have the address. One gate is asked just before bytes go to an endpoint, on new and kept connections, also for orders and reports; it replaces the check after connecting, and logs send_held. Idle connections there are closed.

--- a/lacewing/endpointchoice.cpp
+++ b/lacewing/endpointchoice.cpp
@@ -164,11 +164,6 @@
 
 } // namespace
 
-bool isOfVersion(const FleetEndpoint &endpoint, const std::optional<std::string> &wanted)
-{
-    return !wanted || endpoint.entry.softwareVersion == *wanted;
-}
-
 EndpointChoice chooseEndpoint(const Fleet &fleet, const EndpointRequirements &need, TimePoint now)
 {
     Candidate best;
--- a/lacewing/endpointchoice.h
+++ b/lacewing/endpointchoice.h
@@ -55,11 +55,6 @@
     Duration untilCapacity {0}; ///< until an endpoint at its limit accepts another request; 0: unknown
 };
 
-/// @param endpoint any endpoint
-/// @param wanted software version; nothing: any. Versions have no order: one is equal or it is another one
-/// @return whether the endpoint runs that version
-bool isOfVersion(const FleetEndpoint &endpoint, const std::optional<std::string> &wanted);
-
 /// @param fleet all endpoints
 /// @param need requirements of the request
 /// @param now current time
--- a/lacewing/endpointlink.cpp
+++ b/lacewing/endpointlink.cpp
@@ -49,6 +49,16 @@
         this->connect();
         return;
     }
+    this->begin();
+}
+
+void EndpointLink::begin()
+{
+    const auto self = this->shared_from_this();
+    const auto mayWrite = this->handlers.mayWrite; // close() releases the handlers
+    if (mayWrite && !mayWrite()) {
+        return;
+    }
     this->write();
     if (!this->reading) {
         this->startRead();
@@ -90,10 +100,7 @@
         if (const auto callback = self->handlers.onConnected) {
             callback();
         }
-        if (!self->closed) {
-            self->write();
-            self->startRead();
-        }
+        self->begin();
     });
 }
 
--- a/lacewing/endpointlink.h
+++ b/lacewing/endpointlink.h
@@ -39,8 +39,9 @@
 {
 public:
     struct Handlers {
-        std::function<void()>
-            onConnected; ///< a new connection is established, nothing is written yet; may call close()
+        std::function<void()> onConnected; ///< a new connection is established
+        std::function<bool()> mayWrite; ///< called just before the request is written, on a new or kept connection; if
+                                        ///< it returns false, nothing is written and it has called close()
         std::function<void()> onProgress; ///< the head or body bytes have arrived, or the answer is complete
         std::function<void(LinkFailure)> onFailure; ///< the exchange has failed; no other handler is called afterwards
     };
@@ -86,6 +87,7 @@
     friend class EndpointPool;
 
     void connect();
+    void begin();
     void write();
     void startRead();
     void onBytes(const NetError &error, std::size_t size);
--- a/lacewing/entrynode.cpp
+++ b/lacewing/entrynode.cpp
@@ -123,6 +123,7 @@
     this->gossip.onEndpointUpdate = [this](const VmId &vm, const ZoneName &zone, const wire::EndpointNews &news) {
         this->receiveEndpointUpdate(vm, zone, news);
     };
+    this->dataPath.onStatement = [this] { this->onFleetChanged(); };
     this->dataPath.onEndpointUpdate = [this](const wire::EndpointNews &news) {
         this->gossip.sendEndpointUpdateToAll(news);
         this->receiveEndpointUpdate(this->settings.vm, this->settings.zone, news);
--- a/lacewing/entrynode.h
+++ b/lacewing/entrynode.h
@@ -100,6 +100,9 @@
     /// @param id of the endpoint
     /// @param offset as above
     void dropUnusable(const EndpointName &id, std::int64_t offset = noOffset);
+    /// @param id of an endpoint
+    /// @return its instance that is listed; without a start if none is
+    EndpointInstance instanceOf(const EndpointName &id);
     /// Called when all changes of a read of the list have been applied.
     /// @param read offset, age and kind of the read
     void listRead(const ListRead &read);
--- a/lacewing/entrynodelist.cpp
+++ b/lacewing/entrynodelist.cpp
@@ -240,11 +240,17 @@
 {
     this->dataPath.dropEndpoint(id);
     const ListedVersion before = this->listedVersion(id);
-    this->dataPath.changeFleet(
-        [this, &id](Fleet &fleet) { lacewing::removeEndpoint(fleet, id, this->clock.now()); });
+    this->dataPath.changeFleet([this, &id](Fleet &fleet) { lacewing::removeEndpoint(fleet, id, this->clock.now()); });
     this->recordVersionChange(id, before);
 }
 
+EndpointInstance EntryNode::instanceOf(const EndpointName &id)
+{
+    const auto &endpoints = this->dataPath.fleet().endpoints;
+    const auto found = endpoints.find(id);
+    return {id, found == endpoints.end() ? 0 : found->second.entry.born};
+}
+
 Duration EntryNode::listInterval() const
 {
     const bool covered = !this->owner.active() && isCovered(this->dataPath.fleet().list, this->clock.now());
--- a/lacewing/entrynodemetrics.cpp
+++ b/lacewing/entrynodemetrics.cpp
@@ -37,6 +37,9 @@
     line("limits_ignored_total", counters.limitsIgnored);
     line("endpoints_stated_leaving_total", counters.leavingStated);
     line("rests_stated_total", counters.restsStated);
+    for (const auto &[hold, count] : counters.sendsHeld) {
+        line("sends_held_total{reason=\"" + std::string(toString(hold)) + "\"}", count);
+    }
     line("endpoint_rejections_total", counters.rejections);
     line("endpoint_rejections_told_total", counters.rejectionsTold);
     const CrashCounters &crashes = this->dataPath.crashWatch().counts;
--- a/lacewing/fleet.cpp
+++ b/lacewing/fleet.cpp
@@ -16,6 +16,7 @@
     FleetEndpoint endpoint;
     endpoint.entry = entry;
     endpoint.stated = takeStatements(fleet.unlisted, {entry.id, entry.born}, now);
+    endpoint.entry.leaving = entry.leaving || endpoint.stated.leavingSince;
     endpoint.lastListed = now;
     fleet.endpoints.emplace(entry.id, std::move(endpoint));
     fleet.byService[entry.service].push_back(entry.id);
@@ -82,6 +83,11 @@
     return found != fleet.endpoints.end() && found->second.entry.born == born;
 }
 
+bool isOfVersion(const FleetEndpoint &endpoint, const std::optional<std::string> &wanted)
+{
+    return !wanted || endpoint.entry.softwareVersion == *wanted;
+}
+
 bool isLeaving(const Fleet &fleet, const EndpointName &id, std::int64_t born)
 {
     return isIncarnation(fleet, id, born) && fleet.endpoints.at(id).entry.leaving;
@@ -91,7 +97,9 @@
                       const std::function<void(InstanceStatements &)> &change, TimePoint now)
 {
     if (isIncarnation(fleet, instance.id, instance.born)) {
-        change(fleet.endpoints.at(instance.id).stated);
+        FleetEndpoint &endpoint = fleet.endpoints.at(instance.id);
+        change(endpoint.stated);
+        endpoint.entry.leaving = endpoint.entry.leaving || endpoint.stated.leavingSince;
         return;
     }
     InstanceStatements statements = takeStatements(fleet.unlisted, instance, now);
@@ -105,8 +113,13 @@
     if (found == fleet.endpoints.end()) {
         return;
     }
-    if (const InstanceStatements &stated = found->second.stated; stated.leavingSince || now < stated.restUntil) {
-        keepStatements(fleet.unlisted, {id, found->second.entry.born}, stated, now);
+    const EndpointEntry &entry = found->second.entry;
+    InstanceStatements &stated = found->second.stated;
+    if (entry.leaving && !stated.leavingSince) {
+        stated.leavingSince = now;
+    }
+    if (stated.leavingSince || now < stated.restUntil) {
+        keepStatements(fleet.unlisted, {id, entry.born}, stated, now);
     }
     std::erase(fleet.byService[found->second.entry.service], id);
     fleet.endpoints.erase(found);
--- a/lacewing/fleet.h
+++ b/lacewing/fleet.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -121,6 +122,11 @@
 /// @return whether that incarnation is the known one
 bool isIncarnation(const Fleet &fleet, const EndpointName &id, std::int64_t born);
 
+/// @param endpoint any endpoint
+/// @param wanted software version; nothing: any. Versions have no order: one is equal or it is another one
+/// @return whether the endpoint runs that version
+bool isOfVersion(const FleetEndpoint &endpoint, const std::optional<std::string> &wanted);
+
 /// Merges an incremental update of the placement owner on the weights of an endpoint.
 /// @param fleet updated; unchanged if the endpoint is unknown
 /// @param id of the endpoint
--- a/lacewing/forwarding.cpp
+++ b/lacewing/forwarding.cpp
@@ -18,6 +18,7 @@
 
 constexpr std::string_view forwardingHeader = "Lacewing-Forwarded";
 constexpr std::string_view resultHeader = "Lacewing-Result";
+constexpr std::string_view sourceHeader = "Lacewing-Endpoint";
 constexpr std::size_t tokenBytes = 16;
 
 std::string toBase64(std::string_view bytes)
@@ -110,6 +111,23 @@
 void dropForwardingResult(HttpHeaders &headers)
 {
     dropHeader(headers, resultHeader);
+    dropHeader(headers, sourceHeader);
+}
+
+void writeAnswerSource(HttpHeaders &headers, const EndpointInstance &instance)
+{
+    headers.push_back({std::string(sourceHeader), std::to_string(instance.born) + " " + instance.id});
+}
+
+std::optional<EndpointInstance> readAnswerSource(std::span<const HttpHeader> headers)
+{
+    const std::string_view value = findHeader(headers, sourceHeader);
+    const std::size_t space = value.find(' ');
+    const auto born = parseNumber(value.substr(0, space));
+    if (!born || space == std::string_view::npos) {
+        return std::nullopt;
+    }
+    return EndpointInstance {EndpointName(value.substr(space + 1)), *born};
 }
 
 std::optional<ForwardingResult> readForwardingResult(std::span<const HttpHeader> headers)
--- a/lacewing/forwarding.h
+++ b/lacewing/forwarding.h
@@ -10,7 +10,8 @@
 // announced through the platform, which only VMs of this system can read.
 //
 // An answer that the receiver generates carries its result code in a header, so that the sender can tell it from an
-// endpoint's answer.
+// endpoint's answer. An endpoint's answer carries the endpoint: the sender relays what it states about itself, and is
+// bound by it as well.
 
 #pragma once
 
@@ -20,6 +21,7 @@
 #include <string>
 #include <string_view>
 
+#include "endpointinstance.h"
 #include "httphead.h"
 #include "lacewing_types.h"
 #include "resultcode.h"
@@ -77,6 +79,14 @@
 /// @param result end of the request
 void writeForwardingResult(HttpHeaders &headers, const ForwardingResult &result);
 
+/// @param headers of an endpoint's answer to a forwarded request; modified
+/// @param instance of the endpoint that has sent the answer
+void writeAnswerSource(HttpHeaders &headers, const EndpointInstance &instance);
+
+/// @param headers of an answer to a forwarded request
+/// @return instance of the endpoint that has sent it; nothing if the other VM does not tell
+std::optional<EndpointInstance> readAnswerSource(std::span<const HttpHeader> headers);
+
 /// Removes what only a VM may say from an endpoint's answer.
 /// @param headers modified
 void dropForwardingResult(HttpHeaders &headers);
--- a/lacewing/gateway.h
+++ b/lacewing/gateway.h
@@ -41,6 +41,7 @@
 #include "resultcode.h"
 #include "retrybudget.h"
 #include "routeconfig.h"
+#include "sendgate.h"
 
 namespace lacewing {
 
@@ -74,6 +75,7 @@
     std::int64_t limitsIgnored = 0; ///< implausible limits sent by endpoints
     std::int64_t leavingStated = 0; ///< endpoints whose answers state that they are leaving
     std::int64_t restsStated = 0; ///< answers of endpoints that ask this VM to send nothing for some time
+    std::map<SendHold, std::int64_t> sendsHeld; ///< just before they were written, by reason
     std::int64_t rejections = 0; ///< requests of this VM that endpoints rejected for want of room
     std::int64_t rejectionsTold = 0; ///< the same of other VMs, by endpoints with a rejection limit
     std::int64_t originsUnknown = 0; ///< resumptions refused since it was not known which version began their stream
@@ -162,6 +164,15 @@
     /// @return counts and latencies by organisation
     OrganisationMetrics &organisationMetrics();
     const OrganisationMetrics &organisationMetrics() const;
+    /// Records what an instance states about itself in an answer.
+    /// @param instance that has sent the answer
+    /// @param stated in its answer
+    /// @param request id of the request that is answered, for the log
+    void recordStatement(const EndpointInstance &instance, const EndpointStatement &stated, const std::string &request);
+    /// Decides whether an order or a question may be sent to an endpoint now.
+    /// @param instance to send to
+    /// @param what is sent, for the log
+    bool maySend(const EndpointInstance &instance, const std::string &what);
     /// Records that an endpoint has started.
     /// @param id of the endpoint, which is listed
     void recordEndpointStart(const EndpointName &id);
@@ -214,6 +225,8 @@
     std::function<void(const OrganisationName &, const ServiceName &, const std::string &attempt, OriginDone)>
         findOrigin;
 
+    /// Called when an endpoint has stated something that decides whether it gets requests.
+    std::function<void()> onStatement;
     /// Called with each update for other VMs of an endpoint's rate limit, and of requests sent to that endpoint.
     std::function<void(const wire::LimitNews &)> onLimitUpdate;
     /// Called with each report for other VMs that an endpoint fails or works.
@@ -251,7 +264,8 @@
     void announceEndpointStatus(const EndpointName &id, bool works);
     void recordEndpointFailure(const EndpointName &id, EndpointFailure failure, const std::string &request);
     void recordEndpointSuccess(const EndpointName &id);
-    void recordStatement(const EndpointInstance &instance, const AnswerInfo &answer);
+    SendHold checkSend(const EndpointInstance &instance, const std::optional<std::string> &softwareVersion,
+                       const std::string &request);
     void recordLimit(const EndpointName &id, const AnswerInfo &answer, bool success);
     void announceLimit(const EndpointName &id, double perSecond);
     void recordRejectionLimit(const ServiceName &service, const AnswerInfo &answer, bool success);
--- a/lacewing/gatewaystatements.cpp
+++ b/lacewing/gatewaystatements.cpp
@@ -1,4 +1,4 @@
-// What endpoints state about themselves in their answers.
+// What endpoints state about themselves in their answers, and the check against it just before anything is sent there.
 
 #include "gateway.h"
 
@@ -7,24 +7,50 @@
 
 namespace lacewing {
 
-void Gateway::recordStatement(const EndpointInstance &instance, const AnswerInfo &answer)
+void Gateway::recordStatement(const EndpointInstance &instance, const EndpointStatement &stated,
+                              const std::string &request)
 {
     const TimePoint now = this->now();
-    const auto record = [&](InstanceStatements &stated) {
-        if (answer.stated.leaving && !stated.leavingSince) {
-            stated.leavingSince = now;
+    bool changed = false;
+    const auto record = [&](InstanceStatements &known) {
+        if (stated.leaving && !known.leavingSince) {
+            known.leavingSince = now;
+            changed = true;
             this->counts.leavingStated += 1;
-            logEvent("leaving_stated", {{"endpoint", instance.id}, {"id", answer.id}});
+            logEvent("leaving_stated", {{"endpoint", instance.id}, {"id", request}});
         }
-        if (answer.stated.rest) {
+        if (stated.rest) {
             this->counts.restsStated += 1;
             logEvent("rest_stated",
-                     {{"endpoint", instance.id}, {"id", answer.id}, {"seconds", std::to_string(*answer.stated.rest)}});
+                     {{"endpoint", instance.id}, {"id", request}, {"seconds", std::to_string(*stated.rest)}});
         }
     };
-    if (answer.stated.leaving || answer.stated.rest) {
+    if (stated.leaving || stated.rest) {
         changeStatements(this->fleetState, instance, record, now);
     }
+    if (!changed) {
+        return;
+    }
+    this->pool.drop(instance.id);
+    if (this->onStatement) {
+        this->onStatement();
+    }
+}
+
+SendHold Gateway::checkSend(const EndpointInstance &instance, const std::optional<std::string> &softwareVersion,
+                            const std::string &request)
+{
+    const SendHold hold = lacewing::checkSend(this->fleetState, instance, softwareVersion);
+    if (hold != SendHold::None) {
+        this->counts.sendsHeld[hold] += 1;
+        logEvent("send_held", {{"endpoint", instance.id}, {"id", request}, {"reason", std::string(toString(hold))}});
+    }
+    return hold;
+}
+
+bool Gateway::maySend(const EndpointInstance &instance, const std::string &what)
+{
+    return this->checkSend(instance, std::nullopt, what) == SendHold::None;
 }
 
 } // namespace lacewing
--- a/lacewing/httpclient.cpp
+++ b/lacewing/httpclient.cpp
@@ -42,6 +42,9 @@
     reply.status = static_cast<int>(response.result_int());
     const auto retryAfter = response[http::field::retry_after];
     reply.retryAfter = parseRetryAfter(std::string_view(retryAfter.data(), retryAfter.size()));
+    for (const auto &field : response) {
+        reply.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+    }
     reply.body = std::move(response.body());
     return reply;
 }
@@ -120,6 +123,11 @@
         if (!connection) {
             break;
         }
+        if (call.mayWrite && !call.mayWrite()) {
+            reply.held = true;
+            pool.release(std::move(connection));
+            break;
+        }
         http::response_parser<http::string_body> parser;
         parser.body_limit(maxReplyBytes);
         connection->stream.expires_after(call.timeout);
--- a/lacewing/httpclient.h
+++ b/lacewing/httpclient.h
@@ -9,6 +9,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -19,6 +20,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include "httphead.h"
 #include "types.h"
 
 namespace lacewing {
@@ -79,12 +81,15 @@
     std::map<std::string, std::string> headers;
     std::string body;
     Duration timeout = milliseconds(2000);
+    std::function<bool()> mayWrite; ///< called just before the request is written; absent: it may be
 };
 
 struct HttpReply {
     int status = 0; ///< 0: no reply was received
+    HttpHeaders headers;
     std::string body;
     Duration retryAfter {0};
+    bool held = false; ///< nothing was sent, because mayWrite did not allow it
     bool keptConnectionSilent = false; ///< a kept connection timed out, and the request was sent on a new one
 };
 
--- a/lacewing/instancestatements.h
+++ b/lacewing/instancestatements.h
@@ -21,7 +21,8 @@
 constexpr std::size_t maxUnlisted = 4096;
 
 struct InstanceStatements {
-    std::optional<TimePoint> leavingSince; ///< first answer that states that the instance is leaving
+    std::optional<TimePoint> leavingSince; ///< first answer that states that the instance is leaving, or the removal of
+                                           ///< its entry, which stated it
     TimePoint restUntil; ///< it wants no requests of this VM before
 };
 
--- a/lacewing/placementowner.cpp
+++ b/lacewing/placementowner.cpp
@@ -313,6 +313,10 @@
             this->onFenced();
         }
         return;
+    } else if (reply == OrderReply::Held) {
+        endpoint.loading.erase(weights); // another endpoint may load them
+        endpoint.ready = false;
+        this->schedulePoll(order.endpoint, failureRetryDelay);
     } else {
         const bool unexpected = reply == OrderReply::Conflict || reply == OrderReply::NoAnswer
             || reply == OrderReply::OtherEndpoint || reply == OrderReply::Refused;
--- a/lacewing/platformport.h
+++ b/lacewing/platformport.h
@@ -31,6 +31,7 @@
     Fenced, ///< a higher fencing number was seen
     OtherEndpoint, ///< the address belongs to another endpoint now
     Refused, ///< the endpoint can't execute the order
+    Held, ///< not sent: the endpoint wants nothing now
     NoAnswer, ///< the order may be executed now, later or never
 };
 
--- a/lacewing/relay.cpp
+++ b/lacewing/relay.cpp
@@ -311,6 +311,14 @@
             self->run([&self] { self->onConnected(); });
         }
     };
+    handlers.mayWrite = [weak] {
+        const auto self = weak.lock();
+        bool allowed = false;
+        if (self) {
+            self->run([&self, &allowed] { allowed = self->mayWrite(); });
+        }
+        return allowed;
+    };
     handlers.onProgress = [weak] {
         if (const auto self = weak.lock()) {
             self->run([&self] { self->onProgress(); });
--- a/lacewing/relay.h
+++ b/lacewing/relay.h
@@ -119,6 +119,7 @@
     void releasePeer();
     bool mayTakeOver() const;
     void onConnected();
+    bool mayWrite();
     void onProgress();
     void onHead();
     void beginAnswer();
--- a/lacewing/relayanswer.cpp
+++ b/lacewing/relayanswer.cpp
@@ -58,7 +58,7 @@
     constexpr int misdirected = 421;
     constexpr int unavailable = 503;
     if (answer.head.status != misdirected) { // which may come from another endpoint at the same address
-        this->gateway.recordStatement({this->endpoint, this->incarnationStart}, answerInfo);
+        this->gateway.recordStatement({this->endpoint, this->incarnationStart}, answerInfo.stated, answerInfo.id);
     }
     if (isIncarnation(this->gateway.fleetState, this->endpoint, this->incarnationStart)) {
         this->gateway.recordLimit(this->endpoint, answerInfo, answerInfo.fromEndpoint && answer.head.status < 300);
@@ -113,6 +113,9 @@
     HttpResponseHead relayedHead = answer.head;
     dropConnectionHeaders(relayedHead.headers);
     dropForwardingResult(relayedHead.headers);
+    if (this->forwarded) {
+        writeAnswerSource(relayedHead.headers, {this->endpoint, this->incarnationStart});
+    }
     this->answerBegun = true;
     this->history.answerBegun = true;
     this->endpointFraming = answer.framing();
--- a/lacewing/relayend.cpp
+++ b/lacewing/relayend.cpp
@@ -93,17 +93,22 @@
     }
     this->gateway.counts.connectionsMade += 1;
     recordConnected(this->gateway.reach.of(this->service));
-    const Fleet &fleet = this->gateway.fleetState;
-    const bool present = isIncarnation(fleet, this->endpoint, this->incarnationStart)
-        && isOfVersion(fleet.endpoints.at(this->endpoint), this->softwareVersion);
-    if (present && !isLeaving(fleet, this->endpoint, this->incarnationStart)) {
-        return;
+}
+
+bool Relay::mayWrite()
+{
+    if (!this->peer.empty()) {
+        return true; // the other VM decides
+    }
+    const SendHold hold
+        = this->gateway.checkSend({this->endpoint, this->incarnationStart}, this->softwareVersion, this->info.id);
+    if (hold == SendHold::None) {
+        return true;
     }
-    // The endpoint was chosen up to one connect timeout ago and has left or started to leave since: an endpoint that
-    // leaves gets no new requests.
     this->link->close();
     this->link.reset();
-    this->attemptEnded(AttemptEnding::NotSent, "endpoint_left");
+    this->attemptEnded(AttemptEnding::NotSent, toString(hold));
+    return false;
 }
 
 bool Relay::retryFailed(int status)
--- a/lacewing/relayforward.cpp
+++ b/lacewing/relayforward.cpp
@@ -82,6 +82,9 @@
         this->onFailure(LinkFailure::Broken);
         return;
     }
+    if (const auto source = readAnswerSource(answer.head.headers)) {
+        this->gateway.recordStatement(*source, answerInfo.stated, answerInfo.id);
+    }
     this->beginAnswer();
 }
 
