Bytes without end that are part of no message are bounded

One answer or one caller could end a VM, or take its processor time for seconds: a chunk line or trailer without an end was kept and scanned again with each part; interim answers and answers to other requests were skipped for as long as they came; what came after a refusal was kept for a second.

Readers refuse chunk lines and trailers beyond 64 KB and as much of chunk extensions; 64 KB may be skipped in an exchange; 8 MB are discarded, and not kept, before the connection of a refused caller is closed; replies to a VM's own calls have a bounded buffer.

--- a/lacewing/callerconnection.cpp
+++ b/lacewing/callerconnection.cpp
@@ -21,6 +21,8 @@
 
 constexpr std::size_t drainThreshold = 16 * kibibyte; ///< unsent output below which the drained callback is called
 constexpr std::size_t maxPipelinedBytes = 64 * kibibyte; ///< of pipelined requests, in bytes
+/// Bytes that are discarded after the last request, so that its answer reaches a caller that is still sending.
+constexpr std::size_t maxDiscardedBytes = 8 * mebibyte;
 constexpr Duration lingerTimeout = milliseconds(1000); ///< for the caller to close its side after our shutdown
 
 } // namespace
@@ -65,6 +67,11 @@
         return;
     }
     if (this->closeAfterAnswer) { // only the caller's close is awaited
+        this->discardedBytes += size;
+        if (this->discardedBytes > maxDiscardedBytes) {
+            this->abort();
+            return;
+        }
         this->readDiscarded({this->readBuffer.data(), size});
         this->startRead();
         return;
@@ -121,6 +128,8 @@
     }
     this->cancelTimer();
     this->requestInProgress = true;
+    this->reader = std::make_unique<RequestReader>(this->limits.headBytes, this->limits.bodyBytes); // frees the body
+    this->input.clear();
     const auto self = this->shared_from_this();
     this->handlers.onMalformedRequest(status);
 }
@@ -133,12 +142,13 @@
     if (!this->discardedReader) {
         this->discardedReader = std::make_unique<RequestReader>(this->limits.headBytes, this->limits.bodyBytes);
     }
-    if (this->discardedReader->complete()) {
+    if (this->discardedReader->complete() || this->discardedMalformed) {
         return;
     }
     this->input += bytes;
     ReadError malformed; // such input is not a request that could be reported
     this->input.erase(0, this->discardedReader->read(this->input, malformed));
+    this->discardedMalformed = static_cast<bool>(malformed);
     if (!malformed && this->discardedReader->complete() && this->handlers.onDiscardedRequest) {
         const auto sinceClose = std::chrono::steady_clock::now() - this->shutDownAt;
         this->handlers.onDiscardedRequest(this->discardedReader->head,
--- a/lacewing/callerconnection.h
+++ b/lacewing/callerconnection.h
@@ -111,6 +111,8 @@
     bool closeAfterAnswer = false; ///< no further requests are read
     std::chrono::steady_clock::time_point shutDownAt; ///< when this side was closed for sending
     std::unique_ptr<RequestReader> discardedReader; ///< set once input arrives after that
+    bool discardedMalformed = false; ///< it is no request
+    std::size_t discardedBytes = 0; ///< that arrived after the last request
     bool closed = false;
 };
 
--- a/lacewing/endpointlink.cpp
+++ b/lacewing/endpointlink.cpp
@@ -7,6 +7,7 @@
 #include "endpointlink.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <boost/asio/write.hpp>
 
@@ -22,6 +23,9 @@
 /// A VM runs at most some tens of requests at an endpoint.
 constexpr std::size_t maxIdlePerEndpoint = 64;
 
+/// Bytes of interim answers, and of answers to other requests, that are discarded before the awaited answer.
+constexpr std::size_t maxDiscardedBytes = 64 * kibibyte;
+
 Duration usableIdleTime(const EndpointLink &link, bool nonRepeatable)
 {
     const Duration stated = link.keepAlive.count() > 0 ? link.keepAlive : defaultKeepAlive;
@@ -43,6 +47,9 @@
     this->handlers = std::move(callbacks);
     this->reader = std::make_unique<ResponseReader>(isHead);
     this->written = false;
+    this->skipping = false;
+    this->answerBytes = 0;
+    this->discardedBytes = 0;
     this->exchangeCount += 1;
     this->onIdleClosed = nullptr;
     if (!this->connected) {
@@ -144,7 +151,7 @@
         if (error == asio::error::eof && this->reader->headRead()) {
             this->reader->readEnd(cut);
         }
-        if (error != asio::error::eof || cut || !this->reader->complete()) {
+        if (error != asio::error::eof || cut || !this->reader->complete() || this->skipping) {
             this->failExchange(LinkFailure::Broken);
             return;
         }
@@ -160,18 +167,21 @@
     ReadError error;
     const std::size_t used = this->reader->read(this->input, error);
     this->input.erase(0, used);
+    this->answerBytes += used;
     if (error) {
         this->failExchange(LinkFailure::Broken);
         return;
     }
-    if (!this->reader->headRead()) {
-        this->startRead();
+    const int status = this->reader->head.status;
+    const bool interim = this->reader->headRead() && status >= 100 && status < 200 && status != 101;
+    if (this->skipping || interim) {
+        if (this->discardAnswer()) {
+            this->parseInput();
+        }
         return;
     }
-    const int status = this->reader->head.status;
-    if (status >= 100 && status < 200 && status != 101 && this->reader->complete()) {
-        this->reader = std::make_unique<ResponseReader>(this->headRequest);
-        this->parseInput();
+    if (!this->reader->headRead()) {
+        this->startRead();
         return;
     }
     if (this->reader->complete() && !this->input.empty()) {
@@ -181,6 +191,27 @@
     this->handlers.onProgress();
 }
 
+bool EndpointLink::discardAnswer()
+{
+    this->reader->takeBody();
+    if (this->discardedBytes + this->answerBytes > maxDiscardedBytes) {
+        this->failExchange(LinkFailure::Broken);
+        return false;
+    }
+    if (!this->reader->complete()) {
+        this->startRead();
+        return false;
+    }
+    this->discardedBytes += std::exchange(this->answerBytes, 0);
+    this->reader = std::make_unique<ResponseReader>(this->headRequest);
+    this->skipping = false;
+    if (this->input.empty()) {
+        this->startRead();
+        return false;
+    }
+    return true;
+}
+
 void EndpointLink::readMore()
 {
     if (!this->closed && !this->reading && !this->remoteClosed && !this->reader->complete()) {
@@ -191,12 +222,10 @@
 void EndpointLink::skipAnswer()
 {
     this->unexpectedInput = false; // the bytes that follow may be the expected answer
-    this->reader = std::make_unique<ResponseReader>(this->headRequest);
-    if (this->input.empty()) {
-        this->startRead();
-        return;
+    this->skipping = true;
+    if (this->discardAnswer()) {
+        this->parseInput();
     }
-    this->parseInput();
 }
 
 void EndpointLink::failExchange(LinkFailure failure)
--- a/lacewing/endpointlink.h
+++ b/lacewing/endpointlink.h
@@ -60,7 +60,8 @@
     /// Continues to read; to be called once after each onProgress while the answer is incomplete.
     void readMore();
 
-    /// Discards an answer that belongs to another request and reads the next one.
+    /// Discards the current answer, which belongs to another request, and reads the next one. The exchange fails if
+    /// there is too much to discard.
     void skipAnswer();
 
     /// Closes the connection. No handler is called afterwards.
@@ -92,6 +93,7 @@
     void startRead();
     void onBytes(const NetError &error, std::size_t size);
     void parseInput();
+    bool discardAnswer();
     void failExchange(LinkFailure failure);
     void watchIdle(std::function<void()> onClosed);
 
@@ -103,6 +105,9 @@
     std::array<char, 4096> readBuffer {};
     std::unique_ptr<ResponseReader> reader;
     std::function<void()> onIdleClosed;
+    std::size_t answerBytes = 0; ///< used by the current reader
+    std::size_t discardedBytes = 0; ///< of the exchange: interim answers, and answers to other requests
+    bool skipping = false; ///< the current answer belongs to another request
     bool headRequest = false;
     bool connected = false;
     bool timedOut = false; ///< while connecting
--- a/lacewing/httpclient.cpp
+++ b/lacewing/httpclient.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+constexpr std::size_t maxExtensionBytes = 64 * 1024; ///< of all chunks of a reply
+
 asio::awaitable<NetError> exchange(HttpConnection &connection, const http::request<http::string_body> &request,
                                    http::response_parser<http::string_body> &parser)
 {
@@ -130,6 +132,14 @@
         }
         http::response_parser<http::string_body> parser;
         parser.body_limit(maxReplyBytes);
+        std::size_t extensionBytes = 0;
+        auto onChunk = [&](std::uint64_t, beast::string_view extensions, beast::error_code &tooMany) {
+            extensionBytes += extensions.size();
+            if (extensionBytes > maxExtensionBytes) {
+                tooMany = http::error::bad_chunk_extension;
+            }
+        };
+        parser.on_chunk_header(onChunk);
         connection->stream.expires_after(call.timeout);
         const NetError error = co_await exchange(*connection, request, parser);
         if (!error) {
--- a/lacewing/httpclient.h
+++ b/lacewing/httpclient.h
@@ -28,13 +28,16 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
+/// Maximum size of a reply's body in bytes, and of what was received of a reply and is not parsed.
+constexpr std::size_t maxReplyBytes = std::size_t {1024} * 1024;
+
 struct HttpConnection {
     explicit HttpConnection(asio::io_context &context) : stream(context)
     {
     }
 
     beast::tcp_stream stream;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer {maxReplyBytes};
     std::string address;
     bool reused = false;
 };
@@ -93,9 +96,6 @@
     bool keptConnectionSilent = false; ///< a kept connection timed out, and the request was sent on a new one
 };
 
-/// Maximum size of a reply's body in bytes.
-constexpr std::size_t maxReplyBytes = std::size_t {1024} * 1024;
-
 /// Sends a request. If a reused connection fails before the first byte of the reply, the request is retried once on a
 /// new connection.
 /// @param pool connections to use
--- a/lacewing/httpreader.cpp
+++ b/lacewing/httpreader.cpp
@@ -40,6 +40,27 @@
     return used;
 }
 
+/// Parses as much as possible.
+/// @param error set if the message is malformed, or a chunk line or the trailer too long
+/// @return number of bytes used
+template<typename Parser>
+std::size_t readBounded(Parser &parser, std::string_view bytes, ReadError &error)
+{
+    const std::size_t used = putAll(parser, bytes, error);
+    if (!error && parser.is_header_done() && !parser.is_done() && bytes.size() - used >= maxFramingBytes) {
+        error = http::error::buffer_overflow;
+    }
+    return used;
+}
+
+void countExtensions(boost::beast::string_view extensions, std::size_t &total, ReadError &error)
+{
+    total += extensions.size();
+    if (total > maxFramingBytes) {
+        error = http::error::bad_chunk_extension;
+    }
+}
+
 } // namespace
 
 RequestReader::RequestReader(std::uint32_t headerLimit, std::uint64_t bodyLimit)
@@ -51,7 +72,7 @@
 
 std::size_t RequestReader::read(std::string_view bytes, ReadError &error)
 {
-    return putAll(static_cast<http::basic_parser<true> &>(*this), bytes, error);
+    return readBounded(static_cast<http::basic_parser<true> &>(*this), bytes, error);
 }
 
 bool RequestReader::started() const
@@ -100,8 +121,9 @@
     return bytes.size();
 }
 
-void RequestReader::on_chunk_header_impl(std::uint64_t, string_view, ReadError &)
+void RequestReader::on_chunk_header_impl(std::uint64_t, string_view extensions, ReadError &error)
 {
+    countExtensions(extensions, this->extensionBytes, error);
 }
 
 std::size_t RequestReader::on_chunk_body_impl(std::uint64_t, string_view bytes, ReadError &)
@@ -124,7 +146,7 @@
 
 std::size_t ResponseReader::read(std::string_view bytes, ReadError &error)
 {
-    return putAll(static_cast<http::basic_parser<false> &>(*this), bytes, error);
+    return readBounded(static_cast<http::basic_parser<false> &>(*this), bytes, error);
 }
 
 void ResponseReader::readEnd(ReadError &error)
@@ -196,8 +218,9 @@
     return bytes.size();
 }
 
-void ResponseReader::on_chunk_header_impl(std::uint64_t, string_view, ReadError &)
+void ResponseReader::on_chunk_header_impl(std::uint64_t, string_view extensions, ReadError &error)
 {
+    countExtensions(extensions, this->extensionBytes, error);
 }
 
 std::size_t ResponseReader::on_chunk_body_impl(std::uint64_t, string_view bytes, ReadError &)
--- a/lacewing/httpreader.h
+++ b/lacewing/httpreader.h
@@ -4,7 +4,8 @@
 //   std::size_t used = reader.read(bytes, error); // again with the unused and the new bytes
 //   if (reader.headRead()) forward(reader.takeBody());
 //   if (reader.complete()) ...
-// A reader parses one message and does not use the bytes that follow it.
+// A reader parses one message and does not use the bytes that follow it. What a sender may send beside the head and the
+// body is bounded, whatever it sends: a line that never ends would be kept and scanned again with each part of it.
 
 #pragma once
 
@@ -17,11 +18,15 @@
 #include <boost/beast/http/basic_parser.hpp>
 
 #include "httphead.h"
+#include "sizes.h"
 
 namespace lacewing {
 
 using ReadError = boost::system::error_code;
 
+/// Maximum size of a chunk line, of the trailer, and of all chunk extensions of a message.
+constexpr std::size_t maxFramingBytes = 64 * kibibyte;
+
 /// Parses one request and buffers its complete body.
 class RequestReader : private boost::beast::http::basic_parser<true>
 {
@@ -43,6 +48,8 @@
     std::string body;
 
 private:
+    std::size_t extensionBytes = 0;
+
     using string_view = boost::beast::string_view; // NOLINT(readability-identifier-naming): name of the base class
     void on_request_impl(boost::beast::http::verb, string_view, string_view, int, ReadError &) override;
     void on_response_impl(int, string_view, int, ReadError &) override;
@@ -96,6 +103,7 @@
     void on_finish_impl(ReadError &) override;
 
     std::string body;
+    std::size_t extensionBytes = 0;
 };
 
 } // namespace lacewing
--- a/lacewing/relayanswer.cpp
+++ b/lacewing/relayanswer.cpp
@@ -47,12 +47,7 @@
         this->link->keepAlive = *answerInfo.stated.keepAlive;
     }
     if (!answerInfo.id.empty() && answerInfo.id != this->info.id) { // a late answer to an earlier request
-        if (answer.complete()) {
-            this->link->skipAnswer();
-        } else {
-            answer.takeBody();
-            this->link->readMore();
-        }
+        this->link->skipAnswer();
         return;
     }
     constexpr int misdirected = 421;
