BUDGET: an endpoint that asks a VM for a rest gets none of its requests until then

A third of the callers were refused for nine seconds while six of nine endpoints had room. Three endpoints rejected all requests and asked for rests of 3 s; each looked idle, was chosen first, and cost a retry, until the retry budget was used up. Cause: Retry-After of a rejection was not read. Ruled out: requests that had been placed before the rejection; they came up to 1.5 s after it.

A rejection's rest is kept by instance, for this VM. The gate holds on the choice of an endpoint and just before each write. VMs return at random times with one request, and more as they are accepted; other endpoints get the requests little by little, so that they are not made to rest as well. What only resting endpoints could serve is refused at once (217) with the time at which the first one returns.

--- a/lacewing/endpointchoice.cpp
+++ b/lacewing/endpointchoice.cpp
@@ -6,6 +6,7 @@
 #include <optional>
 
 #include "limiteduse.h"
+#include "sendgate.h"
 
 namespace lacewing {
 
@@ -134,19 +135,19 @@
 
     bool admits(const FleetEndpoint &endpoint)
     {
-        if (!isLimited(endpoint.limit)) {
+        if (!isLimited(endpoint.stated.limit)) {
             return true;
         }
         if (!this->zoneServed) {
             this->zoneServed = zoneServes(this->fleet, this->need);
         }
         const bool allowed = maySendToLimited(endpoint.entry.zone, this->need.zone, *this->zoneServed);
-        if (allowed && hasRoom(endpoint.limit, this->now)) {
+        if (allowed && hasRoom(endpoint.stated.limit, this->now)) {
             return true;
         }
         this->anyAtLimit = true;
         if (allowed) {
-            const Duration until = timeUntilRoom(endpoint.limit, this->now);
+            const Duration until = timeUntilRoom(endpoint.stated.limit, this->now);
             this->soonestCapacity = this->soonestCapacity.count() == 0 ? until : std::min(this->soonestCapacity, until);
         }
         return false;
@@ -162,6 +163,54 @@
     std::optional<bool> zoneServed; ///< whether this VM's zone has endpoints of the service
 };
 
+/// Endpoints that get no request now because of a rest that they, or others of the service, have asked for.
+class RestCheck
+{
+public:
+    explicit RestCheck(TimePoint time) : now(time)
+    {
+    }
+
+    /// @param usable whether the endpoint could serve the request otherwise
+    bool admits(const FleetEndpoint &endpoint, bool usable)
+    {
+        const SendHold hold = checkChoice(endpoint, this->now);
+        const Duration until = std::max(minRecheck, timeUntilReturn(endpoint.stated.rest, this->now));
+        if (hold == SendHold::Resting) {
+            this->keepSoonest(this->firstReturn, until);
+        } else {
+            this->anyAwake = true;
+        }
+        if (hold != SendHold::None && usable) {
+            this->keepSoonest(this->usableReturn, until);
+            this->anyBusy = this->anyBusy || hold != SendHold::Resting;
+        }
+        return hold == SendHold::None;
+    }
+
+    /// @return whether all endpoints of the service rest
+    bool allRest() const
+    {
+        return this->firstReturn && !this->anyAwake;
+    }
+
+    std::optional<Duration> firstReturn; ///< time until an endpoint that rests returns
+    std::optional<Duration> usableReturn; ///< until one that could serve the request and was not admitted may be
+    bool anyBusy = false; ///< one of those does not rest, and has enough requests for now
+
+private:
+    static void keepSoonest(std::optional<Duration> &soonest, Duration until)
+    {
+        soonest = soonest ? std::min(*soonest, until) : until;
+    }
+
+    /// Endpoints that do not rest may be admitted as soon as one of their requests ends.
+    static constexpr Duration minRecheck = milliseconds(50);
+
+    TimePoint now;
+    bool anyAwake = false; ///< an endpoint of the service does not rest
+};
+
 } // namespace
 
 EndpointChoice chooseEndpoint(const Fleet &fleet, const EndpointRequirements &need, TimePoint now)
@@ -173,6 +222,7 @@
     bool anyOfOtherVersion = false;
     std::vector<Candidate> candidates; // if the service has a rejection limit
     LimitCheck limitCheck(fleet, need, now);
+    RestCheck restCheck(now);
     std::uint64_t draw = need.draw;
     for (const EndpointName &id : endpointsOf(fleet, need.service)) {
         const FleetEndpoint &endpoint = fleet.endpoints.at(id);
@@ -194,12 +244,14 @@
             continue; // another endpoint loads the weights in less time than the caller is ready to wait
         }
         Candidate candidate;
+        bool usable = true;
         if (!need.weights.empty()) {
             const auto held = endpoint.entry.held.find(need.weights);
-            if (held == endpoint.entry.held.end() || held->second < need.oldestVersion) {
-                continue;
-            }
-            candidate.version = held->second;
+            usable = held != endpoint.entry.held.end() && held->second >= need.oldestVersion;
+            candidate.version = usable ? held->second : 0;
+        }
+        if (!restCheck.admits(endpoint, usable) || !usable) {
+            continue;
         }
         if (!need.weights.empty() && estimateRunning(endpoint) >= endpoint.entry.slots) {
             anyFull = true;
@@ -231,11 +283,18 @@
     } else if (!candidates.empty()) {
         choice.result = need.weights.empty() ? ChoiceResult::Limited : ChoiceResult::AllFull;
         choice.untilCapacity = untilConsidered(candidates, now);
+    } else if (anyEndpoint && restCheck.allRest()) {
+        choice.result = ChoiceResult::Resting;
+        choice.untilCapacity = *restCheck.firstReturn;
     } else if (anyEndpoint && limitCheck.anyAtLimit) {
         choice.result = need.weights.empty() ? ChoiceResult::Limited : ChoiceResult::AllFull;
         choice.untilCapacity = limitCheck.soonestCapacity;
+    } else if (anyEndpoint && need.weights.empty() && restCheck.usableReturn) {
+        choice.result = ChoiceResult::Resting;
+        choice.untilCapacity = *restCheck.usableReturn;
     } else if (anyEndpoint) {
-        choice.result = anyFull ? ChoiceResult::AllFull : ChoiceResult::NotHeld;
+        choice.result = anyFull || restCheck.anyBusy ? ChoiceResult::AllFull : ChoiceResult::NotHeld;
+        choice.untilCapacity = restCheck.usableReturn.value_or(Duration {0});
     }
     return choice;
 }
--- a/lacewing/endpointchoice.h
+++ b/lacewing/endpointchoice.h
@@ -44,6 +44,7 @@
     NotHeld, ///< the service has endpoints, but none of them holds the weights
     AllFull, ///< every endpoint that holds the weights has all slots in use, is at its request limit or not considered
     Limited, ///< plain service: its endpoints are at their request limits or not considered
+    Resting, ///< every endpoint that could serve the request has asked for a rest
     VersionGone, ///< the service has endpoints, but all of the wanted software version are leaving or gone
     NoEndpoint, ///< every endpoint of the service is leaving or already tried, or there is none
 };
@@ -52,7 +53,7 @@
     ChoiceResult result = ChoiceResult::NoEndpoint;
     EndpointName endpoint;
     std::int32_t version = 0; ///< version of the adapter that the endpoint holds
-    Duration untilCapacity {0}; ///< until an endpoint at its limit accepts another request; 0: unknown
+    Duration untilCapacity {0}; ///< until an endpoint at its limit, or resting, may get another request; 0: unknown
 };
 
 /// @param fleet all endpoints
--- a/lacewing/fleet.cpp
+++ b/lacewing/fleet.cpp
@@ -118,7 +118,7 @@
     if (entry.leaving && !stated.leavingSince) {
         stated.leavingSince = now;
     }
-    if (stated.leavingSince || now < stated.restUntil) {
+    if (stated.leavingSince || stated.rest.returning || isLimited(stated.limit)) {
         keepStatements(fleet.unlisted, {id, entry.born}, stated, now);
     }
     std::erase(fleet.byService[found->second.entry.service], id);
@@ -174,6 +174,23 @@
     }
 }
 
+std::optional<Duration> restOfService(const Fleet &fleet, const ServiceName &service, TimePoint now)
+{
+    std::optional<Duration> first;
+    for (const EndpointName &id : endpointsOf(fleet, service)) {
+        const FleetEndpoint &endpoint = fleet.endpoints.at(id);
+        if (endpoint.entry.leaving) {
+            continue;
+        }
+        if (!isResting(endpoint.stated.rest, now)) {
+            return std::nullopt;
+        }
+        const Duration until = timeUntilReturn(endpoint.stated.rest, now);
+        first = first ? std::min(*first, until) : until;
+    }
+    return first;
+}
+
 std::int32_t estimateRunning(const FleetEndpoint &endpoint)
 {
     const std::int32_t others = std::max(0, endpoint.allRunning - endpoint.ownRunningAtReport);
--- a/lacewing/fleet.h
+++ b/lacewing/fleet.h
@@ -15,7 +15,6 @@
 #include <unordered_map>
 #include <vector>
 
-#include "endpointlimit.h"
 #include "endpointtrust.h"
 #include "instancestatements.h"
 #include "listfreshness.h"
@@ -49,7 +48,6 @@
     EndpointTrust trust;
     SharedFailures failures;
     InstanceStatements stated;
-    EndpointLimit limit;
     EndpointRejections rejections; ///< while the service has a rejection limit
     RememberedAdapters rememberedAdapters; ///< adapters unloaded since, by the placement owner's updates
     PromptQueue prompts; ///< of all VMs, as far as they announced them
@@ -143,6 +141,13 @@
 /// @param running requests of all VMs in progress there
 void putRunning(Fleet &fleet, const EndpointName &id, std::int32_t running);
 
+/// @param fleet all endpoints
+/// @param service name of a service
+/// @param now current time
+/// @return how long until the first of its endpoints that are not leaving returns, if all of them rest; nothing if
+/// one does not rest, or there is none
+std::optional<Duration> restOfService(const Fleet &fleet, const ServiceName &service, TimePoint now);
+
 /// @param endpoint any endpoint
 /// @return estimated number of requests in progress there: those of this VM, and of the others as last reported
 std::int32_t estimateRunning(const FleetEndpoint &endpoint);
--- a/lacewing/forwarding.cpp
+++ b/lacewing/forwarding.cpp
@@ -20,6 +20,7 @@
 constexpr std::string_view resultHeader = "Lacewing-Result";
 constexpr std::string_view sourceHeader = "Lacewing-Endpoint";
 constexpr std::size_t tokenBytes = 16;
+constexpr std::size_t maxEndpointIdBytes = 256;
 
 std::string toBase64(std::string_view bytes)
 {
@@ -124,7 +125,7 @@
     const std::string_view value = findHeader(headers, sourceHeader);
     const std::size_t space = value.find(' ');
     const auto born = parseNumber(value.substr(0, space));
-    if (!born || space == std::string_view::npos) {
+    if (!born || space == std::string_view::npos || value.size() - space > maxEndpointIdBytes) {
         return std::nullopt;
     }
     return EndpointInstance {EndpointName(value.substr(space + 1)), *born};
--- a/lacewing/gateway.h
+++ b/lacewing/gateway.h
@@ -264,6 +264,9 @@
     void announceEndpointStatus(const EndpointName &id, bool works);
     void recordEndpointFailure(const EndpointName &id, EndpointFailure failure, const std::string &request);
     void recordEndpointSuccess(const EndpointName &id);
+    bool recordLeaving(const EndpointInstance &instance, const std::string &request);
+    bool recordRest(const EndpointInstance &instance, double seconds, const std::string &request);
+    double draw();
     SendHold checkSend(const EndpointInstance &instance, const std::optional<std::string> &softwareVersion,
                        const std::string &request);
     void recordLimit(const EndpointName &id, const AnswerInfo &answer, bool success);
--- a/lacewing/gatewaystatements.cpp
+++ b/lacewing/gatewaystatements.cpp
@@ -2,6 +2,8 @@
 
 #include "gateway.h"
 
+#include <random>
+
 #include "clock.h"
 #include "eventlog.h"
 
@@ -9,38 +11,72 @@
 
 void Gateway::recordStatement(const EndpointInstance &instance, const EndpointStatement &stated,
                               const std::string &request)
+{
+    const bool leaving = stated.leaving && this->recordLeaving(instance, request);
+    const bool resting = stated.rest && this->recordRest(instance, *stated.rest, request);
+    if ((leaving || resting) && this->onStatement) {
+        this->onStatement();
+    }
+}
+
+bool Gateway::recordLeaving(const EndpointInstance &instance, const std::string &request)
 {
     const TimePoint now = this->now();
-    bool changed = false;
-    const auto record = [&](InstanceStatements &known) {
-        if (stated.leaving && !known.leavingSince) {
-            known.leavingSince = now;
-            changed = true;
-            this->counts.leavingStated += 1;
-            logEvent("leaving_stated", {{"endpoint", instance.id}, {"id", request}});
-        }
-        if (stated.rest) {
-            this->counts.restsStated += 1;
-            logEvent("rest_stated",
-                     {{"endpoint", instance.id}, {"id", request}, {"seconds", std::to_string(*stated.rest)}});
-        }
+    bool isNew = false;
+    const auto record = [now, &isNew](InstanceStatements &known) {
+        isNew = !known.leavingSince;
+        known.leavingSince = known.leavingSince.value_or(now);
     };
-    if (stated.leaving || stated.rest) {
-        changeStatements(this->fleetState, instance, record, now);
+    changeStatements(this->fleetState, instance, record, now);
+    if (isNew) {
+        this->counts.leavingStated += 1;
+        logEvent("leaving_stated", {{"endpoint", instance.id}, {"id", request}});
+        this->pool.drop(instance.id);
     }
-    if (!changed) {
-        return;
+    return isNew;
+}
+
+bool Gateway::recordRest(const EndpointInstance &instance, double seconds, const std::string &request)
+{
+    if (!isPlausibleRest(seconds)) {
+        this->counts.limitsIgnored += 1;
+        logEvent("limit_ignored", {{"endpoint", instance.id}, {"id", request}, {"rest_s", std::to_string(seconds)}});
+        return false;
     }
-    this->pool.drop(instance.id);
-    if (this->onStatement) {
-        this->onStatement();
+    const TimePoint now = this->now();
+    const bool listed = isIncarnation(this->fleetState, instance.id, instance.born);
+    const std::int32_t running = listed ? this->fleetState.endpoints.at(instance.id).ownRunning : 0;
+    Duration left {0};
+    const auto record = [&](InstanceStatements &known) {
+        lacewing::recordRest(known.rest, seconds, running, this->draw(), now);
+        left = timeUntilReturn(known.rest, now);
+    };
+    changeStatements(this->fleetState, instance, record, now);
+    this->counts.restsStated += 1;
+    logEvent("rest_stated",
+             {{"endpoint", instance.id},
+              {"id", request},
+              {"seconds", std::to_string(seconds)},
+              {"left_ms", inMilliseconds(left)}});
+    if (listed) {
+        for (const EndpointName &id :
+             endpointsOf(this->fleetState, this->fleetState.endpoints.at(instance.id).entry.service)) {
+            FleetEndpoint &other = this->fleetState.endpoints.at(id);
+            recordOtherRest(other.stated.rest, other.ownRunning, now);
+        }
     }
+    return true;
+}
+
+double Gateway::draw()
+{
+    return std::uniform_real_distribution<double>(0, 1)(this->random);
 }
 
 SendHold Gateway::checkSend(const EndpointInstance &instance, const std::optional<std::string> &softwareVersion,
                             const std::string &request)
 {
-    const SendHold hold = lacewing::checkSend(this->fleetState, instance, softwareVersion);
+    const SendHold hold = lacewing::checkSend(this->fleetState, instance, softwareVersion, this->now());
     if (hold != SendHold::None) {
         this->counts.sendsHeld[hold] += 1;
         logEvent("send_held", {{"endpoint", instance.id}, {"id", request}, {"reason", std::string(toString(hold))}});
--- a/lacewing/gatewayupdates.cpp
+++ b/lacewing/gatewayupdates.cpp
@@ -95,7 +95,7 @@
     if (found == this->fleetState.endpoints.end()) {
         return;
     }
-    EndpointLimit &limit = found->second.limit;
+    EndpointLimit &limit = found->second.stated.limit;
     const TimePoint now = this->now();
     if (!answer.stated.limit) {
         if (success && recordNoLimit(limit, now)) {
@@ -124,7 +124,7 @@
 void Gateway::announceLimit(const EndpointName &id, double perSecond)
 {
     FleetEndpoint &endpoint = this->fleetState.endpoints.at(id);
-    endpoint.limit.told = this->now();
+    endpoint.stated.limit.told = this->now();
     wire::LimitNews update;
     update.endpoint = id;
     update.born = endpoint.entry.born;
@@ -137,10 +137,10 @@
 void Gateway::recordSend(const EndpointName &id)
 {
     FleetEndpoint &endpoint = this->fleetState.endpoints.at(id);
-    if (!isLimited(endpoint.limit)) {
+    if (!isLimited(endpoint.stated.limit)) {
         return;
     }
-    takeTokens(endpoint.limit, 1, this->now());
+    takeTokens(endpoint.stated.limit, 1, this->now());
     wire::LimitNews update;
     update.endpoint = id;
     update.born = endpoint.entry.born;
@@ -160,7 +160,7 @@
         this->applyRejections(update);
         return;
     }
-    EndpointLimit &limit = this->fleetState.endpoints.at(update.endpoint).limit;
+    EndpointLimit &limit = this->fleetState.endpoints.at(update.endpoint).stated.limit;
     const TimePoint now = this->now();
     const TimePoint at = now - milliseconds(std::max<std::int64_t>(0, update.ageMilliseconds));
     if (update.sent > 0 && isLimited(limit)) {
--- a/lacewing/instancestatements.h
+++ b/lacewing/instancestatements.h
@@ -10,6 +10,8 @@
 #include <optional>
 
 #include "endpointinstance.h"
+#include "endpointlimit.h"
+#include "endpointrest.h"
 #include "types.h"
 
 namespace lacewing {
@@ -23,7 +25,8 @@
 struct InstanceStatements {
     std::optional<TimePoint> leavingSince; ///< first answer that states that the instance is leaving, or the removal of
                                            ///< its entry, which stated it
-    TimePoint restUntil; ///< it wants no requests of this VM before
+    EndpointRest rest; ///< that it has asked this VM for
+    EndpointLimit limit; ///< of all VMs together
 };
 
 /// Statements of instances that are not listed.
--- a/lacewing/limiteduse.cpp
+++ b/lacewing/limiteduse.cpp
@@ -22,10 +22,10 @@
 
 bool acceptsPlacement(const Fleet &fleet, const FleetEndpoint &endpoint, TimePoint now)
 {
-    if (isShunned(endpoint.failures, now)) {
+    if (isShunned(endpoint.failures, now) || isResting(endpoint.stated.rest, now)) {
         return false;
     }
-    if (!isLimited(endpoint.limit)) {
+    if (!isLimited(endpoint.stated.limit)) {
         return true;
     }
     std::size_t all = 0;
@@ -34,7 +34,7 @@
         const FleetEndpoint &other = fleet.endpoints.at(id);
         if (other.entry.zone == endpoint.entry.zone) {
             all += 1;
-            limited += isLimited(other.limit) ? 1 : 0;
+            limited += isLimited(other.stated.limit) ? 1 : 0;
         }
     }
     return static_cast<double>(limited) > maxUnplacedShare * static_cast<double>(all);
--- a/lacewing/relay.cpp
+++ b/lacewing/relay.cpp
@@ -7,6 +7,7 @@
 #include "relay.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "callerconnection.h"
 #include "eventlog.h"
@@ -95,13 +96,15 @@
     }
     need.suspected = this->suspicion() == Suspicion::Suspected;
     EndpointChoice choice = chooseEndpoint(this->gateway.fleetState, need, now);
-    const bool noneAvailable = choice.result == ChoiceResult::NoEndpoint || choice.result == ChoiceResult::Limited;
+    const bool noneAvailable = choice.result == ChoiceResult::NoEndpoint || choice.result == ChoiceResult::Limited
+        || choice.result == ChoiceResult::Resting;
     if (noneAvailable && !this->triedEndpoints.empty()) {
         need.avoid = {};
         choice = chooseEndpoint(this->gateway.fleetState, need, now);
     }
     if (choice.result != ChoiceResult::Chosen) {
-        this->nextDrawAt = now + choice.untilCapacity;
+        // Another endpoint may load weights before one that holds them returns.
+        this->nextDrawAt = choice.result == ChoiceResult::NotHeld ? now : now + choice.untilCapacity;
         this->pacedTo.clear();
         this->leaveQueue();
         this->waitFor(choice);
@@ -196,6 +199,11 @@
         this->refuseVersionGone();
         return;
     }
+    if (choice.result == ChoiceResult::Resting) {
+        this->sendGatewayAnswer(ResultCode::EndpointsResting,
+                                retryAfterRest(choice.untilCapacity, this->gateway.draw()));
+        return;
+    }
     if (choice.result == ChoiceResult::Limited) {
         const bool retryTimeKnown = choice.untilCapacity.count() > 0;
         this->sendGatewayAnswer(ResultCode::QueueFull, retryTimeKnown ? choice.untilCapacity : refusedRetryAfter);
@@ -261,6 +269,7 @@
     FleetEndpoint &target = this->gateway.fleetState.endpoints.at(choice.endpoint);
     this->endpoint = choice.endpoint;
     this->incarnationStart = target.entry.born;
+    this->returnMark = recordSend(target.stated.rest);
     target.ownRunning += 1;
     recordExchangeBegin(this->gateway.reach.of(this->service), now);
     this->countedAsSuspect = this->suspicion() == Suspicion::Suspected;
@@ -361,6 +370,7 @@
         return;
     }
     recordExchangeEnd(this->gateway.reach.of(this->service));
+    this->recordReturn(false); // unless the endpoint has answered
     if (isIncarnation(this->gateway.fleetState, this->endpoint, this->incarnationStart)) {
         FleetEndpoint &released = this->gateway.fleetState.endpoints.at(this->endpoint);
         released.ownRunning = std::max(0, released.ownRunning - 1);
@@ -376,6 +386,14 @@
     this->endpoint.clear();
 }
 
+void Relay::recordReturn(bool accepted)
+{
+    const auto found = this->gateway.fleetState.endpoints.find(this->endpoint);
+    if (found != this->gateway.fleetState.endpoints.end()) {
+        recordEnd(found->second.stated.rest, std::exchange(this->returnMark, std::nullopt), accepted);
+    }
+}
+
 void Relay::finish()
 {
     this->done = true;
--- a/lacewing/relay.h
+++ b/lacewing/relay.h
@@ -16,6 +16,7 @@
 #include "crashledger.h"
 #include "endpointchoice.h"
 #include "endpointlink.h"
+#include "endpointrest.h"
 #include "eventstream.h"
 #include "forwarding.h"
 #include "requestcontent.h"
@@ -135,6 +136,8 @@
     void onDeadline();
     void onWaitLimit();
     void releaseEndpoint();
+    void recordReturn(bool accepted);
+    bool refuseIfAllRest();
     void finish();
 
     Gateway &gateway;
@@ -167,6 +170,7 @@
     std::optional<wire::ForwardedRequest> forwarded; ///< set if another VM has forwarded the request
     VmId peer; ///< that the request is forwarded to; empty if it is not
     std::vector<VmId> triedPeers;
+    ReturnMark returnMark; ///< of the endpoint's rest, until the endpoint has answered
     std::int64_t incarnationStart = 0; ///< of the endpoint that runs the request
     asio::steady_timer deadlineTimer;
     asio::steady_timer waitTimer;
--- a/lacewing/relayanswer.cpp
+++ b/lacewing/relayanswer.cpp
@@ -89,6 +89,7 @@
         this->onFailure(LinkFailure::Broken);
         return;
     }
+    this->recordReturn(true);
     this->gateway.crashes.recordAnswer(this->endpoint, this->incarnationStart, this->sentAt);
     const bool failed = answer.head.status >= 500;
     if (failed) {
--- a/lacewing/relayend.cpp
+++ b/lacewing/relayend.cpp
@@ -178,6 +178,9 @@
         this->sendAgain(reason, repeat);
         return;
     }
+    if (step != NextStep::GiveUp && this->refuseIfAllRest()) {
+        return;
+    }
     ResultCode refusal = ResultCode::QueueFull;
     if (step == NextStep::SendAgain) {
         refusal = ResultCode::RetryBudgetSpent;
@@ -187,6 +190,15 @@
     this->sendGatewayAnswer(refusal, refusedRetryAfter);
 }
 
+bool Relay::refuseIfAllRest()
+{
+    const auto untilReturn = restOfService(this->gateway.fleetState, this->service, this->gateway.now());
+    if (untilReturn) {
+        this->sendGatewayAnswer(ResultCode::EndpointsResting, retryAfterRest(*untilReturn, this->gateway.draw()));
+    }
+    return untilReturn.has_value();
+}
+
 void Relay::onDeadline()
 {
     const bool sent = this->history.mayHaveRun > 0 || !this->endpoint.empty() || !this->peer.empty();
--- a/lacewing/relayforward.cpp
+++ b/lacewing/relayforward.cpp
@@ -83,7 +83,9 @@
         return;
     }
     if (const auto source = readAnswerSource(answer.head.headers)) {
-        this->gateway.recordStatement(*source, answerInfo.stated, answerInfo.id);
+        EndpointStatement relayed; // the rest was asked of the other VM
+        relayed.leaving = answerInfo.stated.leaving;
+        this->gateway.recordStatement(*source, relayed, answerInfo.id);
     }
     this->beginAnswer();
 }
--- a/lacewing/resultcode.cpp
+++ b/lacewing/resultcode.cpp
@@ -49,6 +49,8 @@
                     "no endpoint of the software version that began the stream is left"},
     ResultCodeInfo {ResultCode::ConfigOutdated, 503, "config_outdated",
                     "another VM has a newer configuration, which may have the path"},
+    ResultCodeInfo {ResultCode::EndpointsResting, 503, "endpoints_resting",
+                    "all endpoints that could serve the request have asked for a pause"},
     ResultCodeInfo {ResultCode::NotOwner, 503, "not_owner", "the VM does not own the endpoint"},
     ResultCodeInfo {ResultCode::NotResident, 503, "not_resident", "the adapter version is not loaded there"},
     ResultCodeInfo {ResultCode::EndpointLeaving, 503, "endpoint_leaving", "the endpoint is leaving"},
--- a/lacewing/resultcode.h
+++ b/lacewing/resultcode.h
@@ -46,6 +46,7 @@
     OriginUnknown = 214,
     VersionGone = 215,
     ConfigOutdated = 216,
+    EndpointsResting = 217,
     // 3xx: internal reasons for trying elsewhere
     NotOwner = 300,
     NotResident = 301,
--- a/lacewing/sendgate.cpp
+++ b/lacewing/sendgate.cpp
@@ -17,12 +17,36 @@
         return "other_version";
     case SendHold::Leaving:
         return "leaving";
+    case SendHold::Resting:
+        return "resting";
+    case SendHold::Returning:
+        return "returning";
+    case SendHold::Bounded:
+        return "bounded";
     }
     return "none";
 }
 
+SendHold checkChoice(const FleetEndpoint &endpoint, TimePoint now)
+{
+    if (endpoint.entry.leaving) {
+        return SendHold::Leaving;
+    }
+    switch (restState(endpoint.stated.rest, endpoint.ownRunning, now)) {
+    case RestState::Open:
+        return SendHold::None;
+    case RestState::Resting:
+        return SendHold::Resting;
+    case RestState::Returning:
+        return SendHold::Returning;
+    case RestState::Bounded:
+        return SendHold::Bounded;
+    }
+    return SendHold::None;
+}
+
 SendHold checkSend(const Fleet &fleet, const EndpointInstance &instance,
-                   const std::optional<std::string> &softwareVersion)
+                   const std::optional<std::string> &softwareVersion, TimePoint now)
 {
     if (!isIncarnation(fleet, instance.id, instance.born)) {
         return SendHold::Gone;
@@ -31,7 +55,10 @@
     if (!isOfVersion(endpoint, softwareVersion)) {
         return SendHold::OtherVersion;
     }
-    return endpoint.entry.leaving ? SendHold::Leaving : SendHold::None;
+    if (endpoint.entry.leaving) {
+        return SendHold::Leaving;
+    }
+    return isResting(endpoint.stated.rest, now) ? SendHold::Resting : SendHold::None;
 }
 
 } // namespace lacewing
--- a/lacewing/testing/endpointchoicetest.cpp
+++ b/lacewing/testing/endpointchoicetest.cpp
@@ -5,6 +5,7 @@
 #include <map>
 
 #include "endpointchoice.h"
+#include "sendgate.h"
 
 using namespace lacewing;
 
@@ -345,3 +346,117 @@
         cr_assert_eq(chooseEndpoint(fleet, wanted, start).endpoint, "e3");
     }
 }
+
+namespace {
+
+/// Records that an endpoint has asked for a rest.
+/// @return when it ends
+TimePoint letRest(Fleet &fleet, const std::string &id)
+{
+    constexpr double seconds = 3;
+    FleetEndpoint &endpoint = fleet.endpoints.at(id);
+    recordRest(endpoint.stated.rest, seconds, 1, 0, start);
+    return endpoint.stated.rest.until;
+}
+
+} // namespace
+
+Test(endpointchoice, anEndpointThatRestsIsNotSelected)
+{
+    Fleet fleet;
+    putEndpoint(fleet, makeEntry("e1", "a"), start);
+    putEndpoint(fleet, makeEntry("e2", "b"), start);
+    letRest(fleet, "e1");
+    cr_expect_eq(chooseEndpoint(fleet, need(), start).endpoint, "e2", "in another zone, and awake");
+    letRest(fleet, "e2");
+    const EndpointChoice none = chooseEndpoint(fleet, need(), start);
+    cr_expect_eq(none.result, ChoiceResult::Resting);
+    cr_expect_eq(none.untilCapacity.count(), milliseconds(3000).count());
+    cr_expect_eq(restOfService(fleet, "s", start)->count(), milliseconds(3000).count());
+    fleet.endpoints.at("e2").entry.leaving = true;
+    cr_expect(restOfService(fleet, "s", start).has_value(), "one that is leaving does not count");
+}
+
+Test(endpointchoice, afterItsRestAnEndpointGetsOneRequestAtFirst)
+{
+    Fleet fleet;
+    putEndpoint(fleet, makeEntry("e1", "a"), start);
+    const TimePoint end = letRest(fleet, "e1");
+    cr_assert_eq(chooseEndpoint(fleet, need(), end).endpoint, "e1");
+    recordSend(fleet.endpoints.at("e1").stated.rest);
+    const EndpointChoice second = chooseEndpoint(fleet, need(), end);
+    cr_expect_eq(second.result, ChoiceResult::Resting);
+    cr_expect_gt(second.untilCapacity.count(), 0);
+}
+
+Test(endpointchoice, weightsHeldOnlyWhereAnEndpointRestsCountAsNotHeld)
+{
+    Fleet fleet;
+    putEndpoint(fleet, makeEntry("e1", "a", {{"m", 1}, {"m/x", 1}}), start);
+    putEndpoint(fleet, makeEntry("e2", "a", {{"m", 1}}), start);
+    letRest(fleet, "e1");
+    const EndpointChoice other = chooseEndpoint(fleet, need("m/x"), start);
+    cr_expect_eq(other.result, ChoiceResult::NotHeld, "the other endpoint may load them");
+    cr_expect_gt(other.untilCapacity.count(), 0);
+    letRest(fleet, "e2");
+    cr_expect_eq(chooseEndpoint(fleet, need("m/x"), start).result, ChoiceResult::Resting);
+    cr_expect_eq(chooseEndpoint(fleet, need("m/y"), start).result, ChoiceResult::Resting, "held nowhere");
+}
+
+Test(endpointchoice, checksJustBeforeASendInOrder)
+{
+    Fleet fleet;
+    EndpointEntry entry = makeEntry("e1", "a");
+    entry.born = 7;
+    entry.softwareVersion = "v1";
+    putEndpoint(fleet, entry, start);
+    cr_expect_eq(checkSend(fleet, {"e1", 7}, std::nullopt, start), SendHold::None);
+    cr_expect_eq(checkSend(fleet, {"e1", 8}, std::nullopt, start), SendHold::Gone);
+    cr_expect_eq(checkSend(fleet, {"e1", 7}, "v2", start), SendHold::OtherVersion);
+    const TimePoint end = letRest(fleet, "e1");
+    cr_expect_eq(checkSend(fleet, {"e1", 7}, "v1", start), SendHold::Resting);
+    cr_expect_eq(checkSend(fleet, {"e1", 7}, "v1", end), SendHold::None);
+    changeStatements(
+        fleet, {"e1", 7}, [](InstanceStatements &stated) { stated.leavingSince = start; }, start);
+    cr_expect_eq(checkSend(fleet, {"e1", 7}, "v1", start), SendHold::Leaving);
+}
+
+// The platform's store lists entries again that lapsed while it was away.
+Test(endpointchoice, statementsOutliveTheEntryOfTheirInstanceOnly)
+{
+    Fleet fleet;
+    EndpointEntry entry = makeEntry("e1", "a");
+    entry.born = 7;
+    putEndpoint(fleet, entry, start);
+    letRest(fleet, "e1");
+    removeEndpoint(fleet, "e1", start);
+    putEndpoint(fleet, entry, start);
+    cr_expect_eq(checkSend(fleet, {"e1", 7}, std::nullopt, start), SendHold::Resting);
+    changeStatements(
+        fleet, {"e1", 7}, [](InstanceStatements &stated) { stated.leavingSince = start; }, start);
+    removeEndpoint(fleet, "e1", start);
+    entry.born = 8;
+    putEndpoint(fleet, entry, start);
+    cr_expect_eq(checkSend(fleet, {"e1", 8}, std::nullopt, start), SendHold::None, "it has started again");
+    removeEndpoint(fleet, "e1", start);
+    entry.born = 7;
+    putEndpoint(fleet, entry, start);
+    cr_expect_eq(checkSend(fleet, {"e1", 7}, std::nullopt, start), SendHold::Leaving);
+    removeEndpoint(fleet, "e1", start);
+    putEndpoint(fleet, entry, start + unlistedLifetime + milliseconds(1));
+    cr_expect_eq(checkSend(fleet, {"e1", 7}, std::nullopt, start), SendHold::None, "not kept for ever");
+}
+
+Test(endpointchoice, statementsOfUnlistedInstancesAreBounded)
+{
+    UnlistedStatements unlisted;
+    for (std::size_t number = 0; number < maxUnlisted + 100; ++number) {
+        InstanceStatements stated;
+        stated.leavingSince = start;
+        keepStatements(unlisted, {"e" + std::to_string(number), 1}, stated,
+                       start + milliseconds(static_cast<std::int64_t>(number)));
+    }
+    cr_expect_eq(unlisted.byInstance.size(), maxUnlisted);
+    cr_expect_not(takeStatements(unlisted, {"e0", 1}, start).leavingSince.has_value(), "the oldest are dropped");
+    cr_expect(takeStatements(unlisted, {"e" + std::to_string(maxUnlisted), 1}, start).leavingSince.has_value());
+}
--- a/lacewing/testing/endpointlimittest.cpp
+++ b/lacewing/testing/endpointlimittest.cpp
@@ -106,7 +106,7 @@
 Test(endpointlimit, requestGoesToAnotherEndpointIfOneIsAtItsLimit)
 {
     Fleet fleet;
-    recordLimit(add(fleet, "i-1", "z").limit, 2, start, start);
+    recordLimit(add(fleet, "i-1", "z").stated.limit, 2, start, start);
     cr_assert_eq(choose(fleet, "z", start).result, ChoiceResult::Limited);
     cr_assert_eq(toMilliseconds(choose(fleet, "z", start).untilCapacity), 500);
     cr_assert_eq(choose(fleet, "z", start + milliseconds(500)).endpoint, "i-1");
@@ -119,7 +119,7 @@
     Fleet fleet;
     FleetEndpoint &endpoint = add(fleet, "i-1", "z");
     endpoint.entry.held["m/a1"] = 1;
-    recordLimit(endpoint.limit, 2, start, start);
+    recordLimit(endpoint.stated.limit, 2, start, start);
     cr_assert_eq(choose(fleet, "z", start, "m/a1").result, ChoiceResult::AllFull);
     cr_assert_eq(choose(fleet, "z", start + milliseconds(500), "m/a1").result, ChoiceResult::Chosen);
 }
@@ -127,7 +127,7 @@
 Test(endpointlimit, limitedEndpointIsUsedByItsOwnZoneOnly)
 {
     Fleet fleet;
-    recordLimit(add(fleet, "i-1", "z").limit, 2, start, start);
+    recordLimit(add(fleet, "i-1", "z").stated.limit, 2, start, start);
     const TimePoint later = start + milliseconds(2000);
     cr_assert_eq(choose(fleet, "y", later).endpoint, "i-1", "zone y has no endpoint of its own");
     add(fleet, "i-2", "y").entry.leaving = true;
