Adapters held only where a VM may not send are loaded elsewhere

A VM that waits for an adapter names in its demand report the endpoints that want none of its requests, by their own statement. The owner counts no copies there for these requests, and loads nothing there. Without it the owner would see a ready holder, and the request would wait until it is refused. A zone is offered for a load only if an engine of it does not rest. adapterplantest: the adapter is loaded on the third endpoint; without the field in the report, nowhere.

--- a/lacewing/adapterplan.cpp
+++ b/lacewing/adapterplan.cpp
@@ -147,6 +147,20 @@
         return this->summaryOf(weights).copies;
     }
 
+    /// @return whether an endpoint that the waiting VMs can use has the newest version
+    bool hasUsable(const std::string &weights, const WeightsDemand &demand, std::int32_t version) const
+    {
+        if (demand.avoided.empty()) {
+            return this->hasNewest(weights, version);
+        }
+        const auto isUsable = [&](const auto &entry) {
+            const auto held = entry.second.held.find(weights);
+            return entry.second.ready && held != entry.second.held.end() && held->second.version >= version
+                && !demand.avoided.contains(entry.first);
+        };
+        return std::any_of(this->state.endpoints.begin(), this->state.endpoints.end(), isUsable);
+    }
+
     bool hasNewest(const std::string &weights, std::int32_t version) const
     {
         const std::int32_t newest = this->summaryOf(weights).newest;
@@ -187,7 +201,7 @@
     {
         for (const auto &[weights, demand] : this->state.demand) {
             const std::int32_t version = newestVersion(this->state.versions, weights);
-            if (demand.waiting > 0 && !this->hasNewest(weights, version) && !this->isLoading(weights)) {
+            if (demand.waiting > 0 && !this->hasUsable(weights, demand, version) && !this->isLoading(weights)) {
                 this->wants.push_back({weights, static_cast<double>(demand.waiting), demand.rank, demand.since});
             } else if (demand.remote >= remoteStreamsForCopy && this->copies(weights) == 0) {
                 this->wants.push_back({.weights = weights, .urgency = 0.5});
@@ -326,6 +340,10 @@
         if (this->shouldWaitForRemembered(want, version)) {
             return;
         }
+        const auto demand = this->state.demand.find(want.weights);
+        const auto isAvoided = [&](const EndpointName &id) {
+            return demand != this->state.demand.end() && demand->second.avoided.contains(id);
+        };
         const PlacedEndpoint *best = nullptr;
         EndpointName bestId;
         std::string bestVictim;
@@ -333,7 +351,7 @@
         for (const auto &[rank, id] : this->homesOf(want.weights)) {
             const PlacedEndpoint &endpoint = this->state.endpoints.at(id);
             const std::size_t places = adapterPlaces(this->state, endpoint);
-            if (places == 0 || !this->canLoad(want, id, endpoint, version)) {
+            if (places == 0 || isAvoided(id) || !this->canLoad(want, id, endpoint, version)) {
                 continue;
             }
             std::string victim;
--- a/lacewing/adapterplan.h
+++ b/lacewing/adapterplan.h
@@ -16,6 +16,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -85,6 +86,7 @@
     std::int32_t remote = 0; ///< streams of this zone that run on the weights in another zone
     TimePoint since; ///< when the oldest waiting request began to wait
     std::int32_t rank = 0; ///< rank of the most urgent waiting request; 0 is the most urgent
+    std::set<EndpointName> avoided; ///< endpoints that want no requests of a VM that waits for the weights
 };
 
 struct PlacementState {
--- a/lacewing/entrynode.h
+++ b/lacewing/entrynode.h
@@ -202,6 +202,7 @@
     bool isConfigOutdated() const;
     bool isCatchingUpAtStart() const;
     void recordOwnDemand();
+    std::vector<EndpointName> avoidedIn(const ZoneName &zone) const;
     wire::DemandReport demandFor(const ZoneName &ownerZone, const wire::DemandReport &all) const;
     bool hasOwner(const ZoneName &zone) const;
     std::vector<ZoneCandidate> zoneOffers(const std::string &weights) const;
--- a/lacewing/entrynodeplacement.cpp
+++ b/lacewing/entrynodeplacement.cpp
@@ -24,7 +24,7 @@
     const auto sameWant = [](const wire::WantedWeights &one, const wire::WantedWeights &other) {
         return one.name == other.name && one.waiting == other.waiting && one.rank == other.rank;
     };
-    return sent.uses == next.uses
+    return sent.uses == next.uses && sent.avoided == next.avoided
         && std::equal(sent.wanted.begin(), sent.wanted.end(), next.wanted.begin(), next.wanted.end(), sameWant);
 }
 
@@ -159,7 +159,8 @@
     std::map<ZoneName, ZoneCandidate> zones;
     for (const auto &[id, endpoint] : this->dataPath.fleet().endpoints) {
         const EndpointEntry &entry = endpoint.entry;
-        if (entry.leaving || !entry.held.contains(model) || !this->hasOwner(entry.zone)) {
+        const bool usable = !entry.leaving && !isResting(endpoint.stated.rest, this->clock.now());
+        if (!usable || !entry.held.contains(model) || !this->hasOwner(entry.zone)) {
             continue;
         }
         ZoneCandidate &offer = zones[entry.zone];
@@ -192,6 +193,19 @@
     this->requestedZones = std::move(next);
 }
 
+std::vector<EndpointName> EntryNode::avoidedIn(const ZoneName &zone) const
+{
+    std::vector<EndpointName> avoided;
+    for (const auto &[id, endpoint] : this->dataPath.fleet().endpoints) {
+        const bool wantsNothing = endpoint.stated.leavingSince || isResting(endpoint.stated.rest, this->clock.now());
+        if (endpoint.entry.zone == zone && wantsNothing) {
+            avoided.push_back(id);
+        }
+    }
+    std::sort(avoided.begin(), avoided.end());
+    return avoided;
+}
+
 wire::DemandReport EntryNode::demandFor(const ZoneName &ownerZone, const wire::DemandReport &all) const
 {
     wire::DemandReport report;
@@ -210,6 +224,10 @@
             report.wanted.push_back(want);
         }
     }
+    if (!report.wanted.empty()) {
+        report.__set_avoided(this->avoidedIn(ownerZone));
+        report.__isset.avoided = !report.avoided.empty();
+    }
     return report;
 }
 
--- a/lacewing/lacewing.thrift
+++ b/lacewing/lacewing.thrift
@@ -369,7 +369,11 @@
 }
 
 /** What one VM runs and waits for; sent to the placement owners, and to all VMs as a heartbeat. */
-struct DemandReport { 1: list<EndpointUse> uses, 2: list<WantedWeights> wanted }
+struct DemandReport {
+  1: list<EndpointUse> uses,
+  2: list<WantedWeights> wanted,
+  3: optional list<string> avoided     // endpoints that want no requests of the sender, if it waits for weights
+}
 
 /** A prompt of the sender joins the queue of an endpoint, or has been read there. */
 struct PromptSent {
--- a/lacewing/placementowner.cpp
+++ b/lacewing/placementowner.cpp
@@ -187,6 +187,7 @@
             one.rank = one.waiting == 0 ? want.rank : std::min(one.rank, want.rank);
             one.since = one.waiting == 0 ? since : std::min(one.since, since);
             one.waiting += want.waiting;
+            one.avoided.insert(demand.report.avoided.begin(), demand.report.avoided.end());
         }
     }
     this->state.demand = std::move(merged);
--- a/lacewing/testing/adapterplantest.cpp
+++ b/lacewing/testing/adapterplantest.cpp
@@ -393,3 +393,18 @@
     zone.state.endpoints.at("e1").ready = false;
     cr_assert_eq(idlePlaces(zone.state), places - 3);
 }
+
+// A VM that waits for the adapter can't use its holder, which rests or is leaving by its own statement.
+Test(adapterplan, anAdapterHeldWhereNothingIsWantedIsLoadedElsewhere)
+{
+    Zone zone(3);
+    zone.state.endpoints.at("e0").held["m/a"] = {1, start, 0};
+    zone.state.demand["m/a"].waiting = 1;
+    cr_assert_eq(zone.planUntilStable().size(), 0U, "its holder may be used");
+    zone.state.demand["m/a"].avoided = {"e0", "e1"};
+    const auto orders = zone.planUntilStable();
+    cr_assert_eq(orders.size(), 1U);
+    cr_expect_eq(orders[0].endpoint, "e2");
+    zone.endLoads();
+    cr_expect_eq(zone.planUntilStable().size(), 0U);
+}
