Requests after a rest double while none is rejected; lint

A stream's head comes late, so a VM would use an engine that has rested with one or two requests for seconds. A rejection comes at once: without one the number of unanswered requests may double each 150 ms. The six tests of rests, leaving, choice, bytes and gateway pass.

--- a/lacewing/endpointinstance.h
+++ b/lacewing/endpointinstance.h
@@ -2,8 +2,8 @@
 
 #pragma once
 
-#include <compare>
 #include <cstdint>
+#include <tuple>
 
 #include "types.h"
 
@@ -12,8 +12,11 @@
 struct EndpointInstance {
     EndpointName id;
     std::int64_t born = 0; ///< its start, Unix milliseconds; 0: unknown
-
-    auto operator<=>(const EndpointInstance &) const = default;
 };
 
+inline bool operator<(const EndpointInstance &one, const EndpointInstance &other)
+{
+    return std::tie(one.id, one.born) < std::tie(other.id, other.born);
+}
+
 } // namespace lacewing
--- a/lacewing/endpointrest.cpp
+++ b/lacewing/endpointrest.cpp
@@ -24,6 +24,13 @@
     return rest.bound * (1 + std::max(0.0, grown));
 }
 
+/// @return most unanswered requests after a rest
+double returnRoom(const EndpointRest &rest, TimePoint now)
+{
+    const double steps = rest.firstSent ? std::chrono::duration<double>(now - *rest.firstSent) / rejectionTime : 0;
+    return rest.accepted + std::exp2(std::max(0.0, steps));
+}
+
 Duration spread(Duration length, double draw)
 {
     return std::chrono::duration_cast<Duration>(std::min(maxReturnSpread, length / 2) * draw);
@@ -43,6 +50,7 @@
     rest.returning = true;
     rest.accepted = 0;
     rest.unanswered = 0;
+    rest.firstSent.reset();
     rest.bound = std::max(1, running / 2);
     rest.boundFrom = rest.until;
     rest.boundGrowth = restedGrowth;
@@ -67,17 +75,18 @@
     if (isResting(rest, now)) {
         return RestState::Resting;
     }
-    if (rest.returning && rest.unanswered > rest.accepted) {
+    if (rest.returning && rest.unanswered >= returnRoom(rest, now)) {
         return RestState::Returning;
     }
     return isBounded(rest, now) && running >= boundAt(rest, now) ? RestState::Bounded : RestState::Open;
 }
 
-ReturnMark recordSend(EndpointRest &rest)
+ReturnMark recordSend(EndpointRest &rest, TimePoint now)
 {
     if (!rest.returning) {
         return std::nullopt;
     }
+    rest.firstSent = rest.firstSent.value_or(now);
     rest.unanswered += 1;
     return rest.until;
 }
--- a/lacewing/endpointrest.h
+++ b/lacewing/endpointrest.h
@@ -6,7 +6,9 @@
 //
 // An endpoint that rests gets nothing from this VM. All VMs were rejected at about the same time, so each of them
 // returns at a random time after the stated one. It is not known then whether the endpoint has room: it gets one
-// request, and with each one that it accepts one more at a time. If it rejects the first one, it rests again.
+// request, and with each one that it accepts one more at a time. If it rejects the first one, it rests again. The
+// answer to a request that runs may take long, but a rejection comes at once: without one, the number doubles with
+// time.
 //
 // If an endpoint rejects what it has no room for, the others would get its requests, reject them and rest as well,
 // until all of them rest while each could run requests. So the others may get only one request more than they have in
@@ -37,6 +39,8 @@
 constexpr Duration othersGrowth = milliseconds(500);
 /// How long the number of requests in progress is bounded after it has begun to grow.
 constexpr Duration boundLifetime = milliseconds(5000);
+/// A rejection arrives within this time: a connect timeout and a round trip take longer only if a packet is lost.
+constexpr Duration rejectionTime = milliseconds(150);
 /// Requests that an endpoint has to accept after a rest before it gets requests as before.
 constexpr std::int32_t acceptedToReturn = 8;
 
@@ -45,6 +49,7 @@
     bool returning = false; ///< it was asked for, and the endpoint has not accepted enough requests since its end
     std::int32_t accepted = 0; ///< requests since its end that the endpoint has accepted
     std::int32_t unanswered = 0; ///< requests since its end that were sent and are not answered
+    std::optional<TimePoint> firstSent; ///< when the first request since its end was sent
     std::int32_t bound = 0; ///< most requests of this VM in progress there until `boundFrom`, after which it grows
     TimePoint boundFrom;
     Duration boundGrowth {0}; ///< in which the bound grows by itself
@@ -92,8 +97,9 @@
 
 /// Records a request to an endpoint that is not resting.
 /// @param rest updated
+/// @param now current time
 /// @return for the end of the request
-ReturnMark recordSend(EndpointRest &rest);
+ReturnMark recordSend(EndpointRest &rest, TimePoint now);
 
 /// Records the end of a request.
 /// @param rest updated
--- a/lacewing/fleet.cpp
+++ b/lacewing/fleet.cpp
@@ -104,7 +104,7 @@
     }
     InstanceStatements statements = takeStatements(fleet.unlisted, instance, now);
     change(statements);
-    keepStatements(fleet.unlisted, instance, std::move(statements), now);
+    keepStatements(fleet.unlisted, instance, statements, now);
 }
 
 void removeEndpoint(Fleet &fleet, const EndpointName &id, TimePoint now)
--- a/lacewing/gateway.h
+++ b/lacewing/gateway.h
@@ -266,6 +266,7 @@
     void recordEndpointSuccess(const EndpointName &id);
     bool recordLeaving(const EndpointInstance &instance, const std::string &request);
     bool recordRest(const EndpointInstance &instance, double seconds, const std::string &request);
+    void boundRequests(const ServiceName &service);
     double draw();
     SendHold checkSend(const EndpointInstance &instance, const std::optional<std::string> &softwareVersion,
                        const std::string &request);
--- a/lacewing/gatewaystatements.cpp
+++ b/lacewing/gatewaystatements.cpp
@@ -59,15 +59,19 @@
               {"seconds", std::to_string(seconds)},
               {"left_ms", inMilliseconds(left)}});
     if (listed) {
-        for (const EndpointName &id :
-             endpointsOf(this->fleetState, this->fleetState.endpoints.at(instance.id).entry.service)) {
-            FleetEndpoint &other = this->fleetState.endpoints.at(id);
-            recordOtherRest(other.stated.rest, other.ownRunning, now);
-        }
+        this->boundRequests(this->fleetState.endpoints.at(instance.id).entry.service);
     }
     return true;
 }
 
+void Gateway::boundRequests(const ServiceName &service)
+{
+    for (const EndpointName &id : endpointsOf(this->fleetState, service)) {
+        FleetEndpoint &endpoint = this->fleetState.endpoints.at(id);
+        recordOtherRest(endpoint.stated.rest, endpoint.ownRunning, this->now());
+    }
+}
+
 double Gateway::draw()
 {
     return std::uniform_real_distribution<double>(0, 1)(this->random);
--- a/lacewing/httpclient.cpp
+++ b/lacewing/httpclient.cpp
@@ -5,11 +5,13 @@
 
 #include <charconv>
 
+#include "sizes.h"
+
 namespace lacewing {
 
 namespace {
 
-constexpr std::size_t maxExtensionBytes = 64 * 1024; ///< of all chunks of a reply
+constexpr std::size_t maxExtensionBytes = 64 * kibibyte; ///< of all chunks of a reply
 
 asio::awaitable<NetError> exchange(HttpConnection &connection, const http::request<http::string_body> &request,
                                    http::response_parser<http::string_body> &parser)
--- a/lacewing/instancestatements.cpp
+++ b/lacewing/instancestatements.cpp
@@ -3,15 +3,14 @@
 #include "instancestatements.h"
 
 #include <algorithm>
-#include <utility>
 
 namespace lacewing {
 
-void keepStatements(UnlistedStatements &unlisted, const EndpointInstance &instance, InstanceStatements statements,
-                    TimePoint now)
+void keepStatements(UnlistedStatements &unlisted, const EndpointInstance &instance,
+                    const InstanceStatements &statements, TimePoint now)
 {
     auto &kept = unlisted.byInstance;
-    kept[instance] = {std::move(statements), now};
+    kept[instance] = {statements, now};
     std::erase_if(kept, [now](const auto &entry) { return now - entry.second.since > unlistedLifetime; });
     if (kept.size() > maxUnlisted) {
         kept.erase(std::min_element(kept.begin(), kept.end(), [](const auto &one, const auto &other) {
@@ -26,7 +25,7 @@
     if (found == unlisted.byInstance.end()) {
         return {};
     }
-    const UnlistedStatements::Kept kept = std::move(found->second);
+    const UnlistedStatements::Kept kept = found->second;
     unlisted.byInstance.erase(found);
     return now - kept.since > unlistedLifetime ? InstanceStatements {} : kept.statements;
 }
--- a/lacewing/instancestatements.h
+++ b/lacewing/instancestatements.h
@@ -43,8 +43,8 @@
 /// @param instance which is not listed, or no longer
 /// @param statements of the instance
 /// @param now current time
-void keepStatements(UnlistedStatements &unlisted, const EndpointInstance &instance, InstanceStatements statements,
-                    TimePoint now);
+void keepStatements(UnlistedStatements &unlisted, const EndpointInstance &instance,
+                    const InstanceStatements &statements, TimePoint now);
 
 /// Removes the statements of an instance that is listed now.
 /// @param unlisted updated
--- a/lacewing/relay.cpp
+++ b/lacewing/relay.cpp
@@ -269,7 +269,7 @@
     FleetEndpoint &target = this->gateway.fleetState.endpoints.at(choice.endpoint);
     this->endpoint = choice.endpoint;
     this->incarnationStart = target.entry.born;
-    this->returnMark = recordSend(target.stated.rest);
+    this->returnMark = recordSend(target.stated.rest, now);
     target.ownRunning += 1;
     recordExchangeBegin(this->gateway.reach.of(this->service), now);
     this->countedAsSuspect = this->suspicion() == Suspicion::Suspected;
--- a/lacewing/sendgate.cpp
+++ b/lacewing/sendgate.cpp
@@ -1,4 +1,4 @@
-// Statements of an instance count whether it is listed or not; one that is not listed gets nothing anyway.
+// The entry of an endpoint also says that it is leaving if its instance has stated that (fleet.h).
 
 #include "sendgate.h"
 
--- a/lacewing/testing/endpointchoicetest.cpp
+++ b/lacewing/testing/endpointchoicetest.cpp
@@ -383,7 +383,7 @@
     putEndpoint(fleet, makeEntry("e1", "a"), start);
     const TimePoint end = letRest(fleet, "e1");
     cr_assert_eq(chooseEndpoint(fleet, need(), end).endpoint, "e1");
-    recordSend(fleet.endpoints.at("e1").stated.rest);
+    recordSend(fleet.endpoints.at("e1").stated.rest, end);
     const EndpointChoice second = chooseEndpoint(fleet, need(), end);
     cr_expect_eq(second.result, ChoiceResult::Resting);
     cr_expect_gt(second.untilCapacity.count(), 0);
--- a/lacewing/testing/endpointresttest.cpp
+++ b/lacewing/testing/endpointresttest.cpp
@@ -25,7 +25,7 @@
 void accept(EndpointRest &rest, int count)
 {
     for (int number = 0; number < count; ++number) {
-        recordEnd(rest, recordSend(rest), true);
+        recordEnd(rest, recordSend(rest, rest.until), true);
     }
 }
 
@@ -76,13 +76,14 @@
     recordRest(rest, statedRest, 1, 0, start);
     const TimePoint back = rest.until + boundLifetime; // the number in progress is not bounded any more
     const auto isOpen = [&] { return restState(rest, 0, back) == RestState::Open; };
-    const ReturnMark first = recordSend(rest);
+    const ReturnMark first = recordSend(rest, back);
     cr_expect_eq(restState(rest, 0, back), RestState::Returning, "the first one is not answered yet");
     recordEnd(rest, first, true);
-    recordSend(rest);
+    recordSend(rest, back);
     cr_expect(isOpen());
-    recordSend(rest);
+    recordSend(rest, back);
     cr_expect_not(isOpen());
+    cr_expect_eq(restState(rest, 0, back + rejectionTime), RestState::Open, "not rejected");
     rest.unanswered = 0;
     accept(rest, acceptedToReturn);
     cr_expect_not(rest.returning);
@@ -93,7 +94,7 @@
 {
     EndpointRest rest;
     recordRest(rest, statedRest, 1, 0, start);
-    recordEnd(rest, recordSend(rest), false);
+    recordEnd(rest, recordSend(rest, rest.until), false);
     cr_expect_eq(restState(rest, 0, rest.until), RestState::Open);
     cr_expect_eq(rest.accepted, 0);
 }
@@ -126,9 +127,9 @@
 Test(endpointrest, endsOfEarlierRequestsDoNotCount)
 {
     EndpointRest rest;
-    const ReturnMark before = recordSend(rest);
+    const ReturnMark before = recordSend(rest, start);
     recordRest(rest, statedRest, 1, 0, start);
-    const ReturnMark earlier = recordSend(rest);
+    const ReturnMark earlier = recordSend(rest, rest.until);
     recordRest(rest, statedRest, 1, 0, start + milliseconds(4000));
     recordEnd(rest, before, true);
     recordEnd(rest, earlier, true);
@@ -337,7 +338,7 @@
         view.own += 1;
         request.sends += 1;
         request.tried.push_back(chosen);
-        Answer answer {request, chosen, this->accepts(chosen, now), recordSend(view.rest)};
+        Answer answer {request, chosen, this->accepts(chosen, now), recordSend(view.rest, this->at(now))};
         if (answer.accepted) {
             this->endpoints[chosen].ends.push_back(now + workMilliseconds);
         }
