--- a/lacewing/adapterplan.cpp
+++ b/lacewing/adapterplan.cpp
@@ -13,6 +13,7 @@
 #include <string_view>
 #include <unordered_map>
 
+#include "adaptercopies.h"
 #include "adapterhome.h"
 #include "wantorder.h"
 #include "weightsname.h"
@@ -147,20 +148,6 @@
         return this->summaryOf(weights).copies;
     }
 
-    /// @return whether an endpoint that the waiting VMs can use has the newest version
-    bool hasUsable(const std::string &weights, const WeightsDemand &demand, std::int32_t version) const
-    {
-        if (demand.avoided.empty()) {
-            return this->hasNewest(weights, version);
-        }
-        const auto isUsable = [&](const auto &entry) {
-            const auto held = entry.second.held.find(weights);
-            return entry.second.ready && held != entry.second.held.end() && held->second.version >= version
-                && !demand.avoided.contains(entry.first);
-        };
-        return std::any_of(this->state.endpoints.begin(), this->state.endpoints.end(), isUsable);
-    }
-
     bool hasNewest(const std::string &weights, std::int32_t version) const
     {
         const std::int32_t newest = this->summaryOf(weights).newest;
@@ -201,7 +188,9 @@
     {
         for (const auto &[weights, demand] : this->state.demand) {
             const std::int32_t version = newestVersion(this->state.versions, weights);
-            if (demand.waiting > 0 && !this->hasUsable(weights, demand, version) && !this->isLoading(weights)) {
+            const bool served
+                = this->hasNewest(weights, version) && hasUsableCopy(this->state, weights, version, demand.avoided);
+            if (demand.waiting > 0 && !served && !this->isLoading(weights)) {
                 this->wants.push_back({weights, static_cast<double>(demand.waiting), demand.rank, demand.since});
             } else if (demand.remote >= remoteStreamsForCopy && this->copies(weights) == 0) {
                 this->wants.push_back({.weights = weights, .urgency = 0.5});
--- a/lacewing/endpointrest.h
+++ b/lacewing/endpointrest.h
@@ -2,7 +2,7 @@
 //
 // Load pattern: some endpoints of a service, or all of them, reject a part of their requests for seconds, and state a
 // rest of seconds with each rejection. Their rejections keep them idle, so that each VM would send every request there
-// first, reject most callers for want of retries, and leave the other endpoints unused.
+// first, refuse most callers for want of retries, and leave the other endpoints unused.
 //
 // An endpoint that rests gets nothing from this VM. All VMs were rejected at about the same time, so each of them
 // returns at a random time after the stated one. It is not known then whether the endpoint has room: it gets one
@@ -39,7 +39,7 @@
 constexpr Duration othersGrowth = milliseconds(500);
 /// How long the number of requests in progress is bounded after it has begun to grow.
 constexpr Duration boundLifetime = milliseconds(5000);
-/// A rejection arrives within this time: a connect timeout and a round trip take longer only if a packet is lost.
+/// A rejection arrives within this time unless a packet is lost.
 constexpr Duration rejectionTime = milliseconds(150);
 /// Requests that an endpoint has to accept after a rest before it gets requests as before.
 constexpr std::int32_t acceptedToReturn = 8;
