--- a/lacewing/datagramcounts.cpp
+++ b/lacewing/datagramcounts.cpp
@@ -50,6 +50,12 @@
     if (datagram.__isset.originAnswer) {
         return DatagramKind::OriginAnswer;
     }
+    if (datagram.__isset.forwardCancel) {
+        return DatagramKind::ForwardCancel;
+    }
+    if (datagram.__isset.rejectionDigest) {
+        return DatagramKind::RejectionDigest;
+    }
     return datagram.__isset.endpointNews ? DatagramKind::EndpointNews : DatagramKind::Heartbeat;
 }
 
@@ -58,7 +64,7 @@
     constexpr std::array<std::string_view, datagramKindCount> names {
         "heartbeat",     "placement",      "demand",     "prompt",        "list",      "news_asked",
         "endpoint_news", "crash_news",     "limit_news", "config_read",   "quota_ask", "quota_answer",
-        "quota_ledger",  "origin_records", "origin_ask", "origin_answer", "passed_on"};
+        "quota_ledger",  "origin_records", "origin_ask", "origin_answer", "forward_cancel", "rejection_digest", "passed_on"};
     return names.at(static_cast<std::size_t>(kind));
 }
 
--- a/lacewing/datagramcounts.h
+++ b/lacewing/datagramcounts.h
@@ -31,9 +31,11 @@
     OriginRecords,
     OriginAsk,
     OriginAnswer,
+    ForwardCancel,
+    RejectionDigest,
     PassedOn, ///< datagram of another VM, forwarded within the zone
 };
-constexpr std::size_t datagramKindCount = 17;
+constexpr std::size_t datagramKindCount = 19;
 
 struct DatagramCount {
     std::int64_t datagrams = 0;
--- a/lacewing/lacewing.thrift
+++ b/lacewing/lacewing.thrift
@@ -287,7 +287,8 @@
   8: i64 listOffset = -1,              // up to which the sender knows the list; -1: it does not say
   9: i64 previousNews = 0,             // who has all news up to here has, with this notice, all up to `news`
   10: i64 news = 0,
-  11: binary loads                     // requests in progress at each endpoint, a byte each, by index; 255: not known
+  11: binary loads,                    // requests in progress at each endpoint, a byte each, by index; 255: not known
+  12: optional i64 listEra             // of the store, to which listChange and listOffset belong
 }
 
 /** A VM that has missed news of a zone asks its owner for them. */
@@ -354,7 +355,8 @@
   2: list<ListedEndpoint> listed,
   3: list<string> removed,
   4: i64 previous = -1,                // all changes from this offset on are told, here or before; -1: it does not say
-  5: i64 ageMilliseconds = -1          // since the sender asked for what it read; -1: it does not say
+  5: i64 ageMilliseconds = -1,         // since the sender asked for what it read; -1: it does not say
+  6: optional i64 era                  // of the store, to which both offsets belong; absent: the store names none
 }
 
 /** Requests of one VM that are in progress at an endpoint. */
@@ -391,7 +393,8 @@
 struct ConfigRead {
   1: i64 offset,
   2: list<i64> incarnations,
-  3: list<i64> numbers
+  3: list<i64> numbers,
+  4: optional i64 era                  // of the store, to which the offset belongs
 }
 
 /** Asks for units of an organisation's quota. Without a ticket it only says that the sender relies on the receiver. */
@@ -424,6 +427,23 @@
   8: optional bool carriesConfig       // no request is forwarded: the body is the record of a configuration
 }
 
+/** The caller of a request that the sender has forwarded to the receiver has left. */
+struct ForwardCancel { 1: string id }
+
+/** How many requests an endpoint gets that can reject only a few, as known to the sender. */
+struct EndpointShare {
+  1: string endpoint,
+  2: i64 born = 0,                     // start of its incarnation, Unix milliseconds
+  3: double share = 1,                 // of the requests for which it is considered
+  4: i32 stoppedMilliseconds = 0       // for which it gets none
+}
+/** Endpoints of a zone that can reject only a few requests. */
+struct RejectionDigest {
+  1: double maxRejections,             // a second, as their service states it
+  2: string serviceName,
+  3: list<EndpointShare> endpoints     // that do not get all requests; the others do
+}
+
 /** Streams that have begun, and the software version of the endpoint of each. The lists have one element a stream. */
 struct OriginRecords {
   1: list<i64> keys,
@@ -470,5 +490,8 @@
   26: optional OriginAsk originAsk,
   27: optional OriginAnswer originAnswer,
   28: optional i64 configVersion,       // with a heartbeat: version of the configuration in force at the sender
-  29: optional i64 configAsk            // the sender has this version in force and asks for a newer configuration
+  29: optional i64 configAsk,           // the sender has this version in force and asks for a newer configuration
+  30: optional i64 configEra,           // of the store, to which configOffset belongs
+  31: optional ForwardCancel forwardCancel,
+  32: optional RejectionDigest rejectionDigest
 }
