A caller that leaves ends its request also where connections hang

Callers saw nothing: their requests, which they had given up, went on at endpoints or began there seconds later.

Cause, first way: a VM that has lost its links closes the connection of a request whose caller has left in the orderly way, and the system delivers the request when the links are back. An exchange in progress is now ended with a reset, with which held bytes are lost. Second way: a forwarded request is ended by the close of the connection between two VMs, which reaches nobody if that connection is silent. The VM now also sends a datagram, twice, and the other one ends the request.

No record shows either way to be the cause of the report.

--- a/lacewing/endpointlink.cpp
+++ b/lacewing/endpointlink.cpp
@@ -240,6 +240,9 @@
 
 void EndpointLink::close()
 {
+    if (this->exchangeInProgress()) { // the system would deliver what a hanging connection holds after a partition
+        setResetOnClose(this->socket, true);
+    }
     this->closed = true;
     this->handlers = {};
     this->onIdleClosed = nullptr;
@@ -248,6 +251,11 @@
     this->socket.close(ignored);
 }
 
+bool EndpointLink::exchangeInProgress() const
+{
+    return this->connected && !this->closed && this->reader != nullptr && !this->reader->complete();
+}
+
 ResponseReader &EndpointLink::answer()
 {
     return *this->reader;
--- a/lacewing/endpointlink.h
+++ b/lacewing/endpointlink.h
@@ -64,7 +64,8 @@
     /// there is too much to discard.
     void skipAnswer();
 
-    /// Closes the connection. No handler is called afterwards.
+    /// Closes the connection. No handler is called afterwards. An exchange in progress ends with a reset, so that a
+    /// request that has not arrived yet never does.
     void close();
 
     /// @return the current answer; valid after the first onProgress
@@ -87,6 +88,7 @@
 private:
     friend class EndpointPool;
 
+    bool exchangeInProgress() const;
     void connect();
     void begin();
     void write();
--- a/lacewing/entrynodeforwarding.cpp
+++ b/lacewing/entrynodeforwarding.cpp
@@ -12,12 +12,21 @@
 
 /// Minimum interval of the reads of the VM list on request.
 constexpr Duration contactsInterval = milliseconds(1000);
+/// A cancellation is sent again after this time, in case a datagram is lost.
+constexpr Duration cancelRepeatDelay = milliseconds(100);
 
 } // namespace
 
 void EntryNode::connectForwarding()
 {
     this->dataPath.forwardingPeers = [this](const ServiceName &service) { return this->forwardingPeers(service); };
+    this->gossip.onForwardCancel
+        = [this](const VmId &vm, const std::string &id) { this->dataPath.cancelForwarded(vm, id); };
+    // The connection to the other VM may be silent, so that its close reaches nobody.
+    this->dataPath.onForwardCancelled = [this](const VmId &vm, const std::string &id) {
+        this->gossip.sendForwardCancel(vm, id);
+        this->after(cancelRepeatDelay, [this, vm, id] { this->gossip.sendForwardCancel(vm, id); });
+    };
     this->dataPath.onReachUpdate = [this] {
         this->gossip.unreachableServices = this->dataPath.reachWatch().unreachableServices();
         this->heartbeat();
--- a/lacewing/gateway.h
+++ b/lacewing/gateway.h
@@ -200,6 +200,13 @@
 
     /// Returns the VMs that may take over requests to a service; if not set, none is forwarded.
     std::function<std::vector<ForwardingPeer>(const ServiceName &)> forwardingPeers;
+    /// Ends a request that another VM has forwarded, as its caller has left.
+    /// @param vm that has forwarded it
+    /// @param id of the request
+    void cancelForwarded(const VmId &vm, std::string_view id);
+    /// Called when the caller of a request that was forwarded to another VM has left.
+    std::function<void(const VmId &, const std::string &id)> onForwardCancelled;
+
     /// Called when this VM was cut off from a service, or is connected to it again.
     std::function<void()> onReachUpdate;
     /// Called when the address or token of a VM seems to be out of date.
--- a/lacewing/gatewayforwarding.cpp
+++ b/lacewing/gatewayforwarding.cpp
@@ -46,6 +46,17 @@
     this->startRequest(caller, std::move(head), std::move(body), std::move(forwarded));
 }
 
+void Gateway::cancelForwarded(const VmId &vm, std::string_view id)
+{
+    const auto found = std::find_if(this->relays.begin(), this->relays.end(),
+                                    [&](const auto &relay) { return relay->isForwardedBy(vm, id); });
+    if (found != this->relays.end()) {
+        logEvent("forward_cancelled", {{"id", std::string(id)}, {"vm", vm}});
+        const std::shared_ptr<Relay> cancelled = *found;
+        cancelled->abandonCaller();
+    }
+}
+
 void Gateway::takeConfigRecord(CallerConnection &vm, const VmId &from, const std::string &record) const
 {
     if (this->onConfigRecord) {
--- a/lacewing/relay.cpp
+++ b/lacewing/relay.cpp
@@ -352,7 +352,12 @@
              {{"id", this->info.id},
               {"endpoint", this->endpoint},
               {"vm", this->peer},
+              {"sent_ms", this->link ? inMilliseconds(this->gateway.now() - this->sentAt) : std::string("none")},
+              {"answered", this->answerBegun ? "yes" : "no"},
               {"age_ms", inMilliseconds(this->age())}});
+    if (!this->peer.empty() && this->gateway.onForwardCancelled) {
+        this->gateway.onForwardCancelled(this->peer, this->info.id);
+    }
     if (this->link) {
         this->link->close();
         this->link.reset();
@@ -363,6 +368,17 @@
     this->finish();
 }
 
+bool Relay::isForwardedBy(const VmId &vm, std::string_view id) const
+{
+    return this->forwarded && this->forwarded->vm == vm && this->info.id == id;
+}
+
+void Relay::abandonCaller()
+{
+    const auto abandoned = this->caller;
+    abandoned->abort();
+}
+
 void Relay::releaseEndpoint()
 {
     this->leaveQueue();
--- a/lacewing/relay.h
+++ b/lacewing/relay.h
@@ -56,6 +56,12 @@
     /// Ends the request because its connection is closed.
     /// @param cause of the close
     void cancel(CancelCause cause);
+    /// @param vm name of a VM
+    /// @param id of a request
+    /// @return whether the VM has forwarded this request under this id
+    bool isForwardedBy(const VmId &vm, std::string_view id) const;
+    /// Closes the connection that the request came on, which ends the request.
+    void abandonCaller();
     /// Ends the request if the crash ledger has proven that it crashes endpoints.
     void endIfProvenToCrash();
     /// Ends the request with an answer that the gateway generates.
--- a/lacewing/vmgossip.cpp
+++ b/lacewing/vmgossip.cpp
@@ -223,6 +223,9 @@
     if (datagram.__isset.limitNews && this->onLimitUpdate) {
         this->onLimitUpdate(datagram.limitNews);
     }
+    if (datagram.__isset.forwardCancel && this->onForwardCancel) {
+        this->onForwardCancel(datagram.vm, datagram.forwardCancel.id);
+    }
     this->dispatchOrigins(datagram);
 }
 
@@ -361,6 +364,15 @@
     }
 }
 
+void VmGossip::sendForwardCancel(const VmId &vm, const std::string &id)
+{
+    wire::ForwardCancel cancel;
+    cancel.id = id;
+    wire::VmDatagram datagram = this->newDatagram();
+    datagram.__set_forwardCancel(cancel);
+    this->sendToVm(vm, datagram);
+}
+
 void VmGossip::sendQuotaAsk(const VmId &vm, const wire::QuotaAsk &ask)
 {
     wire::VmDatagram datagram = this->newDatagram();
--- a/lacewing/vmgossip.h
+++ b/lacewing/vmgossip.h
@@ -67,6 +67,8 @@
     /// @param zoneOnly whether only VMs of this zone use the endpoint
     void sendLimitUpdate(const wire::LimitNews &news, bool zoneOnly);
 
+    /// Tells a VM that the caller of a request that was forwarded to it has left.
+    void sendForwardCancel(const VmId &vm, const std::string &id);
     void sendQuotaAsk(const VmId &vm, const wire::QuotaAsk &ask);
     void sendQuotaAnswer(const VmId &vm, const wire::QuotaAnswer &answer);
     void sendQuotaLedgerToAll(const wire::QuotaLedgerNews &news);
@@ -131,6 +133,7 @@
     std::function<void(const VmId &, const wire::OriginAnswer &)> onOriginAnswer;
     std::function<void(const wire::CrashNews &)> onCrashUpdate;
     std::function<void(const wire::LimitNews &)> onLimitUpdate;
+    std::function<void(const VmId &, const std::string &id)> onForwardCancel;
     std::function<void(const VmId &, const wire::ListChange &, Duration)>
         onList; ///< only for datagrams from VMs of this zone
     std::function<void(const wire::ConfigRead &)> onConfigRead; ///< only for datagrams from VMs of this zone
