--- a/lacewing/configproof.cpp
+++ b/lacewing/configproof.cpp
@@ -19,10 +19,14 @@
 
 } // namespace
 
-void recordConfigRead(ConfigProof &proof, LogOffset offset, TimePoint begun)
+bool recordConfigRead(ConfigProof &proof, const StorePosition &end, TimePoint begun)
 {
-    proof.appliedOffset = std::max(proof.appliedOffset, offset);
+    proof.applied = std::max(proof.applied, end);
+    if (proof.eraLearned && begun < *proof.eraLearned + unprovenAfterNewEra) {
+        return false;
+    }
     proof.provenAt = proof.provenAt ? std::max(*proof.provenAt, begun) : begun;
+    return true;
 }
 
 void recordHeartbeat(ConfigProof &proof, std::int64_t number, TimePoint now)
@@ -33,15 +37,19 @@
     }
 }
 
-bool recordPassedOnRead(ConfigProof &proof, LogOffset offset, std::int64_t heartbeat)
+void recordNewEra(ConfigProof &proof, TimePoint now)
+{
+    proof.eraLearned = now;
+}
+
+bool recordPassedOnRead(ConfigProof &proof, const StorePosition &end, std::int64_t heartbeat)
 {
     const auto later = std::find_if(proof.heartbeats.begin(), proof.heartbeats.end(),
                                     [heartbeat](const SentHeartbeat &one) { return one.number > heartbeat; });
-    if (proof.appliedOffset == noOffset || proof.appliedOffset < offset || later == proof.heartbeats.begin()) {
+    if (!isSameHistory(proof.applied, end) || proof.applied < end || later == proof.heartbeats.begin()) {
         return false;
     }
-    recordConfigRead(proof, offset, std::prev(later)->sent);
-    return true;
+    return recordConfigRead(proof, end, std::prev(later)->sent);
 }
 
 std::optional<Duration> proofAge(const ConfigProof &proof, TimePoint now)
--- a/lacewing/configproof.h
+++ b/lacewing/configproof.h
@@ -16,6 +16,7 @@
 #include <deque>
 #include <optional>
 
+#include "storeposition.h"
 #include "types.h"
 
 namespace lacewing {
@@ -28,11 +29,16 @@
 
 /// What this VM knows about how current its configuration is.
 struct ConfigProof {
-    LogOffset appliedOffset = noOffset; ///< all changes before this offset are applied
+    StorePosition applied; ///< all changes before it are applied
     std::optional<TimePoint> provenAt; ///< all changes acknowledged before this time are applied
     std::deque<SentHeartbeat> heartbeats; ///< recent ones, oldest first
+    std::optional<TimePoint> eraLearned; ///< when this VM learned of the store's present era; nothing: the first one
 };
 
+/// The store may have lost the newest changes in a new era, until operators have written them again. Reads that begin
+/// within this time after it became known prove nothing. Proofs from before hold for longer.
+constexpr Duration unprovenAfterNewEra = milliseconds(2000);
+
 /// Retry-After where it is not known whether a key is valid: half of the interval at which a VM tries to find out, so
 /// that callers neither ask several times in between nor wait for much longer than needed.
 constexpr Duration unprovenRetryAfter = milliseconds(500);
@@ -52,9 +58,15 @@
 
 /// Records that this VM has read and applied the operators' changes.
 /// @param proof updated
-/// @param offset end of the changes that were read
+/// @param end of the changes that were read
 /// @param begun when the read began
-void recordConfigRead(ConfigProof &proof, LogOffset offset, TimePoint begun);
+/// @return whether it proves anything
+bool recordConfigRead(ConfigProof &proof, const StorePosition &end, TimePoint begun);
+
+/// Records that the store has begun a new era.
+/// @param proof updated
+/// @param now current time
+void recordNewEra(ConfigProof &proof, TimePoint now);
 
 /// Records a heartbeat of this VM.
 /// @param proof updated
@@ -64,10 +76,10 @@
 
 /// Records another VM's read of the operators' changes.
 /// @param proof updated
-/// @param offset end of the changes when that VM read them
+/// @param end of the changes when that VM read them
 /// @param heartbeat number of the last datagram of this VM that the other had received when its read began
 /// @return whether it proves anything: this VM has applied as much, and has a record of a heartbeat up to that number
-bool recordPassedOnRead(ConfigProof &proof, LogOffset offset, std::int64_t heartbeat);
+bool recordPassedOnRead(ConfigProof &proof, const StorePosition &end, std::int64_t heartbeat);
 
 /// @param proof of this VM
 /// @param now current time
--- a/lacewing/datagramcounts.cpp
+++ b/lacewing/datagramcounts.cpp
@@ -62,9 +62,10 @@
 std::string_view nameOf(DatagramKind kind)
 {
     constexpr std::array<std::string_view, datagramKindCount> names {
-        "heartbeat",     "placement",      "demand",     "prompt",        "list",      "news_asked",
-        "endpoint_news", "crash_news",     "limit_news", "config_read",   "quota_ask", "quota_answer",
-        "quota_ledger",  "origin_records", "origin_ask", "origin_answer", "forward_cancel", "rejection_digest", "passed_on"};
+        "heartbeat",     "placement",      "demand",           "prompt",         "list",
+        "news_asked",    "endpoint_news",  "crash_news",       "limit_news",     "config_read",
+        "quota_ask",     "quota_answer",   "quota_ledger",     "origin_records", "origin_ask",
+        "origin_answer", "forward_cancel", "rejection_digest", "passed_on"};
     return names.at(static_cast<std::size_t>(kind));
 }
 
--- a/lacewing/entrynode.cpp
+++ b/lacewing/entrynode.cpp
@@ -33,6 +33,8 @@
 /// Interval between reads of the VM list. It is long because VMs that are alive announce themselves by heartbeats.
 constexpr Duration listVmsInterval = milliseconds(60000);
 constexpr Duration listVmsRetry = milliseconds(1000);
+/// VMs announce themselves again within this time after the store has lost what was written last.
+constexpr Duration announcementSpread = milliseconds(2000);
 /// Interval between log lines on the traffic to other VMs and the calls to the platform's store.
 constexpr Duration trafficInterval = milliseconds(10000);
 /// The load balancer asks every second and removes a VM after two failures; a third second is for its last connections.
@@ -111,9 +113,9 @@
     this->gossip.onList = [this](const VmId &vm, const wire::ListChange &change, Duration heldUp) {
         this->receiveList(vm, change, heldUp);
     };
-    this->gossip.onConfigOffset = [this](std::int64_t offset) {
+    this->gossip.onConfigPosition = [this](const StorePosition &position) {
         if (this->onConfigBehind) {
-            this->onConfigBehind(offset);
+            this->onConfigBehind(position);
         }
     };
     this->gossip.onConfigRead = [this](const wire::ConfigRead &read) { this->receiveConfigRead(read); };
@@ -247,12 +249,15 @@
     return this->gossip.alive(vm);
 }
 
-void EntryNode::configRead(std::int64_t offset, TimePoint begun)
+void EntryNode::recordStoreEra(std::int64_t era, std::int64_t before)
 {
-    this->operatorChangesRead = true;
-    this->gossip.configOffset = offset;
-    recordConfigRead(this->dataPath.configProof, offset, begun);
-    this->passOnConfigRead(begun);
+    logEvent("store_era", {{"era", std::to_string(era)}, {"before", std::to_string(before)}});
+    const TimePoint now = this->clock.now();
+    this->storeEra = era;
+    this->lastStoreFailure = now; // entries that were written last are missing until the endpoints write them again
+    recordNewEra(this->dataPath.configProof, now);
+    this->restoreAnnouncement();
+    this->renewClaim();
 }
 
 void EntryNode::countUnreadableRecord()
@@ -287,6 +292,21 @@
     });
 }
 
+void EntryNode::restoreAnnouncement()
+{
+    if (this->stopping) {
+        this->port.withdraw(this->settings.vm); // the store may list this VM again
+        return;
+    }
+    // All VMs learn of the era at about the same time, and the store takes a bounded number of calls.
+    std::uniform_int_distribution<std::int64_t> delay(0, toMilliseconds(announcementSpread));
+    this->after(milliseconds(delay(this->random)), [this] {
+        if (!this->stopping) {
+            this->announce();
+        }
+    });
+}
+
 void EntryNode::refreshVms()
 {
     this->port.listVms([this](std::optional<std::vector<VmContact>> listed) {
@@ -312,7 +332,7 @@
 
 bool EntryNode::ready() const
 {
-    const bool listed = this->dataPath.fleet().list.offset != noOffset;
+    const bool listed = isKnown(this->dataPath.fleet().list.known);
     return !this->stopping && this->dataPath.config() && listed && !this->isCatchingUpAtStart();
 }
 
--- a/lacewing/entrynode.h
+++ b/lacewing/entrynode.h
@@ -90,28 +90,33 @@
     void setVersion(std::string_view weights, std::int32_t version);
     /// Applies an entry of the platform's list that was read.
     /// @param entry as listed
-    /// @param offset of the change that produced the entry; noOffset: not known
-    void putEndpoint(const EndpointEntry &entry, std::int64_t offset = noOffset);
+    /// @param position of the change that produced the entry; may be not known
+    void putEndpoint(const EndpointEntry &entry, const StorePosition &position = {});
     /// Applies the removal of an entry from the platform's list.
     /// @param id of the endpoint
-    /// @param offset as above
-    void removeEndpoint(const EndpointName &id, std::int64_t offset = noOffset);
+    /// @param position as above
+    void removeEndpoint(const EndpointName &id, const StorePosition &position = {});
     /// Removes an endpoint whose entry of the platform's list is unusable.
     /// @param id of the endpoint
-    /// @param offset as above
-    void dropUnusable(const EndpointName &id, std::int64_t offset = noOffset);
+    /// @param position as above
+    void dropUnusable(const EndpointName &id, const StorePosition &position = {});
     /// @param id of an endpoint
     /// @return its instance that is listed; without a start if none is
     EndpointInstance instanceOf(const EndpointName &id);
     /// Called when all changes of a read of the list have been applied.
-    /// @param read offset, age and kind of the read
+    /// @param read end, age and kind of the read
     void listRead(const ListRead &read);
     /// @return how long to wait between two reads of the list
     Duration listInterval() const;
     /// Called when the operators' changes have been read.
-    /// @param offset up to which they were read
+    /// @param end up to which they were read
     /// @param begun when the read began, by the runtime's clock
-    void configRead(std::int64_t offset, TimePoint begun);
+    void configRead(const StorePosition &end, TimePoint begun);
+    /// Called when an answer of the platform's store has named a later era than all before it: the store has come back
+    /// from a copy and may have lost what was written last.
+    /// @param era named
+    /// @param before era until then
+    void recordStoreEra(std::int64_t era, std::int64_t before);
     /// Reads the list of VMs from the platform; also done periodically.
     void refreshVms();
     /// @param vm name of another VM
@@ -128,9 +133,9 @@
     std::function<std::string()> describeStoreCalls;
     /// Called on SIGHUP, to read the settings again; set by the component that reads them.
     std::function<void()> onReload;
-    /// Called when another VM has read the operators' changes further, up to this offset; set by the component that
+    /// Called when another VM has read the operators' changes further, up to this position; set by the component that
     /// reads them.
-    std::function<void(std::int64_t offset)> onConfigBehind;
+    std::function<void(const StorePosition &position)> onConfigBehind;
     /// Called to read at once whether there are newer operators' changes; set by the component that reads them.
     std::function<void()> onConfigCheck;
     /// Called when the store answers again after calls that failed; set by the component that reads the operators'
@@ -167,6 +172,7 @@
 
     void checkClaim();
     void claimZone();
+    void renewClaim();
     void confirmClaim();
     bool mayOrderNow();
     void becomeOwner();
@@ -178,6 +184,7 @@
     void sendNotice();
     void broadcastPlacement(const wire::PlacementNotice &notice);
     void announce();
+    void restoreAnnouncement();
     bool needsConfigProofs() const;
     void checkConfigProof();
     void passOnConfigRead(TimePoint begun);
@@ -221,7 +228,7 @@
     void dropEndpoint(const EndpointName &id);
     void applyListed(const EndpointEntry &entry, UpdateSource source);
     void applyRemoval(const EndpointName &id, UpdateSource source);
-    bool isSuperseded(std::int64_t offset) const;
+    bool isSuperseded(const StorePosition &position) const;
     void queueListed(const EndpointEntry &entry);
     void forwardListChange();
     void sendList(wire::ListChange change, const ListAnnouncement &statement);
@@ -275,6 +282,8 @@
     wire::ListChange pendingListChange; ///< changes read by this VM and not forwarded yet
     ListChain listChain; ///< of the changes that this VM has forwarded as the owner
     AnnouncementBudget rejectionAnnouncements; ///< of this VM, to all others
+    std::int64_t listChangesIgnored = 0; ///< announced by owners and known already, or not following what is known
+    std::int64_t storeEra = unnamedEra; ///< newest that the platform's store has named
     std::int64_t unreadableRecords = 0; ///< records of the platform that could not be read
     bool operatorChangesRead = false; ///< all operators' changes from before the start have been read
     bool storeUp = true;
--- a/lacewing/entrynodeconfig.cpp
+++ b/lacewing/entrynodeconfig.cpp
@@ -81,6 +81,17 @@
     return this->configTransfer.behind() && this->clock.now() - this->startedAt < maxStartCatchUp;
 }
 
+void EntryNode::configRead(const StorePosition &end, TimePoint begun)
+{
+    this->operatorChangesRead = true;
+    this->gossip.configRead = end;
+    if (this->isConfigOutdated()) { // the store has lost the newer configuration, which another VM has in force
+        return;
+    }
+    recordConfigRead(this->dataPath.configProof, end, begun);
+    this->passOnConfigRead(begun);
+}
+
 bool EntryNode::needsConfigProofs() const
 {
     const auto &config = this->dataPath.config();
@@ -110,7 +121,11 @@
         return;
     }
     wire::ConfigRead read = std::exchange(this->receivedAtConfigCheck, {});
-    read.offset = this->dataPath.configProof.appliedOffset;
+    const StorePosition &applied = this->dataPath.configProof.applied;
+    read.offset = applied.offset;
+    if (applied.era != unnamedEra) {
+        read.__set_era(applied.era);
+    }
     this->gossip.sendConfigRead(read);
 }
 
@@ -119,7 +134,8 @@
     const std::size_t count = std::min(read.incarnations.size(), read.numbers.size());
     for (std::size_t index = 0; index < count; ++index) {
         if (read.incarnations[index] == this->gossip.ownIncarnation()) {
-            recordPassedOnRead(this->dataPath.configProof, read.offset, read.numbers[index]);
+            const StorePosition end {read.__isset.era ? read.era : unnamedEra, read.offset};
+            recordPassedOnRead(this->dataPath.configProof, end, read.numbers[index]);
         }
     }
 }
--- a/lacewing/entrynodelist.cpp
+++ b/lacewing/entrynodelist.cpp
@@ -22,6 +22,11 @@
     return source == UpdateSource::Read ? "read" : "passed_on";
 }
 
+std::int64_t eraOf(const wire::ListChange &change)
+{
+    return change.__isset.era ? change.era : unnamedEra;
+}
+
 EndpointEntry entryOf(const wire::ListedEndpoint &listed)
 {
     EndpointEntry entry;
@@ -63,16 +68,16 @@
 
 } // namespace
 
-bool EntryNode::isSuperseded(std::int64_t offset) const
+bool EntryNode::isSuperseded(const StorePosition &position) const
 {
     // The late answer to a read can contain changes that are older than those received from the owner in the meantime.
     // This VM's copy already contains them, or a later change that overrides them.
-    return offset != noOffset && offset < this->dataPath.fleet().list.offset;
+    return isKnown(position) && position < this->dataPath.fleet().list.known;
 }
 
-void EntryNode::putEndpoint(const EndpointEntry &entry, std::int64_t offset)
+void EntryNode::putEndpoint(const EndpointEntry &entry, const StorePosition &position)
 {
-    if (this->isSuperseded(offset)) {
+    if (this->isSuperseded(position)) {
         return;
     }
     this->queueListed(entry);
@@ -109,9 +114,9 @@
     });
 }
 
-void EntryNode::removeEndpoint(const EndpointName &id, std::int64_t offset)
+void EntryNode::removeEndpoint(const EndpointName &id, const StorePosition &position)
 {
-    if (this->isSuperseded(offset)) {
+    if (this->isSuperseded(position)) {
         return;
     }
     // Forwarded even if this VM did not know the endpoint: another VM may have read it while it was listed.
@@ -119,9 +124,9 @@
     this->applyRemoval(id, UpdateSource::Read);
 }
 
-void EntryNode::dropUnusable(const EndpointName &id, std::int64_t offset)
+void EntryNode::dropUnusable(const EndpointName &id, const StorePosition &position)
 {
-    if (!this->isSuperseded(offset) && this->dataPath.fleet().endpoints.contains(id)) {
+    if (!this->isSuperseded(position) && this->dataPath.fleet().endpoints.contains(id)) {
         this->removeEndpoint(id);
     }
 }
@@ -169,14 +174,18 @@
     }
     const bool changed = !change.listed.empty() || !change.removed.empty();
     const ListAnnouncement statement = nextAnnouncement(this->listChain, this->dataPath.fleet().list, changed);
-    change.previous = statement.previous;
-    change.offset = statement.offset;
+    change.previous = statement.previous.offset;
+    change.offset = statement.end.offset;
+    if (statement.end.era != unnamedEra) {
+        change.__set_era(statement.end.era);
+    }
     this->sendList(change, statement);
     if (!changed) {
         return; // the notices repeat that nothing has changed
     }
     logEvent("list_passed_on",
-             {{"previous", std::to_string(change.previous)},
+             {{"era", std::to_string(statement.end.era)},
+              {"previous", std::to_string(change.previous)},
               {"offset", std::to_string(change.offset)},
               {"listed", std::to_string(change.listed.size())},
               {"removed", std::to_string(change.removed.size())}});
@@ -196,13 +205,22 @@
 {
     const ListFreshness &known = this->dataPath.fleet().list;
     ListAnnouncement statement;
-    statement.previous = change.previous;
-    statement.offset = change.offset;
+    statement.previous = {eraOf(change), change.previous};
+    statement.end = {eraOf(change), change.offset};
     statement.read = this->clock.now() - milliseconds(change.ageMilliseconds) - heldUp;
     // A change that follows a missed one is not applied: this VM's copy is the list at one offset and never a mixture
     // of two, so that this VM can forward it if it becomes the owner.
-    if (change.offset > known.offset && follows(known, statement)) {
+    if (statement.end > known.known && follows(known, statement)) {
         this->applyListChange(change);
+    } else {
+        this->listChangesIgnored += 1;
+        logEvent("list_change_ignored",
+                 {{"vm", vm},
+                  {"era", std::to_string(statement.end.era)},
+                  {"previous", std::to_string(statement.previous.offset)},
+                  {"offset", std::to_string(statement.end.offset)},
+                  {"known_era", std::to_string(known.known.era)},
+                  {"known_offset", std::to_string(known.known.offset)}});
     }
     this->recordOwnersRead(vm, statement);
 }
@@ -223,15 +241,16 @@
         return; // an update about adapters, which does not refer to the list
     }
     ListAnnouncement statement;
-    statement.previous = notice.listOffset < 0 ? noOffset : notice.listChange;
-    statement.offset = notice.listOffset < 0 ? notice.listChange : notice.listOffset;
+    const std::int64_t era = notice.__isset.listEra ? notice.listEra : unnamedEra;
+    statement.previous = {era, notice.listOffset < 0 ? noOffset : notice.listChange};
+    statement.end = {era, notice.listOffset < 0 ? notice.listChange : notice.listOffset};
     statement.read = this->clock.now() - milliseconds(notice.listAgeMilliseconds) - heldUp;
     this->recordOwnersRead(vm, statement);
 }
 
 void EntryNode::recordOwnersRead(const VmId &vm, const ListAnnouncement &statement)
 {
-    const std::int64_t before = this->dataPath.fleet().list.offset;
+    const StorePosition before = this->dataPath.fleet().list.known;
     this->dataPath.changeFleet([&](Fleet &fleet) { recordStatement(fleet.list, statement, vm); });
     recordUpdateFromOther(this->listChain, before, this->dataPath.fleet().list);
 }
@@ -260,7 +279,7 @@
 void EntryNode::listRead(const ListRead &read)
 {
     const TimePoint asked = this->clock.now() - read.age;
-    this->dataPath.changeFleet([&read, asked](Fleet &fleet) { recordOwnRead(fleet.list, read.offset, asked); });
+    this->dataPath.changeFleet([&read, asked](Fleet &fleet) { recordOwnRead(fleet.list, read.end, asked); });
     if (read.relisted) {
         resetChain(this->listChain);
     }
--- a/lacewing/entrynodemetrics.cpp
+++ b/lacewing/entrynodemetrics.cpp
@@ -55,7 +55,7 @@
     line("reports_read_total", this->owner.reportsRead);
     line("endpoints", static_cast<std::int64_t>(this->dataPath.fleet().endpoints.size()));
     const ListFreshness &list = this->dataPath.fleet().list;
-    if (list.offset != noOffset) {
+    if (isKnown(list.known)) {
         line("list_age_milliseconds", toMilliseconds(this->clock.now() - list.current));
     }
     line("config_version", this->dataPath.config() ? this->dataPath.config()->version : 0);
@@ -66,7 +66,9 @@
     line("configs_sent_total", this->configTransfer.counts.sent);
     line("placement_owner", this->owner.active() ? 1 : 0);
     line("records_unreadable_total", this->unreadableRecords);
+    line("list_changes_ignored_total", this->listChangesIgnored);
     line("store_up", this->storeUp ? 1 : 0);
+    line("store_era", this->storeEra);
     line("handler_failures_total", handlerFailures().total);
     const auto datagramLines = [&line](const std::string &name, const DatagramsByKind &counts) {
         for (std::size_t kind = 0; kind < counts.size(); ++kind) {
--- a/lacewing/entrynodeplacement.cpp
+++ b/lacewing/entrynodeplacement.cpp
@@ -53,7 +53,7 @@
     }
     const TimePoint now = this->clock.now();
     const ZoneView view = this->gossip.zoneView();
-    if (shouldClaim(this->claim, view, now)) {
+    if (shouldRenew(this->claim, view, this->storeEra, now) || shouldClaim(this->claim, view, now)) {
         this->claimZone();
     } else if (shouldConfirm(this->claim, this->settings.claim, view, now)) {
         this->confirmClaim();
@@ -78,6 +78,7 @@
     this->storeQueryPending = true;
     logEvent("zone_claimed",
              {{"zone", this->settings.zone},
+              {"renewal", this->claim.held ? "yes" : "no"},
               {"superseded", std::to_string(this->claim.newest)},
               {"owner_left", this->claim.ownerLeft ? "yes" : "no"},
               {"silence_ms", std::to_string(toMilliseconds(this->clock.now() - this->claim.newestHeard))}});
@@ -90,12 +91,25 @@
         if (this->stopping) {
             return;
         }
+        const std::int64_t before = this->claim.newest;
         if (applyClaimReply(this->claim, this->settings.claim, reply->gained, reply->newest, this->clock.now())) {
             this->becomeOwner();
+        } else if (!this->claim.held) {
+            this->stopOwning("superseded");
+        } else if (this->claim.newest != before) { // the end of the log in the new era
+            this->claimZone();
         }
     });
 }
 
+void EntryNode::renewClaim()
+{
+    if (!this->storeQueryPending && !this->stopping
+        && shouldRenew(this->claim, this->gossip.zoneView(), this->storeEra, this->clock.now())) {
+        this->claimZone();
+    }
+}
+
 void EntryNode::confirmClaim()
 {
     this->storeQueryPending = true;
@@ -120,6 +134,11 @@
 
 void EntryNode::becomeOwner()
 {
+    if (this->owner.active()) {
+        this->owner.renew(this->claim.fencing);
+        this->sendNotice();
+        return;
+    }
     this->owner.begin(this->claim.fencing);
     startChain(this->listChain, this->dataPath.fleet().list);
     this->recordOwnDemand();
--- a/lacewing/entrynodeupdates.cpp
+++ b/lacewing/entrynodeupdates.cpp
@@ -25,10 +25,13 @@
     }
     wire::PlacementNotice notice = this->owner.nextNotice();
     const ListFreshness &list = this->dataPath.fleet().list;
-    if (list.offset != noOffset) {
+    if (isKnown(list.known)) {
         const ListAnnouncement statement = nextAnnouncement(this->listChain, list, false);
-        notice.listChange = statement.previous;
-        notice.listOffset = statement.offset;
+        notice.listChange = statement.previous.offset;
+        notice.listOffset = statement.end.offset;
+        if (statement.end.era != unnamedEra) {
+            notice.__set_listEra(statement.end.era);
+        }
         notice.listAgeMilliseconds = toMilliseconds(this->clock.now() - statement.read);
     }
     this->broadcastPlacement(notice);
--- a/lacewing/listfreshness.cpp
+++ b/lacewing/listfreshness.cpp
@@ -1,4 +1,4 @@
-// Offsets are those of the store. So the announcements of two VMs that both consider themselves the owner do not
+// Positions are those of the store. So the announcements of two VMs that both consider themselves the owner do not
 // contradict each other: each is true of the sender's own copy.
 
 #include "listfreshness.h"
@@ -7,9 +7,9 @@
 
 namespace lacewing {
 
-void recordOwnRead(ListFreshness &knowledge, std::int64_t offset, TimePoint readStart)
+void recordOwnRead(ListFreshness &knowledge, const StorePosition &end, TimePoint readStart)
 {
-    knowledge.offset = std::max(knowledge.offset, offset);
+    knowledge.known = std::max(knowledge.known, end);
     if (readStart > knowledge.current) {
         knowledge.current = readStart;
         knowledge.source.clear();
@@ -18,18 +18,17 @@
 
 bool follows(const ListFreshness &knowledge, const ListAnnouncement &statement)
 {
-    const bool known = knowledge.offset != noOffset && statement.previous != noOffset;
-    return known && knowledge.offset >= statement.previous;
+    return isSameHistory(knowledge.known, statement.previous) && knowledge.known >= statement.previous;
 }
 
 void recordStatement(ListFreshness &knowledge, const ListAnnouncement &statement, const VmId &source)
 {
-    const bool hasPrevious = statement.previous != noOffset;
-    knowledge.requiredOffset = std::max(knowledge.requiredOffset, hasPrevious ? statement.previous : statement.offset);
+    const StorePosition needed = isKnown(statement.previous) ? statement.previous : statement.end;
+    knowledge.required = std::max(knowledge.required, needed);
     if (!follows(knowledge, statement)) {
         return;
     }
-    knowledge.offset = std::max(knowledge.offset, statement.offset);
+    knowledge.known = std::max(knowledge.known, statement.end);
     knowledge.newestOwnerRead = std::max(knowledge.newestOwnerRead, statement.read);
     if (statement.read > knowledge.current) {
         knowledge.current = statement.read;
@@ -39,36 +38,36 @@
 
 void resetChain(ListChain &chain)
 {
-    chain.announcedOffset = noOffset;
+    chain.announced = {};
 }
 
 void startChain(ListChain &chain, const ListFreshness &knowledge)
 {
-    chain.announcedOffset = knowledge.offset;
+    chain.announced = knowledge.known;
 }
 
-void recordUpdateFromOther(ListChain &chain, std::int64_t before, const ListFreshness &knowledge)
+void recordUpdateFromOther(ListChain &chain, const StorePosition &before, const ListFreshness &knowledge)
 {
-    if (knowledge.offset > before) {
-        chain.announcedOffset = knowledge.offset;
+    if (knowledge.known > before) {
+        chain.announced = knowledge.known;
     }
 }
 
 ListAnnouncement nextAnnouncement(ListChain &chain, const ListFreshness &knowledge, bool changes)
 {
-    if (chain.announcedOffset == noOffset) {
-        chain.announcedOffset = knowledge.offset;
+    if (!isKnown(chain.announced)) {
+        chain.announced = knowledge.known;
     }
-    const ListAnnouncement statement {chain.announcedOffset, knowledge.offset, knowledge.current};
+    const ListAnnouncement statement {chain.announced, knowledge.known, knowledge.current};
     if (changes) {
-        chain.announcedOffset = knowledge.offset;
+        chain.announced = knowledge.known;
     }
     return statement;
 }
 
 bool isCovered(const ListFreshness &knowledge, TimePoint now)
 {
-    return knowledge.offset >= knowledge.requiredOffset && now - knowledge.newestOwnerRead < readValidity;
+    return knowledge.known >= knowledge.required && now - knowledge.newestOwnerRead < readValidity;
 }
 
 } // namespace lacewing
--- a/lacewing/listfreshness.h
+++ b/lacewing/listfreshness.h
@@ -4,8 +4,8 @@
 // rely on those reads only if it provably has all changes that they returned: it knows the list up to an offset, and
 // each announcement of an owner says from which offset on its changes are complete. A VM that has missed a change, or
 // knows less than a new owner knew when it took over, reads the list itself until it has caught up; so does a VM that
-// receives no announcements. So whatever fails, a VM's copy is at most readValidity, one check interval and one call
-// old.
+// receives no announcements. An announcement from another era of the store covers nothing. So whatever fails, a VM's
+// copy is at most readValidity, one check interval and one call old.
 //
 // Load pattern: endpoints leave in series while owners are killed, frozen or cut off and links are saturated. The
 // tightest bound on an endpoint that leaves is 2000 ms from the store's acknowledgement to the last request. The
@@ -21,6 +21,7 @@
 
 #include <cstdint>
 
+#include "storeposition.h"
 #include "types.h"
 
 namespace lacewing {
@@ -35,7 +36,7 @@
 
 /// A completed read of the list by this VM.
 struct ListRead {
-    std::int64_t offset = noOffset; ///< end of the part that was read
+    StorePosition end; ///< of the part that was read
     Duration age {0}; ///< time since the read was started
     bool relisted
         = false; ///< all endpoints were listed anew: those that came and went since the previous read were not seen
@@ -43,8 +44,8 @@
 
 /// State of this VM's copy of the list.
 struct ListFreshness {
-    std::int64_t offset = noOffset; ///< all changes before this offset are known; noOffset: the list was never read
-    std::int64_t requiredOffset = noOffset; ///< offset that this VM must know to rely on the owners' announcements
+    StorePosition known; ///< all changes before it are known; not known: the list was never read
+    StorePosition required; ///< that this VM must know to rely on the owners' announcements
     TimePoint current; ///< all changes that were acknowledged up to this time are known
     TimePoint newestOwnerRead; ///< newest read of an owner whose changes are all known
     VmId source; ///< VM whose read `current` is from; empty: this VM
@@ -52,27 +53,28 @@
 
 /// State of the announcements of an owner.
 struct ListChain {
-    /// A VM that knows the list up to this offset has missed none of the announced changes; noOffset: none announced.
-    std::int64_t announcedOffset = noOffset;
+    /// A VM that knows the list up to it has missed none of the announced changes; not known: none announced.
+    StorePosition announced;
 };
 
 /// An owner's announcement on its own copy. A VM that knows the list up to `previous`, and takes in the changes that
-/// come with the announcement, knows the list up to `offset`, as of `read`.
+/// come with the announcement, knows the list up to `end`, as of `read`.
 struct ListAnnouncement {
-    std::int64_t previous = noOffset; ///< noOffset: not stated, so no VM can rely on the announcement
-    std::int64_t offset = noOffset;
+    StorePosition previous; ///< not known: not stated, so no VM can rely on the announcement
+    StorePosition end;
     TimePoint read; ///< start of the owner's read, by this VM's clock
 };
 
 /// Records that this VM has read the list to its end.
 /// @param knowledge updated
-/// @param offset end of the part that was read
+/// @param end of the part that was read
 /// @param readStart when the read was started
-void recordOwnRead(ListFreshness &knowledge, std::int64_t offset, TimePoint readStart);
+void recordOwnRead(ListFreshness &knowledge, const StorePosition &end, TimePoint readStart);
 
 /// @param knowledge of this VM
 /// @param statement announcement of an owner
-/// @return whether this VM knows all changes before those of the announcement
+/// @return whether this VM knows all changes before those of the announcement. In a later era of the store it does not:
+/// which of the earlier changes stand is not known.
 bool follows(const ListFreshness &knowledge, const ListAnnouncement &statement);
 
 /// Records an owner's announcement.
@@ -94,9 +96,9 @@
 
 /// Updates the chain after an announcement of another VM that also considers itself the owner.
 /// @param chain updated
-/// @param before offset that this VM knew before the announcement
+/// @param before position that this VM knew before the announcement
 /// @param knowledge of this VM after it
-void recordUpdateFromOther(ListChain &chain, std::int64_t before, const ListFreshness &knowledge);
+void recordUpdateFromOther(ListChain &chain, const StorePosition &before, const ListFreshness &knowledge);
 
 /// @param chain updated
 /// @param knowledge of this VM, an owner that has read the list
--- a/lacewing/placementowner.cpp
+++ b/lacewing/placementowner.cpp
@@ -60,6 +60,12 @@
     logEvent("placement_owner", {{"zone", this->zone}, {"fencing", std::to_string(fencing)}, {"owner", "yes"}});
 }
 
+void PlacementOwner::renew(std::int64_t fencing)
+{
+    this->fencingNumber = fencing;
+    logEvent("placement_owner", {{"zone", this->zone}, {"fencing", std::to_string(fencing)}, {"owner", "renewed"}});
+}
+
 void PlacementOwner::end()
 {
     if (!this->isActive) {
--- a/lacewing/placementowner.h
+++ b/lacewing/placementowner.h
@@ -46,6 +46,9 @@
 
     /// @param fencingNumber sent with each order
     void begin(std::int64_t fencingNumber);
+    /// Goes on under another claim of this VM.
+    /// @param fencingNumber sent with each order from now on
+    void renew(std::int64_t fencingNumber);
     void end();
     bool active() const;
     std::int64_t fencing() const;
--- a/lacewing/testing/configprooftest.cpp
+++ b/lacewing/testing/configprooftest.cpp
@@ -20,10 +20,16 @@
 const TimePoint start {milliseconds(1000000)};
 constexpr Duration bound = milliseconds(5000);
 
+/// @return a position in the only era of these tests but the last
+StorePosition at(LogOffset offset)
+{
+    return {1, offset};
+}
+
 ConfigProof provenAt(TimePoint begun, LogOffset offset = 3)
 {
     ConfigProof proof;
-    recordConfigRead(proof, offset, begun);
+    recordConfigRead(proof, at(offset), begun);
     return proof;
 }
 
@@ -51,10 +57,32 @@
     cr_assert_eq(*proofAge(proof, start + milliseconds(20000)), milliseconds(20000));
 }
 
+// The store may have lost the change that took a key away; operators write it again.
+Test(configproof, readsProveNothingUntilLostChangesCanHaveBeenWrittenAgain)
+{
+    ConfigProof proof = provenAt(start);
+    recordHeartbeat(proof, 1, start + milliseconds(900));
+    recordNewEra(proof, start + milliseconds(1000));
+    cr_assert_not(recordConfigRead(proof, {2, 1}, start + milliseconds(1100)));
+    cr_assert_eq(*proof.provenAt, start, "what was proven before stays so");
+    cr_assert_not(recordPassedOnRead(proof, {2, 1}, 1));
+    const TimePoint later = start + milliseconds(1000) + unprovenAfterNewEra;
+    cr_assert(recordConfigRead(proof, {2, 1}, later));
+    cr_assert_eq(*proof.provenAt, later);
+}
+
+Test(configproof, aReadInAnotherEraProvesNothing)
+{
+    ConfigProof proof = provenAt(start, 9);
+    recordHeartbeat(proof, 1, start + milliseconds(1000));
+    cr_assert_not(recordPassedOnRead(proof, {2, 3}, 1), "a lower offset of a later era");
+    cr_assert_not(recordPassedOnRead(proof, {0, 3}, 1));
+}
+
 Test(configproof, anOlderReadThatEndsLaterDoesNotReplaceANewerProof)
 {
     ConfigProof proof = provenAt(start + milliseconds(500));
-    recordConfigRead(proof, 3, start);
+    recordConfigRead(proof, at(3), start);
     cr_assert_eq(*proof.provenAt, start + milliseconds(500));
 }
 
@@ -63,10 +91,10 @@
     ConfigProof proof = provenAt(start);
     recordHeartbeat(proof, 10, start + milliseconds(1000));
     recordHeartbeat(proof, 17, start + milliseconds(2000));
-    cr_assert_not(recordPassedOnRead(proof, 3, 9), "sent before any heartbeat on record");
-    cr_assert(recordPassedOnRead(proof, 3, 16), "other datagrams are numbered too");
+    cr_assert_not(recordPassedOnRead(proof, at(3), 9), "sent before any heartbeat on record");
+    cr_assert(recordPassedOnRead(proof, at(3), 16), "other datagrams are numbered too");
     cr_assert_eq(*proof.provenAt, start + milliseconds(1000));
-    cr_assert(recordPassedOnRead(proof, 3, 17));
+    cr_assert(recordPassedOnRead(proof, at(3), 17));
     cr_assert_eq(*proof.provenAt, start + milliseconds(2000));
 }
 
@@ -74,11 +102,11 @@
 {
     ConfigProof proof = provenAt(start, 3);
     recordHeartbeat(proof, 1, start + milliseconds(1000));
-    cr_assert_not(recordPassedOnRead(proof, 4, 1));
+    cr_assert_not(recordPassedOnRead(proof, at(4), 1));
     cr_assert_eq(*proof.provenAt, start);
     ConfigProof empty;
     recordHeartbeat(empty, 1, start);
-    cr_assert_not(recordPassedOnRead(empty, 0, 1), "nothing was read yet");
+    cr_assert_not(recordPassedOnRead(empty, at(0), 1), "nothing was read yet");
 }
 
 Test(configproof, ownReadsBeginBeforeTheBoundIsNear)
@@ -109,7 +137,7 @@
                 readers[vm].lastBegun = now;
                 reads += 1;
                 for (std::size_t other = vm; storeAnswers && other < vms; other += zones) {
-                    recordConfigRead(proofs[other], 3, now);
+                    recordConfigRead(proofs[other], at(3), now);
                 }
             }
         }
@@ -243,10 +271,10 @@
             if (one.incarnation != vm.incarnation) {
                 return;
             }
-            recordConfigRead(vm.proof, one.offset, one.begun);
+            recordConfigRead(vm.proof, at(one.offset), one.begun);
             if (one.to == 0) {
                 InTransit read;
-                read.offset = vm.proof.appliedOffset;
+                read.offset = vm.proof.applied.offset;
                 read.incarnations = one.incarnations;
                 read.numbers = one.numbers;
                 sendToOthers(0, read);
@@ -258,7 +286,7 @@
         } else {
             for (std::size_t index = 0; index < one.incarnations.size(); ++index) {
                 if (one.incarnations[index] == vm.incarnation) {
-                    recordPassedOnRead(vm.proof, one.offset, one.numbers[index]);
+                    recordPassedOnRead(vm.proof, at(one.offset), one.numbers[index]);
                 }
             }
         }
@@ -297,10 +325,10 @@
         const bool accepts = decideKey(true, proofAge(vm.proof, now), bound) == KeyDecision::Accepted;
         accepted += accepts ? 1 : 0;
         checked += 1;
-        if (!accepts || vm.proof.appliedOffset >= offset) {
+        if (!accepts || vm.proof.applied.offset >= offset) {
             return;
         }
-        const TimePoint firstUnknown = changes[static_cast<std::size_t>(vm.proof.appliedOffset)];
+        const TimePoint firstUnknown = changes[static_cast<std::size_t>(vm.proof.applied.offset)];
         cr_assert_leq(now - firstUnknown, bound);
     }
 
--- a/lacewing/testing/entrynodeoriginstest.cpp
+++ b/lacewing/testing/entrynodeoriginstest.cpp
@@ -43,7 +43,7 @@
         for (EntryNode *node : {&this->one, &this->two}) {
             cr_assert_not(node->start());
             node->setConfig(makeStreamConfig());
-            node->listRead({0});
+            node->listRead({{unnamedEra, 0}});
         }
         cr_assert(this->runUntil([this] { return this->one.heard("vm2") && this->two.heard("vm1"); }));
     }
--- a/lacewing/testing/handlerguardtest.cpp
+++ b/lacewing/testing/handlerguardtest.cpp
@@ -61,7 +61,7 @@
     cr_assert_not(node.start());
     node.setConfig(makeEngineConfig());
     node.putEndpoint(makeEntry(false));
-    node.listRead({1});
+    node.listRead({{unnamedEra, 1}});
     const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(20);
     while (handlerFailures().total == 0 && std::chrono::steady_clock::now() < end) {
         context.run_one_for(std::chrono::milliseconds(20));
--- a/lacewing/testing/leavingtest.cpp
+++ b/lacewing/testing/leavingtest.cpp
@@ -36,7 +36,7 @@
             = std::make_unique<EntryNode>(this->context, this->settings, RequestFormat {}, this->platform.port("vm1"));
         cr_assert_not(this->node->start());
         this->node->putEndpoint(makeEntry(false));
-        this->node->listRead({10});
+        this->node->listRead({{unnamedEra, 10}});
     }
 
     /// Sends a datagram and lets the VM take it in, with all that was sent before.
@@ -44,7 +44,7 @@
     {
         bool taken = false;
         this->configOffset += 1;
-        this->node->onConfigBehind = [&taken](std::int64_t) { taken = true; };
+        this->node->onConfigBehind = [&taken](const StorePosition &) { taken = true; };
         datagram.configOffset = this->configOffset;
         this->owner.send(this->settings.datagramAddress, std::move(datagram));
         cr_assert(this->runUntil([&taken] { return taken; }));
@@ -113,16 +113,16 @@
     cr_assert_not(two.start());
     for (EntryNode *node : {&one, &two}) {
         node->putEndpoint(makeEntry(false));
-        node->listRead({10});
+        node->listRead({{unnamedEra, 10}});
     }
     // While the zone has no owner, each reads for itself, and VM one happens to read last.
     one.putEndpoint(makeEntry(true));
-    one.listRead({20});
+    one.listRead({{unnamedEra, 20}});
     int notices = 0;
     const auto end = std::chrono::steady_clock::now() + longestRun;
     while (notices < 2 && std::chrono::steady_clock::now() < end) {
         context.run_one_for(std::chrono::milliseconds(20));
-        one.listRead({20});
+        one.listRead({{unnamedEra, 20}});
         observer.send(settings.datagramAddress, {}); // is alive, so it is told too
         for (const wire::VmDatagram &datagram : observer.received()) {
             notices += datagram.__isset.placement ? 1 : 0;
@@ -141,7 +141,7 @@
     vm.node->recordStoreResult(false); // one lost answer or refusal, while the store serves
     vm.node->recordStoreResult(true);
     vm.node->removeEndpoint("i-1");
-    vm.node->listRead({20});
+    vm.node->listRead({{unnamedEra, 20}});
     cr_assert_not(vm.node->gateway().fleet().endpoints.contains("i-1"));
 }
 
@@ -185,11 +185,11 @@
     vm.deliver(removal);
     const Fleet &fleet = vm.node->gateway().fleet();
     cr_assert_not(fleet.endpoints.contains("i-1"));
-    vm.node->putEndpoint(makeEntry(false), 15);
-    vm.node->listRead({16});
+    vm.node->putEndpoint(makeEntry(false), {unnamedEra, 15});
+    vm.node->listRead({{unnamedEra, 16}});
     cr_assert_not(fleet.endpoints.contains("i-1"), "older than what the owner told");
-    vm.node->putEndpoint(makeEntry(false), 20);
+    vm.node->putEndpoint(makeEntry(false), {unnamedEra, 20});
     cr_assert(fleet.endpoints.contains("i-1"), "listed again since");
-    vm.node->removeEndpoint("i-1", 19);
+    vm.node->removeEndpoint("i-1", {unnamedEra, 19});
     cr_assert(fleet.endpoints.contains("i-1"), "a removal from before that");
 }
--- a/lacewing/testing/listfreshnesstest.cpp
+++ b/lacewing/testing/listfreshnesstest.cpp
@@ -22,6 +22,12 @@
     return start + lacewing::milliseconds(milliseconds);
 }
 
+/// @return a position in the first era
+StorePosition offset(LogOffset number)
+{
+    return {1, number};
+}
+
 /// An endpoint is added to the list or removed from it. The index among all changes is the offset of the change.
 struct Change {
     TimePoint acknowledged;
@@ -136,12 +142,12 @@
 
     void read(ZoneVm &vm)
     {
-        if (this->chance(this->historyLossRate)) {
+        if (this->chance(this->historyLossRate) || vm.knowledge.known.era != this->era) {
             this->relist(vm);
         } else {
             this->readChanges(vm);
         }
-        recordOwnRead(vm.knowledge, static_cast<std::int64_t>(vm.next), this->now);
+        recordOwnRead(vm.knowledge, {this->era, static_cast<std::int64_t>(vm.next)}, this->now);
         const Difference difference = std::exchange(vm.read, {});
         if (vm.owner) {
             this->send(vm, nextAnnouncement(vm.chain, vm.knowledge, !difference.empty()), difference);
@@ -165,23 +171,38 @@
     void receive(const Datagram &datagram)
     {
         ZoneVm &vm = this->vms[datagram.to];
-        if (datagram.statement.offset > vm.knowledge.offset && follows(vm.knowledge, datagram.statement)) {
+        if (datagram.statement.end > vm.knowledge.known && follows(vm.knowledge, datagram.statement)) {
             vm.copy.insert(datagram.difference.listed.begin(), datagram.difference.listed.end());
             for (const int endpoint : datagram.difference.removed) {
                 vm.copy.erase(endpoint);
             }
         }
-        const std::int64_t before = vm.knowledge.offset;
+        const StorePosition before = vm.knowledge.known;
         recordStatement(vm.knowledge, datagram.statement, std::to_string(datagram.from));
         recordUpdateFromOther(vm.chain, before, vm.knowledge);
     }
 
+    /// The store loses its newest changes; what was lost of them is written again by and by.
+    void returnFromCopy()
+    {
+        const std::size_t lost = std::min<std::size_t>(this->changes.size(), this->random() % 20);
+        this->changes.resize(this->changes.size() - lost);
+        for (Change &change : this->changes) {
+            change.acknowledged = std::min(change.acknowledged, this->now);
+        }
+        this->era += 1;
+        this->eraBegun = this->now;
+    }
+
     void step()
     {
         this->now += milliseconds(10);
         if (this->chance(0.02)) {
             this->change();
         }
+        if (this->chance(this->eraRate)) {
+            this->returnFromCopy();
+        }
         if (this->chance(0.004)) { // a VM starts or stops being an owner; there may be several
             ZoneVm &vm = this->vms[this->random() % this->vms.size()];
             vm.owner = !vm.owner;
@@ -204,7 +225,7 @@
             }
         }
         for (ZoneVm &vm : this->vms) {
-            if (vm.owner && vm.knowledge.offset != noOffset && this->chance(0.02)) {
+            if (vm.owner && isKnown(vm.knowledge.known) && this->chance(0.02)) {
                 this->send(vm, nextAnnouncement(vm.chain, vm.knowledge, false), {});
             }
         }
@@ -214,13 +235,19 @@
     bool copiesAreConsistent() const
     {
         for (const ZoneVm &vm : this->vms) {
-            if (vm.knowledge.offset == noOffset) {
+            if (!isKnown(vm.knowledge.known)) {
                 continue;
             }
-            const auto known = static_cast<std::size_t>(vm.knowledge.offset);
+            if (vm.knowledge.known.era != this->era) {
+                if (vm.knowledge.current > this->eraBegun) {
+                    return false;
+                }
+                continue;
+            }
+            const auto known = static_cast<std::size_t>(vm.knowledge.known.offset);
             const bool recent
                 = known >= this->changes.size() || this->changes[known].acknowledged >= vm.knowledge.current;
-            if (!recent || vm.copy != this->listAt(vm.knowledge.offset)) {
+            if (!recent || vm.copy != this->listAt(vm.knowledge.known.offset)) {
                 return false;
             }
         }
@@ -230,11 +257,14 @@
     std::mt19937_64 random;
     std::vector<ZoneVm> vms;
     std::vector<Change> changes;
+    std::int64_t era = 1;
+    TimePoint eraBegun = start;
     int nextEndpoint = 1;
     std::multimap<TimePoint, Datagram> inFlight;
     TimePoint now = start;
     double datagramLoss = 0.3;
     double failedReads = 0.1;
+    double eraRate = 0; ///< of returns of the store from a copy, for each step
     double historyLossRate = 0.2; ///< share of reads that find the history dropped by the store
 };
 
@@ -243,9 +273,9 @@
 Test(listfreshness, contiguousChangeExtendsTheKnownOffset)
 {
     ListFreshness knowledge;
-    recordOwnRead(knowledge, 10, at(0));
-    recordStatement(knowledge, {10, 20, at(900)}, "vm0");
-    cr_assert_eq(knowledge.offset, 20);
+    recordOwnRead(knowledge, offset(10), at(0));
+    recordStatement(knowledge, {offset(10), offset(20), at(900)}, "vm0");
+    cr_assert_eq(knowledge.known.offset, 20);
     cr_assert_eq(knowledge.current, at(900));
     cr_assert(isCovered(knowledge, at(900) + readValidity - milliseconds(1)));
     cr_assert_not(isCovered(knowledge, at(900) + readValidity));
@@ -254,24 +284,24 @@
 Test(listfreshness, missedChangeIsNotCoveredByLaterOnes)
 {
     ListFreshness knowledge;
-    recordOwnRead(knowledge, 10, at(0));
-    recordStatement(knowledge, {20, 30, at(900)}, "vm0");
-    recordStatement(knowledge, {30, 30, at(1000)}, "vm0");
-    cr_assert_eq(knowledge.offset, 10);
+    recordOwnRead(knowledge, offset(10), at(0));
+    recordStatement(knowledge, {offset(20), offset(30), at(900)}, "vm0");
+    recordStatement(knowledge, {offset(30), offset(30), at(1000)}, "vm0");
+    cr_assert_eq(knowledge.known.offset, 10);
     cr_assert_not(isCovered(knowledge, at(1000)));
-    recordStatement(knowledge, {10, 20, at(900)}, "vm0"); // a repetition of the missed announcement
-    recordStatement(knowledge, {20, 30, at(900)}, "vm0");
-    cr_assert_eq(knowledge.offset, 30);
+    recordStatement(knowledge, {offset(10), offset(20), at(900)}, "vm0"); // a repetition of the missed announcement
+    recordStatement(knowledge, {offset(20), offset(30), at(900)}, "vm0");
+    cr_assert_eq(knowledge.known.offset, 30);
     cr_assert_not(isCovered(knowledge, at(900) + readValidity));
 }
 
 Test(listfreshness, announcementWithoutPreviousOffsetDoesNotCover)
 {
     ListFreshness knowledge;
-    recordOwnRead(knowledge, 10, at(0));
-    recordStatement(knowledge, {noOffset, 20, at(900)}, "vm0");
+    recordOwnRead(knowledge, offset(10), at(0));
+    recordStatement(knowledge, {{}, offset(20), at(900)}, "vm0");
     cr_assert_not(isCovered(knowledge, at(900)));
-    recordOwnRead(knowledge, 20, at(1000));
+    recordOwnRead(knowledge, offset(20), at(1000));
     cr_assert_not(isCovered(knowledge, at(1000)));
 }
 
@@ -279,13 +309,13 @@
 {
     ListFreshness successor;
     ListFreshness other;
-    recordOwnRead(other, 10, at(0));
-    recordOwnRead(successor, 20, at(300));
+    recordOwnRead(other, offset(10), at(0));
+    recordOwnRead(successor, offset(20), at(300));
     ListChain chain;
     startChain(chain, successor);
     recordStatement(other, nextAnnouncement(chain, successor, false), "vm1");
     cr_assert_not(isCovered(other, at(310)));
-    recordOwnRead(other, 20, at(400));
+    recordOwnRead(other, offset(20), at(400));
     recordStatement(other, nextAnnouncement(chain, successor, false), "vm1");
     cr_assert(isCovered(other, at(410)));
 }
@@ -319,3 +349,38 @@
         }
     }
 }
+
+// The store comes back from a copy every few seconds. A VM never counts as up to date by what is said of another era.
+Test(listfreshness, copyHasEveryChangeOfItsEra)
+{
+    constexpr std::uint64_t seeds = 60;
+    constexpr int steps = 4000;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        Zone zone(seed);
+        zone.eraRate = 0.004;
+        zone.failedReads = 0;
+        for (int step = 0; step < steps; ++step) {
+            zone.step();
+            cr_assert(zone.copiesAreConsistent(), "seed %llu, step %d", static_cast<unsigned long long>(seed), step);
+            for (const ZoneVm &vm : zone.vms) {
+                cr_assert_leq(zone.now - vm.knowledge.current, readValidity + milliseconds(10), "seed %llu, step %d",
+                              static_cast<unsigned long long>(seed), step);
+            }
+        }
+    }
+}
+
+Test(listfreshness, anAnnouncementOfAnotherEraCoversNothing)
+{
+    ListFreshness knowledge;
+    recordOwnRead(knowledge, {1, 96}, at(0));
+    recordStatement(knowledge, {{2, 50}, {2, 51}, at(900)}, "vm0");
+    cr_assert_eq(knowledge.known.offset, 96);
+    cr_assert_not(isCovered(knowledge, at(900)), "the change at 51 is not known");
+    recordOwnRead(knowledge, {2, 51}, at(1000));
+    recordStatement(knowledge, {{1, 96}, {1, 97}, at(1100)}, "vm1"); // an owner that does not know of the era
+    cr_assert_eq(knowledge.known, (StorePosition {2, 51}));
+    cr_assert_not(isCovered(knowledge, at(1100)));
+    recordStatement(knowledge, {{2, 51}, {2, 51}, at(1200)}, "vm0");
+    cr_assert(isCovered(knowledge, at(1200)));
+}
--- a/lacewing/testing/zoneclaimtest.cpp
+++ b/lacewing/testing/zoneclaimtest.cpp
@@ -4,10 +4,13 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <random>
+#include <set>
 #include <utility>
 #include <vector>
 
+#include "storeposition.h"
 #include "zoneclaim.h"
 
 using namespace lacewing;
@@ -33,6 +36,7 @@
         bool storeCut = false;
         int frozen = 0; ///< remaining steps of a freeze
         bool wasFrozen = false;
+        std::int64_t era = 0; ///< newest of the store that it knows of
     };
 
     explicit Simulation(unsigned seed) : random(seed), vms(8)
@@ -59,6 +63,15 @@
         return view;
     }
 
+    /// The store loses its newest claims, and gives their offsets out again.
+    void returnFromCopy()
+    {
+        StorePosition logEnd = claimEnd(this->end);
+        logEnd.offset -= std::min<LogOffset>(logEnd.offset, static_cast<LogOffset>(this->random() % 4));
+        logEnd.era += 1;
+        this->end = claimNumber(logEnd);
+    }
+
     void fault()
     {
         Vm &vm = this->vms[this->random() % this->vms.size()];
@@ -82,7 +95,8 @@
     {
         Vm &vm = this->vms[index];
         const ZoneView view = this->viewOf(index);
-        if (shouldClaim(vm.claim, view, this->now)) {
+        vm.era = vm.storeCut ? vm.era : claimEnd(this->end).era;
+        if (shouldRenew(vm.claim, view, vm.era, this->now) || shouldClaim(vm.claim, view, this->now)) {
             if (vm.storeCut) {
                 recordClaimFailure(vm.claim, this->now);
                 return;
@@ -91,11 +105,24 @@
             this->end += gained ? 1 : 0;
             this->claims += gained ? 1 : 0;
             applyClaimReply(vm.claim, this->settings, gained, this->end, this->now);
+            if (gained) {
+                cr_assert(this->numbers.insert(this->end).second, "number %lld was used before",
+                          static_cast<long long>(this->end));
+            }
         } else if (shouldConfirm(vm.claim, this->settings, view, this->now) && !vm.storeCut) {
             applyNewestClaim(vm.claim, this->end, this->now, this->now);
         }
     }
 
+    void notify(std::size_t index)
+    {
+        for (std::size_t to = 0; to < this->vms.size(); ++to) {
+            if (this->hears(to, index) && this->vms[to].frozen == 0) {
+                recordOwner(this->vms[to].claim, this->vms[index].claim.fencing, this->now);
+            }
+        }
+    }
+
     /// Runs one step and checks the orders that endpoints would get.
     void step()
     {
@@ -112,6 +139,10 @@
                 recordStall(vm.claim, this->now);
             }
             this->queryStore(index);
+            if (vm.claim.held
+                && this->tick % 10 == 0) { // owners send notices twice a second, also before their first order
+                this->notify(index);
+            }
             if (!mayOrder(vm.claim, this->settings, this->now)) {
                 continue;
             }
@@ -121,13 +152,6 @@
             }
             cr_assert_leq(vm.claim.fencing, this->end);
             orderers += 1;
-            if (this->tick % 10 == 0) { // owners send notices twice a second
-                for (std::size_t to = 0; to < this->vms.size(); ++to) {
-                    if (this->hears(to, index) && this->vms[to].frozen == 0) {
-                        recordOwner(this->vms[to].claim, vm.claim.fencing, this->now);
-                    }
-                }
-            }
         }
         this->ordering += orderers == 1 ? 1 : 0;
         this->tick += 1;
@@ -137,7 +161,8 @@
     ZoneClaimSettings settings;
     std::vector<Vm> vms;
     TimePoint now = start;
-    std::int64_t end = 0; ///< end offset of the log
+    std::int64_t end = 0; ///< number of the end of the log
+    std::set<std::int64_t> numbers; ///< of all claims
     int claims = 0;
     int ordering = 0; ///< steps in which exactly one VM may issue orders
     int tick = 0;
@@ -322,6 +347,46 @@
     cr_assert_geq(zone.ordering, 1900);
 }
 
+// The owner claims the zone again; no other VM does, and orders are not interrupted.
+Test(zoneclaim, aNewEraOfTheStoreCostsOneClaimAndNoOrders)
+{
+    for (const bool checked : {true, false}) {
+        Simulation zone(1);
+        zone.settings.endpointsCheckFencing = checked;
+        int eras = 0;
+        for (int step = 0; step < 2100; ++step) {
+            if (step < 2000 && step % 200 == 199) {
+                zone.returnFromCopy();
+                eras += 1;
+            }
+            zone.step();
+        }
+        cr_assert_eq(zone.claims, 1 + eras, "%d claims in %d eras", zone.claims, eras);
+        cr_assert_geq(zone.ordering, 1900);
+    }
+}
+
+Test(zoneclaim, anIsolatedOwnerDoesNotClaimAgainInANewEra)
+{
+    const ZoneClaim claim = ownerOf(claimNumber({1, 5}), {}, start);
+    const ZoneView alone {4, 1, 0};
+    cr_assert(shouldRenew(claim, wholeZone, 2, start));
+    cr_assert_not(shouldRenew(claim, wholeZone, 1, start));
+    cr_assert_not(shouldRenew(claim, alone, 2, start), "the others may have replaced it");
+}
+
+Test(zoneclaim, aClaimInAnUnknownEraIsMadeAgainAtTheEndOfTheLog)
+{
+    ZoneClaim claim;
+    recordOwner(claim, claimNumber({1, 9}), start);
+    const TimePoint later = start + ownerTimeout;
+    cr_assert_not(applyClaimReply(claim, {}, false, claimNumber({2, 3}), later));
+    cr_assert_not(shouldClaim(claim, wholeZone, later), "another VM may have claimed it, and will be heard");
+    cr_assert(shouldClaim(claim, wholeZone, later + claimTurnInterval));
+    cr_assert_eq(claim.newest, claimNumber({2, 3}));
+    cr_assert_not(recordOwner(claim, claimNumber({1, 9}), later), "it has been superseded");
+}
+
 Test(zoneclaim, aVmThatIsBrieflyCutOffDoesNotTakeTheZoneFromItsOwner)
 {
     Simulation zone(1);
@@ -360,3 +425,33 @@
         cr_assert_geq(zone.ordering, 200, "seed %u: %d", seed, zone.ordering);
     }
 }
+
+// Random faults and returns of the store from a copy: a number is never used twice, and a zone is never without an
+// owner for good. step() checks the numbers.
+Test(zoneclaim, numbersAreUniqueInAllErasAndAZoneFindsAnOwner)
+{
+    for (unsigned seed = 1; seed <= 40; ++seed) {
+        Simulation zone(seed);
+        zone.settings.endpointsCheckFencing = seed % 2 == 0;
+        for (int step = 0; step < 4000; ++step) {
+            if (step % 40 == 0) {
+                zone.fault();
+            }
+            if (zone.random() % 150 == 0) {
+                zone.returnFromCopy();
+            }
+            zone.step();
+        }
+        for (Simulation::Vm &vm : zone.vms) {
+            vm.cut = false;
+            vm.storeCut = false;
+            vm.frozen = 0;
+        }
+        const int before = zone.ordering;
+        for (int step = 0; step < 400; ++step) {
+            zone.step();
+        }
+        cr_assert_gt(zone.ordering, before + 200, "seed %u: %d of 400 steps with an owner", seed,
+                     zone.ordering - before);
+    }
+}
--- a/lacewing/vmgossip.cpp
+++ b/lacewing/vmgossip.cpp
@@ -190,8 +190,9 @@
     if (datagram.__isset.listChange && datagram.zone == this->self.zone && this->onList) {
         this->onList(datagram.vm, datagram.listChange, heldUp);
     }
-    if (datagram.configOffset > this->configOffset && this->onConfigOffset) {
-        this->onConfigOffset(datagram.configOffset);
+    const StorePosition read {datagram.__isset.configEra ? datagram.configEra : unnamedEra, datagram.configOffset};
+    if (read > this->configRead && this->onConfigPosition) {
+        this->onConfigPosition(read);
     }
     if (datagram.configVersion > this->configVersion && this->onConfigVersion) {
         this->onConfigVersion(datagram.vm, datagram.zone, datagram.configVersion);
@@ -243,7 +244,10 @@
     datagram.number = this->nextNumber++;
     datagram.zone = this->self.zone;
     datagram.leaving = this->leaving;
-    datagram.configOffset = this->configOffset;
+    datagram.configOffset = this->configRead.offset;
+    if (this->configRead.era != unnamedEra) {
+        datagram.__set_configEra(this->configRead.era);
+    }
     datagram.millicores = this->millicores;
     return datagram;
 }
--- a/lacewing/vmgossip.h
+++ b/lacewing/vmgossip.h
@@ -114,7 +114,7 @@
 
     /// State of this VM that is sent with each datagram.
     bool leaving = false;
-    std::int64_t configOffset = 0;
+    StorePosition configRead {unnamedEra, 0}; ///< how far this VM has read the operators' changes
     std::int64_t configVersion = 0; ///< of the configuration in force; sent with heartbeats
     std::int32_t millicores = 0;
     /// Services that this VM is cut off from; sent with heartbeats.
@@ -142,7 +142,7 @@
     std::function<void(const VmId &, const wire::ListChange &, Duration)>
         onList; ///< only for datagrams from VMs of this zone
     std::function<void(const wire::ConfigRead &)> onConfigRead; ///< only for datagrams from VMs of this zone
-    std::function<void(std::int64_t)> onConfigOffset; ///< another VM has read further than this one
+    std::function<void(const StorePosition &)> onConfigPosition; ///< another VM has read further than this one
     /// Another VM has a newer configuration in force.
     std::function<void(const VmId &, const ZoneName &, std::int64_t version)> onConfigVersion;
     /// Another VM that has a version in force asks for a newer configuration.
--- a/lacewing/zoneclaim.cpp
+++ b/lacewing/zoneclaim.cpp
@@ -1,9 +1,11 @@
-// The fencing number of a claim is its offset in the zone's log plus one, which is the end offset of the log after it.
+// The fencing number of a claim is that of the end of the zone's log after it.
 
 #include "zoneclaim.h"
 
 #include <algorithm>
 
+#include "storeposition.h"
+
 namespace lacewing {
 
 namespace {
@@ -26,6 +28,11 @@
     return silence + claimTurnInterval * turns + (asLast ? isolatedClaimDelay : Duration {0});
 }
 
+std::int64_t eraOf(std::int64_t fencing)
+{
+    return claimEnd(fencing).era;
+}
+
 bool recordNewerClaim(ZoneClaim &claim, std::int64_t fencing, TimePoint now)
 {
     claim.newest = std::max(claim.newest, fencing);
@@ -73,16 +80,28 @@
     return !claim.held && now >= claim.retryFrom && now - claim.newestHeard >= claimDelay(claim, view);
 }
 
+bool shouldRenew(const ZoneClaim &claim, const ZoneView &view, std::int64_t era, TimePoint now)
+{
+    return claim.held && eraOf(claim.fencing) < era && !isIsolated(view) && now >= claim.retryFrom;
+}
+
 bool applyClaimReply(ZoneClaim &claim, const ZoneClaimSettings &settings, bool gained, std::int64_t newest,
                      TimePoint now)
 {
+    if (!gained && eraOf(newest) > eraOf(claim.newest)) {
+        claim.newest = newest;
+        claim.retryFrom = claim.held ? now : now + claimTurnInterval;
+        return false;
+    }
     if (!gained) {
         recordNewerClaim(claim, newest, now);
         return false;
     }
-    const bool unopposed = claim.ownerLeft || claim.newest == 0;
-    const Duration takeover = unopposed ? Duration {0} : takeoverDelay;
-    claim.usableFrom = now + (settings.endpointsCheckFencing ? takeover : settings.ownerChangeDelay);
+    if (!claim.held) {
+        const bool unopposed = claim.ownerLeft || claim.newest == 0;
+        const Duration takeover = unopposed ? Duration {0} : takeoverDelay;
+        claim.usableFrom = now + (settings.endpointsCheckFencing ? takeover : settings.ownerChangeDelay);
+    }
     claim.held = true;
     claim.fencing = newest;
     claim.newest = newest;
--- a/lacewing/zoneclaim.h
+++ b/lacewing/zoneclaim.h
@@ -3,7 +3,12 @@
 // A claim is a record in a log in the platform's store; each zone has its own log. A claim is appended only if the log
 // still ends with the claim that it supersedes (compare-and-append). Of several VMs that see an owner fail, exactly one
 // gets the zone, and the position of its claim in the log is a monotonic fencing number. A claim holds until the next
-// one is appended: owners don't renew claims.
+// one is appended.
+//
+// If the store loses its newest records, it begins a new era. Fencing numbers grow with the era first
+// (storeposition.h), so that a claim in the new era supersedes all earlier ones, whether they were lost or not, and no
+// number is used twice. The owner claims the zone again as soon as it learns of the era, and goes on meanwhile. A VM
+// that names a claim of an earlier era learns where the log ends now, and claims once more.
 //
 // Load pattern: an owner is killed, frozen, slow, or cut off from the store, from the other VMs or from both, several
 // times a minute, while hundreds of VMs watch. A VM claims the zone once the owner was silent for ownerTimeout. VMs
@@ -121,11 +126,20 @@
 /// @return whether to claim the zone now, superseding claim.newest
 bool shouldClaim(const ZoneClaim &claim, const ZoneView &view, TimePoint now);
 
+/// @param claim of this VM
+/// @param view of the zone
+/// @param era of the store, the newest that is known
+/// @param now time
+/// @return whether this VM, the owner, is to claim the zone again because its claim is of an earlier era. One that may
+/// be cut off from the zone is not: the others may have replaced it.
+bool shouldRenew(const ZoneClaim &claim, const ZoneView &view, std::int64_t era, TimePoint now);
+
 /// Applies the store's answer to a claim.
 /// @param claim changed
 /// @param settings of claims
 /// @param gained whether the claim was appended, since no newer one had been
-/// @param newest fencing number of the newest claim, of this VM or another one
+/// @param newest fencing number of the newest claim, of this VM or another one, or of the end of the log in an era that
+///        this VM did not know of
 /// @param now time
 /// @return whether this VM is the owner now
 bool applyClaimReply(ZoneClaim &claim, const ZoneClaimSettings &settings, bool gained, std::int64_t newest,
