A VM whose connections are accepted and reset is cut off

Cause: only connections that fail were a sign of the cut, and a round of verification counted a connection as soon as it was accepted. Class: a sign that is taken for more than it shows. Requests that two endpoints break off without a byte of an answer, with no answer of the service in between, now start a round; a connection of a round has to stay open for 100 ms; and requests that were broken off wait for the round, so that they do not spend their attempts and retries on servers that can't be reached.

--- a/lacewing/endpointreach.cpp
+++ b/lacewing/endpointreach.cpp
@@ -11,7 +11,8 @@
 
 bool isFailing(const EndpointReach &reach, std::size_t endpoints)
 {
-    return reach.timedOut || reach.failed.size() >= std::min(failuresToVerify, endpoints);
+    const std::size_t needed = std::min(failuresToVerify, endpoints);
+    return reach.timedOut || reach.failed.size() >= needed || reach.brokenOff.size() >= needed;
 }
 
 bool isSilent(const EndpointReach &reach, TimePoint now)
@@ -23,13 +24,20 @@
 {
     reach.failed.clear();
     reach.timedOut = false;
+    reach.brokenOff.clear();
 }
 
 } // namespace
 
 void recordConnected(EndpointReach &reach)
 {
-    clearFailures(reach);
+    reach.failed.clear();
+    reach.timedOut = false;
+}
+
+void recordBrokenOff(EndpointReach &reach, const EndpointName &endpoint)
+{
+    reach.brokenOff.insert(endpoint);
 }
 
 void recordNotConnected(EndpointReach &reach, const EndpointName &endpoint, bool timedOut)
@@ -49,6 +57,7 @@
 void recordBytes(EndpointReach &reach, TimePoint now)
 {
     reach.heard = now;
+    reach.brokenOff.clear();
 }
 
 void recordExchangeEnd(EndpointReach &reach)
--- a/lacewing/endpointreach.h
+++ b/lacewing/endpointreach.h
@@ -8,6 +8,10 @@
 //   const std::size_t wanted = connectionsToVerify(reach, endpointCount, now);   // then to be opened
 //   finishRound(reach, attempted, established, now);
 //
+// - Connections may be accepted and reset at once, so that none fails. Requests that are broken off without a byte of
+// an
+//   answer, by several endpoints and with no answer of the service in between, start a round as well, and a connection
+//   of a round counts as established only if it stays open.
 // - Failed connections alone prove nothing, as endpoints may have crashed. They start a round of verification, in which
 //   the VM opens connections to other endpoints of the service. Only if none is established is the VM cut off.
 // - Answers on connections opened earlier do not count: they may go on while new connections are refused.
@@ -37,10 +41,14 @@
 /// round follows: sound endpoints may be silent for about a second.
 constexpr Duration silenceToVerify = milliseconds(1000);
 
+/// A connection of a round has to stay open for this time: several round trips.
+constexpr Duration staysOpen = milliseconds(100);
+
 /// What this VM knows of its connection to the endpoints of one service.
 struct EndpointReach {
     std::set<EndpointName> failed; ///< endpoints to which connections failed since one was established
     bool timedOut = false; ///< one of these failures was a timeout
+    std::set<EndpointName> brokenOff; ///< endpoints that broke a request off since the latest bytes of an answer
     bool unreachable = false; ///< the VM is cut off from the service
     bool verifying = false; ///< a round is in progress
     bool afterSilence = false; ///< the latest round was started by silence alone; its failure leads to a full round
@@ -59,6 +67,11 @@
 /// @param timedOut whether there was no reply at all
 void recordNotConnected(EndpointReach &reach, const EndpointName &endpoint, bool timedOut);
 
+/// A request was broken off without a byte of an answer.
+/// @param reach updated
+/// @param endpoint that it was sent to
+void recordBrokenOff(EndpointReach &reach, const EndpointName &endpoint);
+
 /// A request was sent to an endpoint of the service.
 void recordExchangeBegin(EndpointReach &reach, TimePoint now);
 /// Bytes of an answer were received.
--- a/lacewing/gateway.h
+++ b/lacewing/gateway.h
@@ -269,6 +269,7 @@
     std::vector<ForwardingPeer> availablePeers(const ServiceName &service, std::span<const VmId> tried) const;
     void avoidPeer(const VmId &vm, bool outdated);
     void recordNotConnected(const ServiceName &service, const EndpointName &endpoint, bool timedOut);
+    void recordBrokenOff(const ServiceName &service, const EndpointName &endpoint);
     std::vector<ReachWatch::Candidate> reachCandidates(const ServiceName &service) const;
     void onReachChanged(const ServiceName &service, bool unreachable);
     void resumeVerified(const ServiceName &service);
--- a/lacewing/gatewayforwarding.cpp
+++ b/lacewing/gatewayforwarding.cpp
@@ -107,6 +107,12 @@
     this->reach.check();
 }
 
+void Gateway::recordBrokenOff(const ServiceName &service, const EndpointName &endpoint)
+{
+    lacewing::recordBrokenOff(this->reach.of(service), endpoint);
+    this->reach.check();
+}
+
 std::vector<ReachWatch::Candidate> Gateway::reachCandidates(const ServiceName &service) const
 {
     std::vector<ReachWatch::Candidate> candidates;
--- a/lacewing/reachwatch.cpp
+++ b/lacewing/reachwatch.cpp
@@ -1,4 +1,5 @@
-// A round ends with the last of its connections. Each is closed as soon as it is established; no request is sent.
+// A round ends with the last of its connections. Each is closed once it has stayed open for a while; no request is
+// sent.
 
 #include "reachwatch.h"
 
@@ -109,7 +110,32 @@
             socket->close(ignored);
         }
     });
-    socket->async_connect(*target, onEnd);
+    socket->async_connect(*target, [this, socket, timer, onEnd](const NetError &error) {
+        if (error) {
+            onEnd(error);
+            return;
+        }
+        awaitClose(socket, timer, onEnd);
+    });
+}
+
+void ReachWatch::awaitClose(const std::shared_ptr<Tcp::socket> &socket,
+                            const std::shared_ptr<asio::steady_timer> &timer,
+                            const std::function<void(const NetError &)> &onEnd)
+{
+    const auto closed = std::make_shared<bool>(false);
+    timer->expires_after(staysOpen);
+    timer->async_wait([socket, closed](const NetError &stopped) {
+        NetError ignored; // the connection has stayed open and is not needed any more
+        if (!stopped && !*closed) {
+            socket->cancel(ignored);
+        }
+    });
+    socket->async_wait(Tcp::socket::wait_read, [closed, onEnd](const NetError &error) {
+        *closed = true;
+        const bool open = error == asio::error::operation_aborted;
+        onEnd(open ? NetError {} : NetError(asio::error::connection_reset)); // endpoints send nothing unasked
+    });
 }
 
 void ReachWatch::endRound(const std::shared_ptr<Round> &round)
--- a/lacewing/reachwatch.h
+++ b/lacewing/reachwatch.h
@@ -66,6 +66,8 @@
 
     void verify(const ServiceName &service, std::vector<Candidate> known, std::size_t connections);
     void connect(const std::shared_ptr<Round> &round, const std::string &address);
+    static void awaitClose(const std::shared_ptr<Tcp::socket> &socket, const std::shared_ptr<asio::steady_timer> &timer,
+                           const std::function<void(const NetError &)> &onEnd);
     void endRound(const std::shared_ptr<Round> &round);
 
     asio::io_context &context;
--- a/lacewing/relayend.cpp
+++ b/lacewing/relayend.cpp
@@ -19,6 +19,7 @@
     }
     const std::string address = this->link ? this->link->address : std::string();
     const bool timedOut = this->link && this->link->connectTimedOut();
+    const bool unanswered = this->link && !this->answerBegun && !this->link->answerStarted();
     this->link.reset();
     if (!this->peer.empty()) {
         this->onPeerFailure(failure);
@@ -30,6 +31,8 @@
     }
     if (failure == LinkFailure::NotConnected) {
         this->gateway.recordNotConnected(this->service, this->endpoint, timedOut);
+    } else if (unanswered) {
+        this->gateway.recordBrokenOff(this->service, this->endpoint);
     }
     const auto kind = failure == LinkFailure::NotConnected ? EndpointFailure::Connect : EndpointFailure::Broken;
     this->gateway.recordEndpointFailure(this->endpoint, kind, this->info.id);
@@ -145,10 +148,9 @@
     }
     this->releaseEndpoint();
     // A round ends within a connect timeout. Meanwhile the request would use up its attempts at endpoints that can't be
-    // connected to.
+    // reached.
     const ReachWatch &reach = this->gateway.reach;
-    this->awaitsVerification
-        = !reachesServiceAgain && reach.isVerifying(this->service) && !reach.isUnreachable(this->service);
+    this->awaitsVerification = reach.isVerifying(this->service) && !reach.isUnreachable(this->service);
     if (!this->awaitsVerification) {
         this->place();
     }
--- a/lacewing/testing/endpointreachtest.cpp
+++ b/lacewing/testing/endpointreachtest.cpp
@@ -159,3 +159,25 @@
     cr_expect_eq(connectionsToVerify(reach, endpointCount, start + roundInterval / 2), 0U);
     cr_expect_gt(connectionsToVerify(reach, endpointCount, start + roundInterval), 0U);
 }
+
+Test(endpointreach, requestsThatTwoEndpointsBreakOffAreVerified)
+{
+    EndpointReach reach;
+    recordConnected(reach);
+    recordBrokenOff(reach, "i-1");
+    recordBrokenOff(reach, "i-1");
+    cr_expect_eq(connectionsToVerify(reach, endpointCount, start), 0U, "one endpoint may have crashed");
+    recordBrokenOff(reach, "i-2");
+    recordConnected(reach); // proves nothing: the connection may be reset next
+    cr_expect_eq(connectionsToVerify(reach, endpointCount, start), endpointsPerRound);
+    cr_expect(runRound(reach, start, 0));
+}
+
+Test(endpointreach, anAnswerShowsThatTheServiceIsReached)
+{
+    EndpointReach reach;
+    recordBrokenOff(reach, "i-1");
+    recordBytes(reach, start);
+    recordBrokenOff(reach, "i-2");
+    cr_expect_eq(connectionsToVerify(reach, endpointCount, start), 0U);
+}
