--- a/lacewing/testing/entrynodetest.cpp
+++ b/lacewing/testing/entrynodetest.cpp
@@ -202,6 +202,25 @@
     cr_assert(vms.runUntil([&] { return told == 7; }));
 }
 
+// The store has lost a configuration, perhaps with the revocation of a key, that another VM has in force.
+Test(entrynode, aReadOfAnOlderConfigurationThanAnotherVmHasProvesNothing)
+{
+    VmPair vms;
+    RouteConfig config;
+    config.version = 8;
+    vms.two.setConfig(std::make_shared<const RouteConfig>(config));
+    vms.two.configRead({unnamedEra, 1}, RuntimeClock().now());
+    config.version = 9;
+    vms.one.setConfig(std::make_shared<const RouteConfig>(config));
+    cr_assert(vms.runUntil([&] { return vms.two.gateway().isConfigOutdated(); }));
+    const TimePoint later = RuntimeClock().now();
+    vms.two.configRead({1, 1}, later);
+    cr_assert_lt(*vms.two.gateway().configProof.provenAt, later);
+    vms.two.setConfig(std::make_shared<const RouteConfig>(config));
+    vms.two.configRead({1, 2}, later);
+    cr_assert_eq(*vms.two.gateway().configProof.provenAt, later);
+}
+
 // Guards against VMs that accept a key without word from the platform, and against each VM reading for itself.
 Test(entrynode, aReadOfTheOwnerProvesTheConfigurationOfTheOtherVms)
 {
