The proof of a VM that starts on an older configuration is dropped

A key that was revoked in the seconds that the store has lost would be used until the proof of the start is too old, up to the revocation bound after the start.

--- a/lacewing/entrynode.h
+++ b/lacewing/entrynode.h
@@ -206,6 +206,7 @@
     void receiveConfigRead(const wire::ConfigRead &read);
     void connectConfigTransfer();
     ConfigTransferPorts configTransferPorts();
+    void dropProofOfStart();
     bool isConfigOutdated() const;
     bool isCatchingUpAtStart() const;
     void recordOwnDemand();
--- a/lacewing/entrynodeconfig.cpp
+++ b/lacewing/entrynodeconfig.cpp
@@ -40,6 +40,7 @@
 {
     this->gossip.onConfigVersion = [this](const VmId &vm, const ZoneName &zone, std::int64_t version) {
         this->configTransfer.recordStated(vm, zone == this->settings.zone, version);
+        this->dropProofOfStart();
     };
     this->gossip.onConfigAsk
         = [this](const VmId &vm, std::int64_t known) { this->configTransfer.answerAsk(vm, known); };
@@ -70,6 +71,17 @@
     return ports;
 }
 
+void EntryNode::dropProofOfStart()
+{
+    // What this VM read at its start may have been the older state of a store that has just come back from a copy, and
+    // a key that the newer configuration takes away would be used until the proof is too old.
+    const bool started
+        = this->settings.revocationBound && this->clock.now() - this->startedAt < *this->settings.revocationBound;
+    if (started && this->isConfigOutdated()) {
+        this->dataPath.configProof.provenAt.reset();
+    }
+}
+
 bool EntryNode::isConfigOutdated() const
 {
     const std::optional<Duration> behind = this->configTransfer.behind();
--- a/lacewing/testing/entrynodetest.cpp
+++ b/lacewing/testing/entrynodetest.cpp
@@ -221,6 +221,24 @@
     cr_assert_eq(*vms.two.gateway().configProof.provenAt, later);
 }
 
+// A VM that starts on the older state of a store that has just come back from a copy.
+Test(entrynode, theProofOfAVmThatStartsOnAnOlderConfigurationIsDropped)
+{
+    VmPair vms;
+    EntryNodeSettings settings = settingsOf("vm2");
+    settings.revocationBound = milliseconds(20000);
+    vms.two.applySettings(settings);
+    RouteConfig config;
+    config.version = 8;
+    config.requiresKeys = true;
+    vms.two.setConfig(std::make_shared<const RouteConfig>(config));
+    vms.two.configRead({5, 1}, RuntimeClock().now());
+    cr_assert(vms.two.gateway().configProof.provenAt.has_value());
+    config.version = 9;
+    vms.one.setConfig(std::make_shared<const RouteConfig>(config));
+    cr_assert(vms.runUntil([&] { return !vms.two.gateway().configProof.provenAt; }));
+}
+
 // Guards against VMs that accept a key without word from the platform, and against each VM reading for itself.
 Test(entrynode, aReadOfTheOwnerProvesTheConfigurationOfTheOtherVms)
 {
