An owner that asks for its claim in a new era claims its zone again

It gave the zone up: the end of the log in another era has a higher number than its claim. Where endpoints do not check fencing numbers, owners ask twice a second, and the zone was without orders for 5 s.

--- a/lacewing/entrynodeplacement.cpp
+++ b/lacewing/entrynodeplacement.cpp
@@ -116,9 +116,12 @@
     const TimePoint sentAt = this->clock.now();
     this->port.newestClaim(this->claim.fencing, [this, sentAt](std::optional<std::int64_t> newest) {
         this->storeQueryPending = false;
+        const TimePoint now = this->clock.now();
         if (!newest) {
-            recordClaimFailure(this->claim, this->clock.now());
-        } else if (applyNewestClaim(this->claim, *newest, sentAt, this->clock.now())) {
+            recordClaimFailure(this->claim, now);
+        } else if (shouldRenew(this->claim, this->gossip.zoneView(), claimEnd(*newest).era, now)) {
+            this->claimZone(); // the end of the log in another era says nothing of this VM's claim
+        } else if (applyNewestClaim(this->claim, *newest, sentAt, now)) {
             this->stopOwning("superseded");
         }
     });
