--- a/lacewing/endpointreach.h
+++ b/lacewing/endpointreach.h
@@ -8,9 +8,8 @@
 //   const std::size_t wanted = connectionsToVerify(reach, endpointCount, now);   // then to be opened
 //   finishRound(reach, attempted, established, now);
 //
-// - Connections may be accepted and reset at once, so that none fails. Requests that are broken off without a byte of
-// an
-//   answer, by several endpoints and with no answer of the service in between, start a round as well, and a connection
+// - Connections may be accepted and reset at once, so that none fails. So requests that several endpoints break off
+//   without a byte of an answer start a round as well, if the service has answered nothing in between, and a connection
 //   of a round counts as established only if it stays open.
 // - Failed connections alone prove nothing, as endpoints may have crashed. They start a round of verification, in which
 //   the VM opens connections to other endpoints of the service. Only if none is established is the VM cut off.
--- a/lacewing/entrynode.h
+++ b/lacewing/entrynode.h
@@ -283,7 +283,7 @@
     wire::ListChange pendingListChange; ///< changes read by this VM and not forwarded yet
     ListChain listChain; ///< of the changes that this VM has forwarded as the owner
     AnnouncementBudget rejectionAnnouncements; ///< of this VM, to all others
-    std::int64_t listChangesIgnored = 0; ///< announced by owners and known already, or not following what is known
+    std::int64_t listChangesIgnored = 0; ///< announced by owners and not following what is known
     std::int64_t storeEra = unnamedEra; ///< newest that the platform's store has named
     std::int64_t unreadableRecords = 0; ///< records of the platform that could not be read
     bool operatorChangesRead = false; ///< all operators' changes from before the start have been read
--- a/lacewing/entrynodelist.cpp
+++ b/lacewing/entrynodelist.cpp
@@ -212,7 +212,7 @@
     // of two, so that this VM can forward it if it becomes the owner.
     if (statement.end > known.known && follows(known, statement)) {
         this->applyListChange(change);
-    } else {
+    } else if (!follows(known, statement)) { // not a mere repeat
         this->listChangesIgnored += 1;
         logEvent("list_change_ignored",
                  {{"vm", vm},
--- a/lacewing/rejectionlimit.h
+++ b/lacewing/rejectionlimit.h
@@ -6,14 +6,15 @@
 // milliseconds old. A rejection alone tells a VM nothing about the rejections of the others, and a rejected request
 // that is tried at one endpoint after the other is rejected several times.
 //
-// So each rejection is announced to all VMs, and all of them keep the same share of the
-// requests for which the endpoint is considered. VMs of other zones send there as well: if their zone has lost its
-// endpoints, or none of these holds the adapter. Where there are so many VMs that the announcements would take too much
-// of their links, some reach the endpoint's zone only. A VM that has just started is told the shares. A rejection
-// lowers the share, and it recovers with time at a rate at which the endpoint rejects a quarter of what it can: the sum
-// over all VMs settles there, whatever the endpoint has room for at the moment. Where the rejections within a second
-// come near the limit by chance, all VMs stop sending to the endpoint until enough of them are past, each for a
-// slightly different time.
+// So each rejection is announced to all VMs, and all of them keep the same share of the requests for which the endpoint
+// is considered. A rejection lowers the share, and it recovers with time at a rate at which the endpoint rejects a
+// quarter of what it can: the sum over all VMs settles there, whatever the endpoint has room for at the moment. Where
+// the rejections within a second come near the limit by chance, all VMs stop sending to the endpoint until enough of
+// them are past, each for a slightly different time.
+//
+// VMs of other zones send to an endpoint as well, if their zone has lost its endpoints or none of these holds the
+// adapter. Where there are so many VMs that announcements to all would take too much of their links, some reach the
+// endpoint's zone only. A VM that has just started is told the shares.
 //
 // VMs whose view of the load is old would all select the same endpoint, so the better of two endpoints that are drawn
 // at random gets the request. An endpoint that has just started is empty and looks best to all VMs; its share begins
