--- a/lacewing/gatewayforwarding.cpp
+++ b/lacewing/gatewayforwarding.cpp
@@ -52,8 +52,7 @@
                                     [&](const auto &relay) { return relay->isForwardedBy(vm, id); });
     if (found != this->relays.end()) {
         logEvent("forward_cancelled", {{"id", std::string(id)}, {"vm", vm}});
-        const std::shared_ptr<Relay> cancelled = *found;
-        cancelled->abandonCaller();
+        (*found)->abandonCaller();
     }
 }
 
--- a/lacewing/reachwatch.cpp
+++ b/lacewing/reachwatch.cpp
@@ -110,7 +110,7 @@
             socket->close(ignored);
         }
     });
-    socket->async_connect(*target, [this, socket, timer, onEnd](const NetError &error) {
+    socket->async_connect(*target, [socket, timer, onEnd](const NetError &error) {
         if (error) {
             onEnd(error);
             return;
--- a/lacewing/relay.cpp
+++ b/lacewing/relay.cpp
@@ -375,8 +375,8 @@
 
 void Relay::abandonCaller()
 {
-    const auto abandoned = this->caller;
-    abandoned->abort();
+    const auto self = this->shared_from_this(); // its end removes it from the gateway
+    this->caller->abort();
 }
 
 void Relay::releaseEndpoint()
--- a/lacewing/storeposition.h
+++ b/lacewing/storeposition.h
@@ -7,7 +7,6 @@
 
 #pragma once
 
-#include <compare>
 #include <cstdint>
 
 #include "types.h"
@@ -19,12 +18,34 @@
 
 struct StorePosition {
     std::int64_t era = unnamedEra;
-    LogOffset offset = noOffset; ///< noOffset: not known
-
-    /// A position that is not known is before all known ones of its era.
-    friend constexpr auto operator<=>(const StorePosition &, const StorePosition &) = default;
+    LogOffset offset = noOffset; ///< noOffset: not known; such a position is before all known ones of its era
 };
 
+constexpr bool operator==(const StorePosition &one, const StorePosition &other)
+{
+    return one.era == other.era && one.offset == other.offset;
+}
+
+constexpr bool operator<(const StorePosition &one, const StorePosition &other)
+{
+    return one.era != other.era ? one.era < other.era : one.offset < other.offset;
+}
+
+constexpr bool operator>(const StorePosition &one, const StorePosition &other)
+{
+    return other < one;
+}
+
+constexpr bool operator<=(const StorePosition &one, const StorePosition &other)
+{
+    return !(other < one);
+}
+
+constexpr bool operator>=(const StorePosition &one, const StorePosition &other)
+{
+    return !(one < other);
+}
+
 /// @param position of a topic
 /// @return whether the position is known
 constexpr bool isKnown(const StorePosition &position)
--- a/lacewing/testing/rejectionzonestest.cpp
+++ b/lacewing/testing/rejectionzonestest.cpp
@@ -164,7 +164,8 @@
     /// The zone's second VM tells all others what it knows; its first one may have just started.
     void sendDigest(int zone, int now)
     {
-        const auto &view = this->views[static_cast<std::size_t>(zone * this->deployment.vmsPerZone + 1)];
+        const int teller = zone * this->deployment.vmsPerZone + 1;
+        const auto &view = this->views[static_cast<std::size_t>(teller)];
         std::bernoulli_distribution lost(lossShare);
         for (std::size_t index = 0; index < this->endpoints.size(); ++index) {
             const double share = requestShare(view[index], at(now));
