--- a/lacewing/entrynode.cpp
+++ b/lacewing/entrynode.cpp
@@ -305,6 +305,7 @@
             this->announce();
         }
     });
+    this->after(announcementSpread + listVmsRetry, [this] { this->refreshVms(); }); // when all have done so
 }
 
 void EntryNode::refreshVms()
