--- a/lacewing/gatewayrejections.cpp
+++ b/lacewing/gatewayrejections.cpp
@@ -72,9 +72,12 @@
     const TimePoint now = this->now();
     lacewing::recordRejectionLimit(this->rejectionLimits[endpoint.entry.service], update.maxRejections, now);
     const double draw = std::uniform_real_distribution<double>(0, 1)(this->random);
+    const double shareBefore = requestShare(endpoint.rejections, now);
     recordRejections(endpoint.rejections, update.rejected, update.maxRejections, draw, now);
     logEvent("endpoint_rejected",
              {{"endpoint", update.endpoint},
+              {"zone", endpoint.entry.zone},
+              {"share_before", std::to_string(shareBefore)},
               {"within_second", std::to_string(endpoint.rejections.recent.size())},
               {"share", std::to_string(endpoint.rejections.share)},
               {"stopped_ms", inMilliseconds(std::max(Duration {0}, endpoint.rejections.stoppedUntil - now))}});
