--- a/lacewing/storeposition.h
+++ b/lacewing/storeposition.h
@@ -1,9 +1,9 @@
 // Positions in the topics of the platform's store, which order all that is read from it and written to it.
 //
-// Load pattern: the store comes back from a copy that is some seconds old. What was acknowledged since the copy was
-// made is lost, and its offsets are given out again. Each time the store counts up its era. Offsets of different eras
-// say nothing about each other: what a later era says is newer, whatever its offset. A position is therefore an era and
-// an offset, and only the functions of this file compare two of them or make a number of one.
+// Load pattern: the store comes back from a copy that is some seconds old. Records acknowledged since the copy was made
+// are lost, and their offsets are assigned again. The store numbers these returns; each number is an era. Offsets of two
+// eras can't be compared, so a position is an era and an offset, and any position of a later era is newer. Only the
+// functions of this file compare positions or derive a number from one.
 
 #pragma once
 
