--- a/lacewing/entrynode.cpp
+++ b/lacewing/entrynode.cpp
@@ -333,7 +333,7 @@
 
 bool EntryNode::ready() const
 {
-    const bool listed = isKnown(this->dataPath.fleet().list.known);
+    const bool listed = isKnown(this->dataPath.fleet().list.position);
     return !this->stopping && this->dataPath.config() && listed && !this->isCatchingUpAtStart();
 }
 
--- a/lacewing/entrynodeconfig.cpp
+++ b/lacewing/entrynodeconfig.cpp
@@ -96,7 +96,7 @@
 void EntryNode::configRead(const StorePosition &end, TimePoint begun)
 {
     this->operatorChangesRead = true;
-    this->gossip.configRead = end;
+    this->gossip.configPosition = end;
     if (this->isConfigOutdated()) { // the store has lost the newer configuration, which another VM has in force
         return;
     }
--- a/lacewing/entrynodelist.cpp
+++ b/lacewing/entrynodelist.cpp
@@ -72,7 +72,7 @@
 {
     // The late answer to a read can contain changes that are older than those received from the owner in the meantime.
     // This VM's copy already contains them, or a later change that overrides them.
-    return isKnown(position) && position < this->dataPath.fleet().list.known;
+    return isKnown(position) && position < this->dataPath.fleet().list.position;
 }
 
 void EntryNode::putEndpoint(const EndpointEntry &entry, const StorePosition &position)
@@ -210,7 +210,7 @@
     statement.read = this->clock.now() - milliseconds(change.ageMilliseconds) - heldUp;
     // A change that follows a missed one is not applied: this VM's copy is the list at one offset and never a mixture
     // of two, so that this VM can forward it if it becomes the owner.
-    if (statement.end > known.known && follows(known, statement)) {
+    if (statement.end > known.position && follows(known, statement)) {
         this->applyListChange(change);
     } else if (!follows(known, statement)) { // not a mere repeat
         this->listChangesIgnored += 1;
@@ -219,8 +219,8 @@
                   {"era", std::to_string(statement.end.era)},
                   {"previous", std::to_string(statement.previous.offset)},
                   {"offset", std::to_string(statement.end.offset)},
-                  {"known_era", std::to_string(known.known.era)},
-                  {"known_offset", std::to_string(known.known.offset)}});
+                  {"known_era", std::to_string(known.position.era)},
+                  {"known_offset", std::to_string(known.position.offset)}});
     }
     this->recordOwnersRead(vm, statement);
 }
@@ -250,7 +250,7 @@
 
 void EntryNode::recordOwnersRead(const VmId &vm, const ListAnnouncement &statement)
 {
-    const StorePosition before = this->dataPath.fleet().list.known;
+    const StorePosition before = this->dataPath.fleet().list.position;
     this->dataPath.changeFleet([&](Fleet &fleet) { recordStatement(fleet.list, statement, vm); });
     recordUpdateFromOther(this->listChain, before, this->dataPath.fleet().list);
 }
--- a/lacewing/entrynodemetrics.cpp
+++ b/lacewing/entrynodemetrics.cpp
@@ -55,7 +55,7 @@
     line("reports_read_total", this->owner.reportsRead);
     line("endpoints", static_cast<std::int64_t>(this->dataPath.fleet().endpoints.size()));
     const ListFreshness &list = this->dataPath.fleet().list;
-    if (isKnown(list.known)) {
+    if (isKnown(list.position)) {
         line("list_age_milliseconds", toMilliseconds(this->clock.now() - list.current));
     }
     line("config_version", this->dataPath.config() ? this->dataPath.config()->version : 0);
--- a/lacewing/entrynodeorigins.cpp
+++ b/lacewing/entrynodeorigins.cpp
@@ -117,7 +117,7 @@
     std::erase_if(vms, [](const OriginVm &one) { return !one.usable; });
     std::shuffle(vms.begin(), vms.end(), this->random);
     vms.resize(std::min(vms.size(), versionAsks));
-    const bool listRead = isKnown(this->dataPath.fleet().list.known);
+    const bool listRead = isKnown(this->dataPath.fleet().list.position);
     if (listRead && !vms.empty()) {
         this->versionRounds += 1;
         for (const auto &[service, one] : this->versions) {
--- a/lacewing/entrynodeupdates.cpp
+++ b/lacewing/entrynodeupdates.cpp
@@ -25,7 +25,7 @@
     }
     wire::PlacementNotice notice = this->owner.nextNotice();
     const ListFreshness &list = this->dataPath.fleet().list;
-    if (isKnown(list.known)) {
+    if (isKnown(list.position)) {
         const ListAnnouncement statement = nextAnnouncement(this->listChain, list, false);
         notice.listChange = statement.previous.offset;
         notice.listOffset = statement.end.offset;
--- a/lacewing/gatewayupdates.cpp
+++ b/lacewing/gatewayupdates.cpp
@@ -177,6 +177,26 @@
     }
 }
 
+void Gateway::applyPromptUpdate(const wire::PromptSent &prompt)
+{
+    const auto found = this->fleetState.endpoints.find(prompt.endpoint);
+    if (found == this->fleetState.endpoints.end()) {
+        return;
+    }
+    PromptQueue &queue = found->second.prompts;
+    if (!prompt.ended) {
+        addPrompt(queue, {prompt.ticket, prompt.tokens, this->now()});
+        return;
+    }
+    if (prompt.readMicroseconds > 0) {
+        recordPrefillTime(queue, prompt.tokens, Duration {prompt.readMicroseconds});
+    }
+    if (removePrompt(queue, prompt.ticket, this->now())) {
+        // Deferred, because the request that left the queue may be moving to another endpoint in this call.
+        asio::post(this->context, [this, id = prompt.endpoint] { this->wakePaced(id); });
+    }
+}
+
 void Gateway::scheduleWakeup(Duration delay)
 {
     const TimePoint at = this->now() + delay;
--- a/lacewing/listfreshness.cpp
+++ b/lacewing/listfreshness.cpp
@@ -9,7 +9,7 @@
 
 void recordOwnRead(ListFreshness &knowledge, const StorePosition &end, TimePoint readStart)
 {
-    knowledge.known = std::max(knowledge.known, end);
+    knowledge.position = std::max(knowledge.position, end);
     if (readStart > knowledge.current) {
         knowledge.current = readStart;
         knowledge.source.clear();
@@ -18,17 +18,17 @@
 
 bool follows(const ListFreshness &knowledge, const ListAnnouncement &statement)
 {
-    return isSameHistory(knowledge.known, statement.previous) && knowledge.known >= statement.previous;
+    return isSameHistory(knowledge.position, statement.previous) && knowledge.position >= statement.previous;
 }
 
 void recordStatement(ListFreshness &knowledge, const ListAnnouncement &statement, const VmId &source)
 {
     const StorePosition needed = isKnown(statement.previous) ? statement.previous : statement.end;
-    knowledge.required = std::max(knowledge.required, needed);
+    knowledge.requiredPosition = std::max(knowledge.requiredPosition, needed);
     if (!follows(knowledge, statement)) {
         return;
     }
-    knowledge.known = std::max(knowledge.known, statement.end);
+    knowledge.position = std::max(knowledge.position, statement.end);
     knowledge.newestOwnerRead = std::max(knowledge.newestOwnerRead, statement.read);
     if (statement.read > knowledge.current) {
         knowledge.current = statement.read;
@@ -43,31 +43,31 @@
 
 void startChain(ListChain &chain, const ListFreshness &knowledge)
 {
-    chain.announced = knowledge.known;
+    chain.announced = knowledge.position;
 }
 
 void recordUpdateFromOther(ListChain &chain, const StorePosition &before, const ListFreshness &knowledge)
 {
-    if (knowledge.known > before) {
-        chain.announced = knowledge.known;
+    if (knowledge.position > before) {
+        chain.announced = knowledge.position;
     }
 }
 
 ListAnnouncement nextAnnouncement(ListChain &chain, const ListFreshness &knowledge, bool changes)
 {
     if (!isKnown(chain.announced)) {
-        chain.announced = knowledge.known;
+        chain.announced = knowledge.position;
     }
-    const ListAnnouncement statement {chain.announced, knowledge.known, knowledge.current};
+    const ListAnnouncement statement {chain.announced, knowledge.position, knowledge.current};
     if (changes) {
-        chain.announced = knowledge.known;
+        chain.announced = knowledge.position;
     }
     return statement;
 }
 
 bool isCovered(const ListFreshness &knowledge, TimePoint now)
 {
-    return knowledge.known >= knowledge.required && now - knowledge.newestOwnerRead < readValidity;
+    return knowledge.position >= knowledge.requiredPosition && now - knowledge.newestOwnerRead < readValidity;
 }
 
 } // namespace lacewing
--- a/lacewing/listfreshness.h
+++ b/lacewing/listfreshness.h
@@ -44,8 +44,8 @@
 
 /// State of this VM's copy of the list.
 struct ListFreshness {
-    StorePosition known; ///< all changes before it are known; not known: the list was never read
-    StorePosition required; ///< that this VM must know to rely on the owners' announcements
+    StorePosition position; ///< all changes before it are known; not known: the list was never read
+    StorePosition requiredPosition; ///< that this VM must know to rely on the owners' announcements
     TimePoint current; ///< all changes that were acknowledged up to this time are known
     TimePoint newestOwnerRead; ///< newest read of an owner whose changes are all known
     VmId source; ///< VM whose read `current` is from; empty: this VM
--- a/lacewing/testing/listfreshnesstest.cpp
+++ b/lacewing/testing/listfreshnesstest.cpp
@@ -142,7 +142,7 @@
 
     void read(ZoneVm &vm)
     {
-        if (this->chance(this->historyLossRate) || vm.knowledge.known.era != this->era) {
+        if (this->chance(this->historyLossRate) || vm.knowledge.position.era != this->era) {
             this->relist(vm);
         } else {
             this->readChanges(vm);
@@ -171,13 +171,13 @@
     void receive(const Datagram &datagram)
     {
         ZoneVm &vm = this->vms[datagram.to];
-        if (datagram.statement.end > vm.knowledge.known && follows(vm.knowledge, datagram.statement)) {
+        if (datagram.statement.end > vm.knowledge.position && follows(vm.knowledge, datagram.statement)) {
             vm.copy.insert(datagram.difference.listed.begin(), datagram.difference.listed.end());
             for (const int endpoint : datagram.difference.removed) {
                 vm.copy.erase(endpoint);
             }
         }
-        const StorePosition before = vm.knowledge.known;
+        const StorePosition before = vm.knowledge.position;
         recordStatement(vm.knowledge, datagram.statement, std::to_string(datagram.from));
         recordUpdateFromOther(vm.chain, before, vm.knowledge);
     }
@@ -225,7 +225,7 @@
             }
         }
         for (ZoneVm &vm : this->vms) {
-            if (vm.owner && isKnown(vm.knowledge.known) && this->chance(0.02)) {
+            if (vm.owner && isKnown(vm.knowledge.position) && this->chance(0.02)) {
                 this->send(vm, nextAnnouncement(vm.chain, vm.knowledge, false), {});
             }
         }
@@ -235,19 +235,19 @@
     bool copiesAreConsistent() const
     {
         for (const ZoneVm &vm : this->vms) {
-            if (!isKnown(vm.knowledge.known)) {
+            if (!isKnown(vm.knowledge.position)) {
                 continue;
             }
-            if (vm.knowledge.known.era != this->era) {
+            if (vm.knowledge.position.era != this->era) {
                 if (vm.knowledge.current > this->eraBegun) {
                     return false;
                 }
                 continue;
             }
-            const auto known = static_cast<std::size_t>(vm.knowledge.known.offset);
+            const auto known = static_cast<std::size_t>(vm.knowledge.position.offset);
             const bool recent
                 = known >= this->changes.size() || this->changes[known].acknowledged >= vm.knowledge.current;
-            if (!recent || vm.copy != this->listAt(vm.knowledge.known.offset)) {
+            if (!recent || vm.copy != this->listAt(vm.knowledge.position.offset)) {
                 return false;
             }
         }
@@ -275,7 +275,7 @@
     ListFreshness knowledge;
     recordOwnRead(knowledge, offset(10), at(0));
     recordStatement(knowledge, {offset(10), offset(20), at(900)}, "vm0");
-    cr_assert_eq(knowledge.known.offset, 20);
+    cr_assert_eq(knowledge.position.offset, 20);
     cr_assert_eq(knowledge.current, at(900));
     cr_assert(isCovered(knowledge, at(900) + readValidity - milliseconds(1)));
     cr_assert_not(isCovered(knowledge, at(900) + readValidity));
@@ -287,11 +287,11 @@
     recordOwnRead(knowledge, offset(10), at(0));
     recordStatement(knowledge, {offset(20), offset(30), at(900)}, "vm0");
     recordStatement(knowledge, {offset(30), offset(30), at(1000)}, "vm0");
-    cr_assert_eq(knowledge.known.offset, 10);
+    cr_assert_eq(knowledge.position.offset, 10);
     cr_assert_not(isCovered(knowledge, at(1000)));
     recordStatement(knowledge, {offset(10), offset(20), at(900)}, "vm0"); // a repetition of the missed announcement
     recordStatement(knowledge, {offset(20), offset(30), at(900)}, "vm0");
-    cr_assert_eq(knowledge.known.offset, 30);
+    cr_assert_eq(knowledge.position.offset, 30);
     cr_assert_not(isCovered(knowledge, at(900) + readValidity));
 }
 
@@ -375,11 +375,11 @@
     ListFreshness knowledge;
     recordOwnRead(knowledge, {1, 96}, at(0));
     recordStatement(knowledge, {{2, 50}, {2, 51}, at(900)}, "vm0");
-    cr_assert_eq(knowledge.known.offset, 96);
+    cr_assert_eq(knowledge.position.offset, 96);
     cr_assert_not(isCovered(knowledge, at(900)), "the change at 51 is not known");
     recordOwnRead(knowledge, {2, 51}, at(1000));
     recordStatement(knowledge, {{1, 96}, {1, 97}, at(1100)}, "vm1"); // an owner that does not know of the era
-    cr_assert_eq(knowledge.known, (StorePosition {2, 51}));
+    cr_assert_eq(knowledge.position, (StorePosition {2, 51}));
     cr_assert_not(isCovered(knowledge, at(1100)));
     recordStatement(knowledge, {{2, 51}, {2, 51}, at(1200)}, "vm0");
     cr_assert(isCovered(knowledge, at(1200)));
--- a/lacewing/vmgossip.cpp
+++ b/lacewing/vmgossip.cpp
@@ -191,7 +191,7 @@
         this->onList(datagram.vm, datagram.listChange, heldUp);
     }
     const StorePosition read {datagram.__isset.configEra ? datagram.configEra : unnamedEra, datagram.configOffset};
-    if (read > this->configRead && this->onConfigPosition) {
+    if (read > this->configPosition && this->onConfigPosition) {
         this->onConfigPosition(read);
     }
     if (datagram.configVersion > this->configVersion && this->onConfigVersion) {
@@ -244,9 +244,9 @@
     datagram.number = this->nextNumber++;
     datagram.zone = this->self.zone;
     datagram.leaving = this->leaving;
-    datagram.configOffset = this->configRead.offset;
-    if (this->configRead.era != unnamedEra) {
-        datagram.__set_configEra(this->configRead.era);
+    datagram.configOffset = this->configPosition.offset;
+    if (this->configPosition.era != unnamedEra) {
+        datagram.__set_configEra(this->configPosition.era);
     }
     datagram.millicores = this->millicores;
     return datagram;
--- a/lacewing/vmgossip.h
+++ b/lacewing/vmgossip.h
@@ -114,7 +114,7 @@
 
     /// State of this VM that is sent with each datagram.
     bool leaving = false;
-    StorePosition configRead {unnamedEra, 0}; ///< how far this VM has read the operators' changes
+    StorePosition configPosition {unnamedEra, 0}; ///< how far this VM has read the operators' changes
     std::int64_t configVersion = 0; ///< of the configuration in force; sent with heartbeats
     std::int32_t millicores = 0;
     /// Services that this VM is cut off from; sent with heartbeats.
