--- a/lacewing/storeposition.h
+++ b/lacewing/storeposition.h
@@ -1,8 +1,8 @@
 // Positions in the topics of the platform's store, which order all that is read from it and written to it.
 //
 // Load pattern: the store comes back from a copy that is some seconds old. Records acknowledged since the copy was made
-// are lost, and their offsets are assigned again. The store numbers these returns; each number is an era. Offsets of two
-// eras can't be compared, so a position is an era and an offset, and any position of a later era is newer. Only the
+// are lost, and their offsets are assigned again. The store numbers these returns; each number is an era. Offsets of
+// two eras can't be compared, so a position is an era and an offset, and any position of a later era is newer. Only the
 // functions of this file compare positions or derive a number from one.
 
 #pragma once
