One copy of a suspected request at a time, over all VMs

Cause: each VM sent its copies for itself; those that waited for one adapter were sent within 1.5 ms.

A copy of a suspect now needs a lease, granted by one VM that all choose alike.

The datagram's field for unanswered requests is not used yet.

--- a/lacewing/crashwatch.cpp
+++ b/lacewing/crashwatch.cpp
@@ -219,6 +219,11 @@
     return std::max(ofRequest, suspicionOfParts(this->parts, content.parts));
 }
 
+bool CrashWatch::isSuspectedRequest(RequestDigest digest) const
+{
+    return lacewing::suspicionOf(this->ledger, digest) == Suspicion::Suspected;
+}
+
 bool CrashWatch::hasProvenPart(const RequestContent &content) const
 {
     return suspicionOfParts(this->parts, content.parts) == Suspicion::Proven;
--- a/lacewing/crashwatch.h
+++ b/lacewing/crashwatch.h
@@ -79,6 +79,9 @@
     /// @param content of a request
     /// @return whether the request or a part of its prompt is suspected or proven to crash endpoints
     Suspicion suspicionOf(const RequestContent &content) const;
+    /// @param digest of a request
+    /// @return whether the request itself is suspected, apart from the parts of its prompt
+    bool isSuspectedRequest(RequestDigest digest) const;
     /// @param content of a request
     /// @return whether a part of its prompt is proven to crash endpoints
     bool hasProvenPart(const RequestContent &content) const;
--- a/lacewing/datagramcounts.cpp
+++ b/lacewing/datagramcounts.cpp
@@ -26,6 +26,12 @@
     if (datagram.__isset.crashNews) {
         return DatagramKind::CrashNews;
     }
+    if (datagram.__isset.copyLeaseAsk) {
+        return DatagramKind::CopyLeaseAsk;
+    }
+    if (datagram.__isset.copyLeaseAnswer) {
+        return DatagramKind::CopyLeaseAnswer;
+    }
     if (datagram.__isset.limitNews) {
         return DatagramKind::LimitNews;
     }
@@ -62,10 +68,10 @@
 std::string_view nameOf(DatagramKind kind)
 {
     constexpr std::array<std::string_view, datagramKindCount> names {
-        "heartbeat",     "placement",      "demand",           "prompt",         "list",
-        "news_asked",    "endpoint_news",  "crash_news",       "limit_news",     "config_read",
-        "quota_ask",     "quota_answer",   "quota_ledger",     "origin_records", "origin_ask",
-        "origin_answer", "forward_cancel", "rejection_digest", "passed_on"};
+        "heartbeat",      "placement",         "demand",     "prompt",        "list",           "news_asked",
+        "endpoint_news",  "crash_news",        "limit_news", "config_read",   "quota_ask",      "quota_answer",
+        "quota_ledger",   "origin_records",    "origin_ask", "origin_answer", "forward_cancel", "rejection_digest",
+        "copy_lease_ask", "copy_lease_answer", "passed_on"};
     return names.at(static_cast<std::size_t>(kind));
 }
 
--- a/lacewing/datagramcounts.h
+++ b/lacewing/datagramcounts.h
@@ -33,9 +33,11 @@
     OriginAnswer,
     ForwardCancel,
     RejectionDigest,
+    CopyLeaseAsk,
+    CopyLeaseAnswer,
     PassedOn, ///< datagram of another VM, forwarded within the zone
 };
-constexpr std::size_t datagramKindCount = 19;
+constexpr std::size_t datagramKindCount = 21;
 
 struct DatagramCount {
     std::int64_t datagrams = 0;
--- a/lacewing/entrynode.cpp
+++ b/lacewing/entrynode.cpp
@@ -79,6 +79,7 @@
       owner(ioContext, this->clock, this->port, this->settings.zone),
       quota(this->clock, this->quotaSettings(), this->quotaPorts()),
       origins(this->clock, this->originSettings(), this->originPorts()),
+      copyLeases(this->clock, {this->settings.vm, this->gossip.ownIncarnation() / 2}, this->copyLeasePorts()),
       configTransfer(ioContext, this->clock, this->settings.vm, this->configTransferPorts()),
       random(static_cast<std::uint64_t>(this->gossip.ownIncarnation())),
       readyServer(ioContext,
@@ -154,6 +155,7 @@
     this->connectConfigTransfer();
     this->connectQuota();
     this->connectOrigins();
+    this->connectCopyLeases();
     this->connectForwarding();
 }
 
--- a/lacewing/entrynode.h
+++ b/lacewing/entrynode.h
@@ -23,6 +23,7 @@
 
 #include "clock.h"
 #include "configtransfer.h"
+#include "copyleaseexchange.h"
 #include "gateway.h"
 #include "originexchange.h"
 #include "placementowner.h"
@@ -192,6 +193,8 @@
     QuotaSettings quotaSettings() const;
     QuotaPorts quotaPorts();
     void connectOrigins();
+    CopyLeasePorts copyLeasePorts();
+    void connectCopyLeases();
     OriginSettings originSettings() const;
     OriginPorts originPorts();
     std::vector<OriginVm> originVms(bool ownZone) const;
@@ -261,6 +264,7 @@
     PlacementOwner owner;
     QuotaExchange quota;
     OriginExchange origins;
+    CopyLeaseExchange copyLeases;
     ConfigTransfer configTransfer;
     SoftwareVersions versions; ///< of the endpoints' software, by service
     int versionRounds = 0; ///< in which other VMs were asked for the versions that they have seen
--- a/lacewing/entrynodeupdates.cpp
+++ b/lacewing/entrynodeupdates.cpp
@@ -184,6 +184,40 @@
     this->gossip.sendLimitUpdate(news, zoneOnly);
 }
 
+CopyLeasePorts EntryNode::copyLeasePorts()
+{
+    CopyLeasePorts ports;
+    ports.ask = [this](const VmId &vm, const wire::CopyLeaseAsk &ask) { this->gossip.sendCopyLeaseAsk(vm, ask); };
+    ports.answer
+        = [this](const VmId &vm, const wire::CopyLeaseAnswer &answer) { this->gossip.sendCopyLeaseAnswer(vm, answer); };
+    ports.vms = [this] {
+        std::vector<VmId> vms;
+        for (const bool ownZone : {true, false}) {
+            for (OriginVm &one : this->originVms(ownZone)) {
+                if (one.usable) {
+                    vms.push_back(std::move(one.vm));
+                }
+            }
+        }
+        return vms;
+    };
+    ports.wakeAfter = [this](Duration delay) { this->after(delay, [this] { this->copyLeases.expire(); }); };
+    return ports;
+}
+
+void EntryNode::connectCopyLeases()
+{
+    this->gossip.onCopyLeaseAsk
+        = [this](const VmId &vm, const wire::CopyLeaseAsk &ask) { this->copyLeases.receiveAsk(vm, ask); };
+    this->gossip.onCopyLeaseAnswer
+        = [this](const VmId &vm, const wire::CopyLeaseAnswer &answer) { this->copyLeases.receiveAnswer(vm, answer); };
+    this->dataPath.acquireCopyLease = [this](RequestDigest digest, std::function<void()> onGranted) {
+        return this->copyLeases.acquire(digest, std::move(onGranted));
+    };
+    this->dataPath.releaseCopyLease
+        = [this](std::int64_t ticket, bool broken) { this->copyLeases.release(ticket, broken); };
+}
+
 void EntryNode::tellRejections(const VmId &vm)
 {
     for (const Duration delay : digestDelays) {
--- a/lacewing/gateway.h
+++ b/lacewing/gateway.h
@@ -231,6 +231,11 @@
     /// Returns the units of a request that has not run, asked for at a time.
     std::function<void(const OrganisationName &, double units, TimePoint asked)> giveBackQuota;
 
+    /// Asks for the lease of a suspected request (copyleaseexchange.h); if not set, copies are sent without one.
+    std::function<std::int64_t(RequestDigest, std::function<void()> onGranted)> acquireCopyLease;
+    /// Gives up a lease, or the wait for it.
+    std::function<void(std::int64_t ticket, bool broken)> releaseCopyLease;
+
     /// Remembers the software version of the endpoint that a resumable stream is sent to; if not set, nothing is.
     std::function<void(const OrganisationName &, const ServiceName &, const std::string &attempt,
                        const std::string &softwareVersion)>
--- a/lacewing/lacewing.thrift
+++ b/lacewing/lacewing.thrift
@@ -309,7 +309,8 @@
   4: i64 ageMilliseconds = 0,          // since that answer came
   5: i32 sent = 0,                     // requests that the sender has just sent there
   6: optional i32 rejected,            // requests of the sender that the endpoint has just rejected for want of room
-  7: optional double maxRejections     // a second, all VMs together: with more of them the endpoint falls over
+  7: optional double maxRejections,    // a second, all VMs together: with more of them the endpoint falls over
+  8: optional i32 unanswered           // requests of the sender that the endpoint has not answered
 }
 
 /** An endpoint ended with requests of the sender in progress. */
@@ -336,6 +337,22 @@
   6: optional list<SuspectStatement> suspectParts // told again and again
 }
 
+/** Asks for the lease of a request that may crash endpoints, renews it, or ends it. */
+struct CopyLeaseAsk {
+  1: i64 digest,                       // of the request
+  2: i64 ticket,                       // of the copy, among those of the sender
+  3: bool ended = false,               // the copy is not in progress any more, or was given up
+  4: bool broken = false               // its connection to the endpoint broke
+}
+
+/** Answers an ask that ends no lease. */
+struct CopyLeaseAnswer {
+  1: i64 digest,
+  2: i64 ticket,
+  3: bool granted,
+  4: i32 waitMilliseconds = 0          // if not granted: another copy may have the lease for this long
+}
+
 /** An endpoint as the platform lists it, without what it holds. */
 struct ListedEndpoint {
   1: string endpoint,
@@ -493,5 +510,7 @@
   29: optional i64 configAsk,           // the sender has this version in force and asks for a newer configuration
   30: optional i64 configEra,           // of the store, to which configOffset belongs
   31: optional ForwardCancel forwardCancel,
-  32: optional RejectionDigest rejectionDigest
+  32: optional RejectionDigest rejectionDigest,
+  33: optional CopyLeaseAsk copyLeaseAsk,
+  34: optional CopyLeaseAnswer copyLeaseAnswer
 }
--- a/lacewing/originexchange.cpp
+++ b/lacewing/originexchange.cpp
@@ -11,7 +11,7 @@
 #include <utility>
 
 #include "clock.h"
-#include "requestdigest.h"
+#include "rendezvous.h"
 
 namespace lacewing {
 
@@ -33,11 +33,6 @@
 constexpr std::size_t maxOtherAsks = 64;
 constexpr std::size_t ownZone = 0;
 
-StreamKey scoreOf(StreamKey key, const VmId &vm)
-{
-    return digestOf({vm}, std::string_view(reinterpret_cast<const char *>(&key), sizeof key));
-}
-
 } // namespace
 
 OriginBasis originBasis(const SoftwareVersions &versions, const ServiceName &service, TimePoint now)
@@ -77,7 +72,7 @@
 {
     std::vector<std::pair<StreamKey, std::size_t>> scores;
     for (std::size_t index = 0; index < vms.size(); ++index) {
-        scores.emplace_back(scoreOf(key, vms[index].vm), index);
+        scores.emplace_back(rendezvousScore(key, vms[index].vm), index);
     }
     std::sort(scores.begin(), scores.end());
     std::vector<OriginVm> ranked;
--- a/lacewing/relay.cpp
+++ b/lacewing/relay.cpp
@@ -1,8 +1,9 @@
 // Placement and sending of a request. Limits of the waiting times are in waitlimits, the pacing of prompts in
 // promptpacing.
 //
-// relayadmission.cpp handles the start of a request, relayorigin.cpp the software versions that may run it,
-// relayanswer.cpp an endpoint's answer, relayend.cpp failures, retries and gateway-generated answers.
+// relayadmission.cpp handles the start of a request, relaycopies.cpp copies of suspected requests, relayorigin.cpp the
+// software versions that may run it, relayanswer.cpp an endpoint's answer, relayend.cpp failures, retries and
+// gateway-generated answers.
 
 #include "relay.h"
 
@@ -107,12 +108,13 @@
         this->nextDrawAt = choice.result == ChoiceResult::NotHeld ? now : now + choice.untilCapacity;
         this->pacedTo.clear();
         this->leaveQueue();
+        this->releaseCopyLease(); // other copies may find an endpoint meanwhile
         this->waitFor(choice);
         return;
     }
     this->awaitedWeights.clear();
     this->waitTimer.cancel();
-    if (this->delayForPacing(choice)) {
+    if (this->awaitCopyLease() || this->delayForPacing(choice)) {
         return;
     }
     this->sendTo(choice);
@@ -220,12 +222,7 @@
         return;
     }
     this->awaitedWeights = this->weights;
-    const TimePoint now = this->gateway.now();
-    Duration left = this->deadline - now;
-    if (this->route->silenceTimeout.count() > 0) {
-        left = std::min(left, this->route->silenceTimeout - this->age());
-    }
-    const Duration limit = adapterWaitLimit(left, this->route->latencyObjective);
+    const Duration limit = this->waitLimit();
     logEvent("request_waits",
              {{"id", this->info.id},
               {"weights", this->weights},
@@ -237,6 +234,15 @@
     }
 }
 
+Duration Relay::waitLimit() const
+{
+    Duration left = this->deadline - this->gateway.now();
+    if (this->route->silenceTimeout.count() > 0) {
+        left = std::min(left, this->route->silenceTimeout - this->age());
+    }
+    return adapterWaitLimit(left, this->route->latencyObjective);
+}
+
 void Relay::retryPlacement()
 {
     if (!this->done && !this->awaitedWeights.empty()) {
@@ -382,6 +388,7 @@
 void Relay::releaseEndpoint()
 {
     this->leaveQueue();
+    this->releaseCopyLease();
     if (this->endpoint.empty()) {
         return;
     }
--- a/lacewing/relay.h
+++ b/lacewing/relay.h
@@ -110,6 +110,11 @@
     Suspicion suspicion() const;
     bool refuseIfProvenCrashing();
     void recordBrokenConnection(const std::string &address);
+    bool awaitCopyLease();
+    void onCopyLease();
+    void onCopyLeaseLimit();
+    void releaseCopyLease();
+    Duration waitLimit() const;
     bool delayForPacing(const EndpointChoice &choice);
     void joinQueue(const EndpointName &target);
     void leaveQueue();
@@ -190,6 +195,9 @@
     BodyFraming endpointFraming = BodyFraming::Length; ///< of the endpoint's answer
     std::optional<EventStreamPosition> eventStream; ///< of the endpoint's answer, if it is a stream without a length
     TimePoint nextDrawAt; ///< while it waits for an endpoint of a service with a rejection limit
+    std::int64_t copyTicket = 0; ///< of the lease that the request has or waits for; 0: none
+    bool copyLeaseHeld = false; ///< this copy of a suspected request may be sent
+    bool connectionBroke = false; ///< the connection to the endpoint that ran it
     bool noPromptsAhead = false; ///< the queue was empty ahead of the prompt when it was sent
     bool countedAsSuspect = false; ///< counted in the endpoint's ownCrashSuspects
     bool awaitsOrigin = false; ///< waits until it is known which software version may run it
--- a/lacewing/relayanswer.cpp
+++ b/lacewing/relayanswer.cpp
@@ -146,6 +146,9 @@
         this->maxGapAt = now - this->arrived;
     }
     this->lastByteAt = now;
+    if (this->copyLeaseHeld && this->age() - this->timeToFirstByte >= earlyCrashWindow) {
+        this->releaseCopyLease(); // it would have crashed the endpoint by now
+    }
 }
 
 void Relay::relayBody()
--- a/lacewing/relayend.cpp
+++ b/lacewing/relayend.cpp
@@ -52,6 +52,7 @@
 
 void Relay::recordBrokenConnection(const std::string &address)
 {
+    this->connectionBroke = true;
     std::optional<Duration> answeredFor;
     if (this->timeToFirstByte.count() > 0) {
         answeredFor = this->age() - this->timeToFirstByte;
--- a/lacewing/resultcode.cpp
+++ b/lacewing/resultcode.cpp
@@ -51,6 +51,8 @@
                     "another VM has a newer configuration, which may have the path"},
     ResultCodeInfo {ResultCode::EndpointsResting, 503, "endpoints_resting",
                     "all endpoints that could serve the request have asked for a pause"},
+    ResultCodeInfo {ResultCode::CopyInProgress, 503, "copy_in_progress",
+                    "another copy of a request that may crash endpoints is in progress"},
     ResultCodeInfo {ResultCode::NotOwner, 503, "not_owner", "the VM does not own the endpoint"},
     ResultCodeInfo {ResultCode::NotResident, 503, "not_resident", "the adapter version is not loaded there"},
     ResultCodeInfo {ResultCode::EndpointLeaving, 503, "endpoint_leaving", "the endpoint is leaving"},
--- a/lacewing/resultcode.h
+++ b/lacewing/resultcode.h
@@ -47,6 +47,7 @@
     VersionGone = 215,
     ConfigOutdated = 216,
     EndpointsResting = 217,
+    CopyInProgress = 218,
     // 3xx: internal reasons for trying elsewhere
     NotOwner = 300,
     NotResident = 301,
--- a/lacewing/vmgossip.cpp
+++ b/lacewing/vmgossip.cpp
@@ -224,6 +224,12 @@
     if (datagram.__isset.crashNews && this->onCrashUpdate) {
         this->onCrashUpdate(datagram.crashNews);
     }
+    if (datagram.__isset.copyLeaseAsk && this->onCopyLeaseAsk) {
+        this->onCopyLeaseAsk(datagram.vm, datagram.copyLeaseAsk);
+    }
+    if (datagram.__isset.copyLeaseAnswer && this->onCopyLeaseAnswer) {
+        this->onCopyLeaseAnswer(datagram.vm, datagram.copyLeaseAnswer);
+    }
     if (datagram.__isset.limitNews && this->onLimitUpdate) {
         this->onLimitUpdate(datagram.limitNews);
     }
@@ -349,6 +355,20 @@
     this->sendToAll(std::move(datagram));
 }
 
+void VmGossip::sendCopyLeaseAsk(const VmId &vm, const wire::CopyLeaseAsk &ask)
+{
+    wire::VmDatagram datagram = this->newDatagram();
+    datagram.__set_copyLeaseAsk(ask);
+    this->sendToVm(vm, datagram);
+}
+
+void VmGossip::sendCopyLeaseAnswer(const VmId &vm, const wire::CopyLeaseAnswer &answer)
+{
+    wire::VmDatagram datagram = this->newDatagram();
+    datagram.__set_copyLeaseAnswer(answer);
+    this->sendToVm(vm, datagram);
+}
+
 void VmGossip::sendCrashUpdateToAll(const wire::CrashNews &news)
 {
     wire::VmDatagram datagram = this->newDatagram();
--- a/lacewing/vmgossip.h
+++ b/lacewing/vmgossip.h
@@ -75,6 +75,8 @@
     void sendQuotaAsk(const VmId &vm, const wire::QuotaAsk &ask);
     void sendQuotaAnswer(const VmId &vm, const wire::QuotaAnswer &answer);
     void sendQuotaLedgerToAll(const wire::QuotaLedgerNews &news);
+    void sendCopyLeaseAsk(const VmId &vm, const wire::CopyLeaseAsk &ask);
+    void sendCopyLeaseAnswer(const VmId &vm, const wire::CopyLeaseAnswer &answer);
     void sendOriginRecords(const VmId &vm, const wire::OriginRecords &records);
     void sendOriginAsk(const VmId &vm, const wire::OriginAsk &ask);
     void sendOriginAnswer(const VmId &vm, const wire::OriginAnswer &answer);
@@ -131,6 +133,8 @@
     std::function<void(const VmId &, const ZoneName &, const wire::QuotaAsk &)> onQuotaAsk;
     std::function<void(const wire::QuotaAnswer &)> onQuotaAnswer;
     std::function<void(const VmId &, const ZoneName &, const wire::QuotaLedgerNews &)> onQuotaLedger;
+    std::function<void(const VmId &, const wire::CopyLeaseAsk &)> onCopyLeaseAsk;
+    std::function<void(const VmId &, const wire::CopyLeaseAnswer &)> onCopyLeaseAnswer;
     std::function<void(const wire::OriginRecords &)> onOriginRecords;
     std::function<void(const VmId &, const wire::OriginAsk &)> onOriginAsk;
     std::function<void(const VmId &, const wire::OriginAnswer &)> onOriginAnswer;
