A crash counts though the endpoint's port accepts connections

Callers saw endpoints end one after the other under one request although three had ended: the port of each went on accepting connections (a proxy, a parent, the next process), the probe took that for a sign of life and forgot the break. An accepted connection now proves nothing; the list, another VM's report or a refused probe proves the end, and only an answer on an earlier connection to a later request proves life. The time at which a VM hears of a crash no longer stands for that of the crash.

--- a/lacewing/crashwatch.cpp
+++ b/lacewing/crashwatch.cpp
@@ -1,6 +1,7 @@
-// After a connection broke, the endpoint's port is probed once. A refused connection means that the process has ended,
-// an accepted one that it runs. If neither happens, the endpoint may be unreachable because of a network partition, and
-// the unconfirmed crash is kept until the platform's list shows the next incarnation or another VM reports the crash.
+// After a connection broke, the endpoint's port is probed. A refused connection means that the process has ended. One
+// that is accepted and closed again may be the port of a process that is ending, and is probed again. In all other
+// cases the unconfirmed crash is kept until the platform's list shows a newer process, another VM reports the crash, or
+// an answer shows that the process lives.
 
 #include "crashwatch.h"
 
@@ -20,13 +21,19 @@
 /// A process that ends closes its connections and its port within a few milliseconds, in any order.
 constexpr Duration probeDelay = milliseconds(5);
 constexpr Duration probeTimeout = milliseconds(400);
+/// A process that runs keeps a new connection open for longer than this, to wait for a request.
+constexpr Duration probeHold = milliseconds(100);
+/// Between probes of a port that accepts connections and closes them.
+constexpr Duration probeInterval = milliseconds(250);
+constexpr int maxProbes = 12;
 /// The next incarnation of a crashed endpoint is listed within this time.
 constexpr Duration unconfirmedRetention = milliseconds(20000);
 constexpr std::size_t maxUnconfirmed = 512; ///< incarnations with broken requests
 /// Requests that break within this time are reported in one datagram.
 constexpr Duration flushDelay = milliseconds(20);
-/// Answers in flight when the endpoint crashed have arrived after this time.
-constexpr Duration answerInFlightTime = milliseconds(50);
+/// A crash has been reported to all VMs by then. A connection that was established so long before the report arrived
+/// was established before the crash.
+constexpr Duration maxReportDelay = milliseconds(1000);
 
 void addTo(ContentInProgress &inProgress, const RequestContent &content, std::optional<Duration> answeredFor)
 {
@@ -41,6 +48,15 @@
     }
 }
 
+/// @return whether a listed process has taken the place of another one
+bool isReplacedBy(const EndpointIncarnation &incarnation, const EndpointEntry &entry)
+{
+    if (incarnation.endpoint == entry.id) {
+        return entry.born > incarnation.born;
+    }
+    return incarnation.address == entry.address && entry.born >= incarnation.born;
+}
+
 std::size_t countRequests(const ContentInProgress &inProgress)
 {
     return inProgress.requests.early.size() + inProgress.requests.late.size();
@@ -53,8 +69,22 @@
 {
 }
 
+/// One connection to the port of an endpoint that may have crashed.
+struct CrashWatch::Probe {
+    Probe(asio::io_context &context, CrashKey crash, const Tcp::endpoint &address)
+        : key(crash), target(address), timer(context), socket(context)
+    {
+    }
+
+    CrashKey key;
+    Tcp::endpoint target;
+    asio::steady_timer timer;
+    Tcp::socket socket;
+    char byte = 0;
+};
+
 void CrashWatch::recordBrokenConnection(const EndpointIncarnation &incarnation, const RequestContent &content,
-                                        std::optional<Duration> answeredFor)
+                                        std::optional<Duration> answeredFor, bool replaced)
 {
     const CrashKey key = crashKeyOf(incarnation.endpoint, incarnation.born);
     if (firstReportTime(this->ledger, key)) {
@@ -67,54 +97,94 @@
     if (this->unconfirmed.size() >= maxUnconfirmed && !this->unconfirmed.contains(key)) {
         return;
     }
-    UnconfirmedCrash &crash = this->unconfirmed[key];
+    const TimePoint now = this->clock.now();
+    const auto [found, isNew] = this->unconfirmed.try_emplace(key);
+    UnconfirmedCrash &crash = found->second;
     crash.incarnation = incarnation;
-    crash.since = this->clock.now();
+    crash.first = isNew ? now : crash.first;
+    crash.latest = now;
     addTo(crash.inProgress, content, answeredFor);
-    if (!crash.probing) {
-        this->probe(key);
+    if (replaced) {
+        this->confirm(key, "replaced");
+    } else if (!crash.probing) {
+        this->probe(key, probeDelay);
     }
 }
 
-void CrashWatch::probe(CrashKey key)
+void CrashWatch::probe(CrashKey key, Duration delay)
 {
     UnconfirmedCrash &crash = this->unconfirmed.at(key);
     const auto target = parseAddress(crash.incarnation.address);
-    if (!target) {
+    if (!target || crash.probes >= maxProbes) {
         return;
     }
     crash.probing = true;
-    const auto timer = std::make_shared<asio::steady_timer>(this->context, probeDelay);
-    const auto socket = std::make_shared<Tcp::socket>(this->context);
-    timer->async_wait([this, key, timer, socket, target](const NetError &stopped) {
-        if (stopped) {
+    crash.probes += 1;
+    const auto probe = std::make_shared<Probe>(this->context, key, *target);
+    probe->timer.expires_after(delay);
+    probe->timer.async_wait([this, probe](const NetError &stopped) {
+        if (!stopped) {
+            this->connectProbe(probe);
+        }
+    });
+}
+
+void CrashWatch::connectProbe(const std::shared_ptr<Probe> &probe)
+{
+    if (!this->unconfirmed.contains(probe->key)) {
+        return;
+    }
+    probe->socket.async_connect(probe->target, [this, probe](const NetError &error) {
+        probe->timer.cancel();
+        if (!error) {
+            this->watchProbe(probe);
             return;
         }
-        socket->async_connect(*target, [this, key, timer](const NetError &error) {
-            timer->cancel();
-            runGuarded("crash_probe", [&] { this->onProbed(key, error); });
-        });
-        timer->expires_after(probeTimeout);
-        timer->async_wait([socket](const NetError &answered) {
-            NetError ignored; // the connection is abandoned
-            if (!answered) {
-                socket->close(ignored);
-            }
-        });
+        const bool refused = error == asio::error::connection_refused;
+        runGuarded("crash_probe", [&] { this->endProbe(probe, refused ? "refused" : "no_answer"); });
+    });
+    probe->timer.expires_after(probeTimeout);
+    probe->timer.async_wait([probe](const NetError &answered) {
+        NetError ignored; // the connection is abandoned
+        if (!answered) {
+            probe->socket.close(ignored);
+        }
     });
 }
 
-void CrashWatch::onProbed(CrashKey key, const NetError &error)
+void CrashWatch::watchProbe(const std::shared_ptr<Probe> &probe)
 {
-    const auto found = this->unconfirmed.find(key);
+    probe->socket.async_read_some(asio::buffer(&probe->byte, 1), [this, probe](const NetError &error, std::size_t) {
+        const bool held = error == asio::error::operation_aborted;
+        probe->timer.cancel();
+        runGuarded("crash_probe", [&] { this->endProbe(probe, held ? "held" : "closed"); });
+    });
+    probe->timer.expires_after(probeHold);
+    probe->timer.async_wait([probe](const NetError &ended) {
+        NetError ignored; // the connection is abandoned
+        if (!ended) {
+            probe->socket.close(ignored);
+        }
+    });
+}
+
+void CrashWatch::endProbe(const std::shared_ptr<Probe> &probe, std::string_view result)
+{
+    const auto found = this->unconfirmed.find(probe->key);
     if (found == this->unconfirmed.end()) {
         return;
     }
     found->second.probing = false;
-    if (error == asio::error::connection_refused) {
-        this->confirm(key, "refused");
-    } else if (!error) {
-        this->unconfirmed.erase(found); // the process runs: the connection broke for another reason
+    if (result == "refused") {
+        this->confirm(probe->key, result);
+        return;
+    }
+    logEvent("endpoint_probed",
+             {{"endpoint", found->second.incarnation.endpoint},
+              {"born", std::to_string(found->second.incarnation.born)},
+              {"result", std::string(result)}});
+    if (result == "closed") {
+        this->probe(probe->key, probeInterval);
     }
 }
 
@@ -168,15 +238,18 @@
     }
 }
 
-void CrashWatch::recordAnswer(const EndpointName &endpoint, std::int64_t born, TimePoint sentAt)
+void CrashWatch::recordAnswer(const EndpointName &endpoint, std::int64_t born, TimePoint connectedAt, TimePoint sentAt)
 {
-    if (this->ledger.crashes.empty()) {
+    if (this->ledger.crashes.empty() && this->unconfirmed.empty()) {
         return;
     }
     const CrashKey key = crashKeyOf(endpoint, born);
+    const auto found = this->unconfirmed.find(key);
+    if (found != this->unconfirmed.end() && connectedAt < found->second.first && sentAt > found->second.latest) {
+        this->unconfirmed.erase(found); // the connection broke for another reason
+    }
     const auto reportedAt = firstReportTime(this->ledger, key);
-    // A request that was sent after the crash may have been answered by the endpoint's next incarnation.
-    if (!reportedAt || sentAt >= *reportedAt || this->clock.now() - *reportedAt < answerInFlightTime) {
+    if (!reportedAt || connectedAt + maxReportDelay > *reportedAt || sentAt <= *reportedAt) {
         return;
     }
     this->refute(key);
@@ -198,8 +271,7 @@
 {
     std::vector<CrashKey> ended;
     for (const auto &[key, crash] : this->unconfirmed) {
-        const bool sameEndpoint = crash.incarnation.endpoint == entry.id || crash.incarnation.address == entry.address;
-        if (sameEndpoint && entry.born > crash.incarnation.born) {
+        if (isReplacedBy(crash.incarnation, entry)) {
             ended.push_back(key);
         }
     }
@@ -272,7 +344,7 @@
 {
     const TimePoint now = this->clock.now();
     std::erase_if(this->unconfirmed,
-                  [now](const auto &entry) { return now - entry.second.since >= unconfirmedRetention; });
+                  [now](const auto &entry) { return now - entry.second.latest >= unconfirmedRetention; });
 }
 
 } // namespace lacewing
--- a/lacewing/crashwatch.h
+++ b/lacewing/crashwatch.h
@@ -2,13 +2,15 @@
 // Keeps a ledger of the requests and one of the parts of their prompts.
 //
 //   CrashWatch watch(context, clock);
-//   watch.recordBrokenConnection(incarnation, content, answeredFor);  // it broke while a request was in progress
+//   watch.recordBrokenConnection(incarnation, content, answeredFor, replaced);  // it broke under a request
 //   watch.suspicionOf(content);                   // before a request is sent
 //   watch.take(update);                           // from another VM
 //
 // A broken connection alone is no evidence of a crash: the network may be partitioned, an answer malformed or an idle
-// connection reset. Evidence is a refused connection to the endpoint's port, a newer incarnation in the platform's
-// list, or a report of another VM. A crash is refuted if the endpoint answers a request that was sent before it.
+// connection reset. Evidence is a refused connection to the endpoint's port, a newer process in the platform's list, or
+// a report of another VM. A connection that is accepted shows that something listens there: the process, the next one,
+// or a parent that holds the port. An answer shows that the process lives if it came on a connection from before the
+// crash to a request from after it: only then is it certain which process wrote it, and when.
 
 #pragma once
 
@@ -59,16 +61,18 @@
     /// @param incarnation to which the request was sent
     /// @param content of the request
     /// @param answeredFor time since the first bytes of the answer; nothing: there were none
+    /// @param replaced whether the platform's list already shows a newer process in its place
     void recordBrokenConnection(const EndpointIncarnation &incarnation, const RequestContent &content,
-                                std::optional<Duration> answeredFor);
+                                std::optional<Duration> answeredFor, bool replaced);
     /// Records that an endpoint answered a request completely.
     /// @param content of the request
     void recordCompletion(const RequestContent &content);
     /// Records that an endpoint started to answer a request.
     /// @param endpoint its id
     /// @param born start of its incarnation
+    /// @param connectedAt when the connection was established on which the answer came
     /// @param sentAt when the request was sent
-    void recordAnswer(const EndpointName &endpoint, std::int64_t born, TimePoint sentAt);
+    void recordAnswer(const EndpointName &endpoint, std::int64_t born, TimePoint connectedAt, TimePoint sentAt);
     /// Records an entry of the platform's list, which may show a newer incarnation.
     /// @param entry as listed
     void recordListedEntry(const EndpointEntry &entry);
@@ -112,12 +116,18 @@
     struct UnconfirmedCrash {
         EndpointIncarnation incarnation;
         ContentInProgress inProgress;
-        TimePoint since;
+        TimePoint first; ///< broken connection
+        TimePoint latest; ///< broken connection
+        int probes = 0;
         bool probing = false;
     };
 
-    void probe(CrashKey key);
-    void onProbed(CrashKey key, const NetError &error);
+    struct Probe;
+
+    void probe(CrashKey key, Duration delay);
+    void connectProbe(const std::shared_ptr<Probe> &probe);
+    void watchProbe(const std::shared_ptr<Probe> &probe);
+    void endProbe(const std::shared_ptr<Probe> &probe, std::string_view result);
     void confirm(CrashKey key, std::string_view evidence);
     void reportCrash(const EndpointIncarnation &incarnation, const ContentInProgress &inProgress);
     void broadcast(const wire::CrashNews &update) const;
--- a/lacewing/endpointlink.h
+++ b/lacewing/endpointlink.h
@@ -83,6 +83,7 @@
     EndpointName id;
     std::string address;
     TimePoint idleSince; ///< set by the pool
+    TimePoint connectedAt; ///< when the connection was established; set by its first user
     Duration keepAlive {0}; ///< idle time after which the endpoint closes the connection; 0: not known
 
 private:
--- a/lacewing/fleet.cpp
+++ b/lacewing/fleet.cpp
@@ -125,6 +125,16 @@
     fleet.endpoints.erase(found);
 }
 
+bool isReplaced(const Fleet &fleet, const EndpointInstance &instance, const ServiceName &service,
+                std::string_view address)
+{
+    const std::vector<EndpointName> &all = endpointsOf(fleet, service);
+    return std::any_of(all.begin(), all.end(), [&](const EndpointName &id) {
+        const EndpointEntry &entry = fleet.endpoints.at(id).entry;
+        return id == instance.id ? entry.born > instance.born : entry.address == address && entry.born >= instance.born;
+    });
+}
+
 void putHoldings(Fleet &fleet, const EndpointName &id, std::int64_t orders, HeldVersions held, std::int32_t running,
                  TimePoint now)
 {
--- a/lacewing/fleet.h
+++ b/lacewing/fleet.h
@@ -120,6 +120,14 @@
 /// @return whether that incarnation is the known one
 bool isIncarnation(const Fleet &fleet, const EndpointName &id, std::int64_t born);
 
+/// @param fleet all endpoints
+/// @param instance that requests were sent to
+/// @param service of the instance
+/// @param address host:port of the instance
+/// @return whether the list shows a newer process in its place: under its id, or another endpoint at its address
+bool isReplaced(const Fleet &fleet, const EndpointInstance &instance, const ServiceName &service,
+                std::string_view address);
+
 /// @param endpoint any endpoint
 /// @param wanted software version; nothing: any. Versions have no order: one is equal or it is another one
 /// @return whether the endpoint runs that version
--- a/lacewing/relayanswer.cpp
+++ b/lacewing/relayanswer.cpp
@@ -90,7 +90,7 @@
         return;
     }
     this->recordReturn(true);
-    this->gateway.crashes.recordAnswer(this->endpoint, this->incarnationStart, this->sentAt);
+    this->gateway.crashes.recordAnswer(this->endpoint, this->incarnationStart, this->link->connectedAt, this->sentAt);
     const bool failed = answer.head.status >= 500;
     if (failed) {
         this->gateway.recordEndpointFailure(this->endpoint, EndpointFailure::Error, this->info.id);
--- a/lacewing/relayend.cpp
+++ b/lacewing/relayend.cpp
@@ -59,8 +59,10 @@
     } else if (this->answerBegun) {
         answeredFor = Duration {0}; // the head alone
     }
+    const bool replaced
+        = isReplaced(this->gateway.fleetState, {this->endpoint, this->incarnationStart}, this->service, address);
     this->gateway.crashes.recordBrokenConnection({this->endpoint, this->incarnationStart, this->service, address},
-                                                 this->content, answeredFor);
+                                                 this->content, answeredFor, replaced);
 }
 
 bool Relay::refuseIfProvenCrashing()
@@ -95,6 +97,7 @@
     if (!this->peer.empty()) {
         return;
     }
+    this->link->connectedAt = this->gateway.now();
     this->gateway.counts.connectionsMade += 1;
     recordConnected(this->gateway.reach.of(this->service));
 }
