An answer to an earlier request does not end a request limit

All VMs sent freely to an endpoint in need for as long as it took to get the next statement: an answer that it had begun before it stated its limit, and that arrived later, ended the limit. The order of arrival stood for the order of writing. An answer ends a limit only if its request was sent after the statement had arrived; the notice to other VMs carries that age.

--- a/lacewing/endpointlimit.cpp
+++ b/lacewing/endpointlimit.cpp
@@ -70,9 +70,9 @@
     return true;
 }
 
-bool recordNoLimit(EndpointLimit &limit, TimePoint at)
+bool recordNoLimit(EndpointLimit &limit, TimePoint sentAt, TimePoint at)
 {
-    if (!isLimited(limit) || at < limit.lastNamed + limitReorderWindow) {
+    if (!isLimited(limit) || sentAt < limit.lastNamed || at < limit.lastNamed + limitReorderWindow) {
         return false;
     }
     limit.rate = 0;
--- a/lacewing/endpointlimit.h
+++ b/lacewing/endpointlimit.h
@@ -68,11 +68,13 @@
 /// @return whether the limit changed
 bool recordLimit(EndpointLimit &limit, double rate, TimePoint at, TimePoint now);
 
-/// Records an answer that states no limit.
+/// Records an answer that states no limit. It ends a limit only if the endpoint got its request after it had stated the
+/// limit: answers may arrive in another order than that in which they were written.
 /// @param limit updated
+/// @param sentAt when the request was sent that it answers
 /// @param at when the answer arrived
 /// @return whether this ended a limit
-bool recordNoLimit(EndpointLimit &limit, TimePoint at);
+bool recordNoLimit(EndpointLimit &limit, TimePoint sentAt, TimePoint at);
 
 /// Takes tokens for requests that this VM or another one sends.
 /// @param limit updated
--- a/lacewing/gateway.h
+++ b/lacewing/gateway.h
@@ -294,8 +294,8 @@
     double draw();
     SendHold checkSend(const EndpointInstance &instance, const std::optional<std::string> &softwareVersion,
                        const std::string &request);
-    void recordLimit(const EndpointName &id, const AnswerInfo &answer, bool success);
-    void announceLimit(const EndpointName &id, double perSecond);
+    void recordLimit(const EndpointName &id, const AnswerInfo &answer, bool success, TimePoint sentAt);
+    void announceLimit(const EndpointName &id, double perSecond, Duration age);
     void recordRejectionLimit(const ServiceName &service, const AnswerInfo &answer, bool success);
     void recordRejection(const EndpointName &id);
     void applyRejections(const wire::LimitNews &update);
--- a/lacewing/gatewayupdates.cpp
+++ b/lacewing/gatewayupdates.cpp
@@ -97,7 +97,7 @@
     return !wasShunned;
 }
 
-void Gateway::recordLimit(const EndpointName &id, const AnswerInfo &answer, bool success)
+void Gateway::recordLimit(const EndpointName &id, const AnswerInfo &answer, bool success, TimePoint sentAt)
 {
     const auto found = this->fleetState.endpoints.find(id);
     if (found == this->fleetState.endpoints.end()) {
@@ -106,9 +106,9 @@
     EndpointLimit &limit = found->second.stated.limit;
     const TimePoint now = this->now();
     if (!answer.stated.limit) {
-        if (success && recordNoLimit(limit, now)) {
+        if (success && recordNoLimit(limit, sentAt, now)) {
             logEvent("limit_ended", {{"endpoint", id}, {"id", answer.id}});
-            this->announceLimit(id, 0);
+            this->announceLimit(id, 0, now - sentAt);
             this->wakeWaiting();
         }
         return;
@@ -125,11 +125,11 @@
                  {{"endpoint", id}, {"id", answer.id}, {"per_second", std::to_string(*answer.stated.limit)}});
     }
     if (changed || shouldAnnounceLimit(limit, now)) {
-        this->announceLimit(id, limit.rate);
+        this->announceLimit(id, limit.rate, Duration {0});
     }
 }
 
-void Gateway::announceLimit(const EndpointName &id, double perSecond)
+void Gateway::announceLimit(const EndpointName &id, double perSecond, Duration age)
 {
     FleetEndpoint &endpoint = this->fleetState.endpoints.at(id);
     endpoint.stated.limit.told = this->now();
@@ -137,6 +137,7 @@
     update.endpoint = id;
     update.born = endpoint.entry.born;
     update.perSecond = perSecond;
+    update.ageMilliseconds = toMilliseconds(age);
     if (this->onLimitUpdate) {
         this->onLimitUpdate(update);
     }
@@ -237,7 +238,7 @@
         if (lacewing::recordLimit(limit, update.perSecond, at, now)) {
             logEvent("limit_told", {{"endpoint", update.endpoint}, {"per_second", std::to_string(update.perSecond)}});
         }
-    } else if (update.perSecond == 0 && recordNoLimit(limit, at)) {
+    } else if (update.perSecond == 0 && recordNoLimit(limit, at, now)) {
         logEvent("limit_ended", {{"endpoint", update.endpoint}});
         this->wakeWaiting();
     }
--- a/lacewing/relayanswer.cpp
+++ b/lacewing/relayanswer.cpp
@@ -57,7 +57,8 @@
         this->gateway.recordStatement({this->endpoint, this->incarnationStart}, answerInfo.stated, answerInfo.id);
     }
     if (isIncarnation(this->gateway.fleetState, this->endpoint, this->incarnationStart)) {
-        this->gateway.recordLimit(this->endpoint, answerInfo, answerInfo.fromEndpoint && answer.head.status < 300);
+        this->gateway.recordLimit(this->endpoint, answerInfo, answerInfo.fromEndpoint && answer.head.status < 300,
+                                  this->sentAt);
     }
     if (answerInfo.fromEndpoint || answerInfo.notRun) {
         this->gateway.recordRejectionLimit(this->service, answerInfo,
--- a/lacewing/testing/endpointlimittest.cpp
+++ b/lacewing/testing/endpointlimittest.cpp
@@ -67,7 +67,7 @@
     cr_assert(recordLimit(limit, 1, later, later));
     cr_assert_not(recordLimit(limit, 3, later - milliseconds(500), later + milliseconds(10)));
     cr_assert_eq(limit.rate, 1);
-    cr_assert(recordNoLimit(limit, later + milliseconds(500)));
+    cr_assert(recordNoLimit(limit, later + milliseconds(500), later + milliseconds(500)));
     cr_assert_not(recordLimit(limit, 1, later, later + milliseconds(600)), "stated before the limit ended");
     cr_assert_not(isLimited(limit));
 }
@@ -75,7 +75,7 @@
 Test(endpointlimit, lowerLimitHoldsIfTheOrderOfAnswersIsUnknown)
 {
     EndpointLimit limit = limitOf(3);
-    cr_assert_not(recordNoLimit(limit, start + milliseconds(20)));
+    cr_assert_not(recordNoLimit(limit, start + milliseconds(20), start + milliseconds(20)));
     cr_assert_not(recordLimit(limit, 5, start + milliseconds(20), start + milliseconds(20)));
     cr_assert_eq(limit.rate, 3);
     cr_assert(recordLimit(limit, 2, start + milliseconds(30), start + milliseconds(30)));
@@ -86,9 +86,16 @@
 Test(endpointlimit, limitThatIsNoLongerStatedEnds)
 {
     EndpointLimit limit = limitOf(3);
-    cr_assert(recordNoLimit(limit, start + milliseconds(500)));
+    cr_assert(recordNoLimit(limit, start + milliseconds(500), start + milliseconds(500)));
     cr_assert(hasRoom(limit, start + milliseconds(500)));
-    cr_assert_not(recordNoLimit(limit, start + milliseconds(600)), "reported once");
+    cr_assert_not(recordNoLimit(limit, start + milliseconds(600), start + milliseconds(600)), "reported once");
+}
+
+Test(endpointlimit, answerToARequestFromBeforeTheStatementDoesNotEndTheLimit)
+{
+    EndpointLimit limit = limitOf(3);
+    cr_assert_not(recordNoLimit(limit, start - milliseconds(1), start + milliseconds(500)));
+    cr_assert(recordNoLimit(limit, start + milliseconds(1), start + milliseconds(500)));
 }
 
 Test(endpointlimit, burstIsBounded)
@@ -139,6 +146,19 @@
 
 namespace {
 
+/// @return most arrivals, which are in order, within the length of the window
+std::size_t maxInWindow(const std::vector<TimePoint> &arrivals, Duration window)
+{
+    std::size_t most = 0;
+    for (std::size_t first = 0, last = 0; last < arrivals.size(); ++last) {
+        while (arrivals[last] - arrivals[first] >= window) {
+            first += 1;
+        }
+        most = std::max(most, last - first + 1);
+    }
+    return most;
+}
+
 /// VMs of one zone that all send to one endpoint as often as its limit allows. An announcement of a request takes 1 to
 /// 4 ms or is lost.
 struct Zone {
@@ -189,18 +209,6 @@
         }
     }
 
-    std::size_t maxInWindow(Duration window) const
-    {
-        std::size_t maxArrivals = 0;
-        for (std::size_t first = 0, last = 0; last < this->arrivals.size(); ++last) {
-            while (this->arrivals[last] - this->arrivals[first] >= window) {
-                first += 1;
-            }
-            maxArrivals = std::max(maxArrivals, last - first + 1);
-        }
-        return maxArrivals;
-    }
-
     std::mt19937_64 random;
     TimePoint now = start;
     std::vector<EndpointLimit> limits;
@@ -221,7 +229,7 @@
             for (unsigned seed = 0; seed < 10; ++seed) {
                 Zone zone(seed, vmCount, rate);
                 zone.run(milliseconds(20000), demand);
-                const auto maxArrivals = static_cast<double>(zone.maxInWindow(window));
+                const auto maxArrivals = static_cast<double>(maxInWindow(zone.arrivals, window));
                 const double allowed = 1.5 * rate * 4 + 5;
                 cr_assert(maxArrivals <= allowed, "%u VMs, %.1f a second, seed %u: %.0f", vmCount, rate, seed,
                           maxArrivals);
@@ -366,18 +374,6 @@
         }
     }
 
-    std::size_t maxInWindow(Duration window) const
-    {
-        std::size_t most = 0;
-        for (std::size_t first = 0, last = 0; last < this->arrivals.size(); ++last) {
-            while (this->arrivals[last] - this->arrivals[first] >= window) {
-                first += 1;
-            }
-            most = std::max(most, last - first + 1);
-        }
-        return most;
-    }
-
     std::mt19937_64 random;
     TimePoint now = start;
     Counted way;
@@ -414,7 +410,7 @@
                         zone.run(milliseconds(pause), 10, true, patience);
                         zone.run(milliseconds(6000), 10, false, patience);
                     }
-                    const std::size_t got = zone.maxInWindow(window);
+                    const std::size_t got = maxInWindow(zone.arrivals, window);
                     most = std::max(most, got);
                     broken += static_cast<double>(got) > allowed ? 1 : 0;
                     sent += zone.arrivals.size();
