--- a/lacewing/crashwatch.cpp
+++ b/lacewing/crashwatch.cpp
@@ -155,7 +155,7 @@
 void CrashWatch::watchProbe(const std::shared_ptr<Probe> &probe)
 {
     probe->socket.async_read_some(asio::buffer(&probe->byte, 1), [this, probe](const NetError &error, std::size_t) {
-        const bool held = error == asio::error::operation_aborted;
+        const bool held = !error || error == asio::error::operation_aborted;
         probe->timer.cancel();
         runGuarded("crash_probe", [&] { this->endProbe(probe, held ? "held" : "closed"); });
     });
--- a/lacewing/testing/crashwatchtest.cpp
+++ b/lacewing/testing/crashwatchtest.cpp
@@ -80,6 +80,14 @@
         return this->watch.suspicionOf(this->content);
     }
 
+    /// @return whether the request is suspected within a time that is ample on a busy machine
+    bool becomesSuspected()
+    {
+        for (int times = 0; times < 200 && this->runFor(std::chrono::milliseconds(50)) == Suspicion::None; ++times) {
+        }
+        return this->watch.suspicionOf(this->content) == Suspicion::Suspected;
+    }
+
     asio::io_context context;
     RuntimeClock clock;
     CrashWatch watch {context, clock};
@@ -99,7 +107,7 @@
 {
     WatchFixture fixture(Port::Closed);
     fixture.breakConnection();
-    cr_assert_eq(fixture.runFor(probed), Suspicion::Suspected);
+    cr_assert(fixture.becomesSuspected());
 }
 
 // The next process may listen before it is listed.
@@ -111,7 +119,7 @@
     fixture.list("i", born);
     cr_assert_eq(fixture.runFor(probed), Suspicion::None, "the same incarnation");
     fixture.list("i", born + 1);
-    cr_assert_eq(fixture.runFor(probed), Suspicion::Suspected);
+    cr_assert(fixture.becomesSuspected());
     cr_assert_eq(fixture.probes, 1);
 }
 
@@ -121,7 +129,7 @@
     fixture.breakConnection();
     fixture.runFor(probed);
     fixture.list("j", born);
-    cr_assert_eq(fixture.runFor(probed), Suspicion::Suspected);
+    cr_assert(fixture.becomesSuspected());
 }
 
 Test(crashwatch, nextProcessMayBeListedBeforeTheBreakIsNoticed)
@@ -138,7 +146,7 @@
     fixture.breakConnection();
     cr_assert_eq(fixture.runFor(probed), Suspicion::None);
     fixture.setPort(Port::Closed);
-    cr_assert_eq(fixture.runFor(std::chrono::milliseconds(600)), Suspicion::Suspected);
+    cr_assert(fixture.becomesSuspected());
 }
 
 Test(crashwatch, answerOnAnEarlierConnectionShowsThatTheProcessLives)
@@ -159,7 +167,7 @@
     fixture.runFor(probed);
     fixture.watch.recordAnswer("i", born, fixture.clock.now(), fixture.clock.now());
     fixture.list("i", born + 1);
-    cr_assert_eq(fixture.runFor(probed), Suspicion::Suspected);
+    cr_assert(fixture.becomesSuspected());
 }
 
 // A VM that was paused learns of a crash late, and has sent a request to the next process by then.
@@ -168,10 +176,10 @@
     WatchFixture fixture(Port::Closed);
     const TimePoint early = fixture.clock.now() - milliseconds(5000);
     fixture.breakConnection();
-    fixture.runFor(probed);
+    cr_assert(fixture.becomesSuspected());
     fixture.watch.recordAnswer("i", born, early, fixture.clock.now() - milliseconds(4000));
     fixture.watch.recordAnswer("i", born, fixture.clock.now(), fixture.clock.now());
-    cr_assert_eq(fixture.runFor(probed), Suspicion::Suspected);
+    cr_assert(fixture.becomesSuspected());
     fixture.watch.recordAnswer("i", born, early, fixture.clock.now());
     cr_assert_eq(fixture.watch.suspicionOf(fixture.content), Suspicion::None, "an earlier connection, a later request");
 }
