--- a/lacewing/copyleaseexchange.cpp
+++ b/lacewing/copyleaseexchange.cpp
@@ -1,6 +1,6 @@
 // An answer counts only for the copy that is asking; a lease that is granted to a copy that was given up meanwhile is
-// ended at once. A renewal goes to the first grantor as well as to the one that granted the lease: the first one may
-// have been away and would otherwise grant the lease to a second copy.
+// ended at once. A renewal goes to all grantors of the request: one that did not answer the ask, or that has become the
+// first since, would otherwise grant the lease to a second copy.
 
 #include "copyleaseexchange.h"
 
@@ -63,8 +63,8 @@
     const CopyTicket ticket = ++this->lastTicket;
     this->digests[ticket] = digest;
     LocalCopies &copies = this->local[digest];
-    copies.copies.push_back({ticket, std::move(onGranted)});
-    if (copies.copies.size() == 1) {
+    copies.queue.push_back({ticket, std::move(onGranted)});
+    if (copies.queue.size() == 1) {
         this->startAsking(digest);
     }
     return ticket;
@@ -74,6 +74,7 @@
 {
     LocalCopies &copies = this->local.at(digest);
     copies.held = false;
+    copies.refused = false;
     copies.asked = 0;
     copies.grantors = this->grantorsOf(digest);
     this->askNext(digest);
@@ -83,16 +84,16 @@
 {
     LocalCopies &copies = this->local.at(digest);
     if (copies.asked >= copies.grantors.size() * asksPerGrantor) {
-        this->counts.unanswered += 1;
+        this->counts.withoutLease += 1;
         this->grant(digest);
         return;
     }
     const VmId grantor = copies.grantors[copies.asked / asksPerGrantor];
-    const CopyTicket ticket = copies.copies.front().ticket;
+    const CopyTicket ticket = copies.queue.front().ticket;
     copies.asked += 1;
     this->setDue(copies, grantorTimeout);
     if (grantor != this->settings.vm) {
-        this->send(grantor, digest, ticket);
+        this->sendAsk(grantor, digest, ticket);
         return;
     }
     const CopyLeaseDecision decision
@@ -103,7 +104,7 @@
 void CopyLeaseExchange::onDecision(RequestDigest digest, CopyTicket ticket, const CopyLeaseDecision &decision)
 {
     const auto found = this->local.find(digest);
-    const bool asks = found != this->local.end() && found->second.copies.front().ticket == ticket;
+    const bool asks = found != this->local.end() && found->second.queue.front().ticket == ticket;
     if (!asks || found->second.held) {
         return;
     }
@@ -112,8 +113,8 @@
         this->grant(digest);
         return;
     }
-    this->counts.waited += 1;
-    found->second.asked = 0;
+    this->counts.refused += 1;
+    found->second.refused = true;
     this->setDue(found->second, std::min(decision.wait, copyPollInterval));
 }
 
@@ -123,12 +124,12 @@
     copies.held = true;
     copies.grantors.resize(grantorsAsked(copies.asked)); // the others know nothing to end
     this->setDue(copies, renewalInterval);
-    if (const auto onGranted = std::exchange(copies.copies.front().onGranted, nullptr)) {
+    if (const auto onGranted = std::exchange(copies.queue.front().onGranted, nullptr)) {
         onGranted(); // may release the lease
     }
 }
 
-void CopyLeaseExchange::release(CopyTicket ticket, bool broken)
+void CopyLeaseExchange::release(CopyTicket ticket, bool unsettled)
 {
     const auto digestFound = this->digests.find(ticket);
     if (digestFound == this->digests.end()) {
@@ -137,36 +138,37 @@
     const RequestDigest digest = digestFound->second;
     this->digests.erase(digestFound);
     LocalCopies &copies = this->local.at(digest);
-    const bool first = copies.copies.front().ticket == ticket;
-    std::erase_if(copies.copies, [ticket](const Copy &copy) { return copy.ticket == ticket; });
+    const bool first = copies.queue.front().ticket == ticket;
+    std::erase_if(copies.queue, [ticket](const Copy &copy) { return copy.ticket == ticket; });
     if (!first) {
         return;
     }
-    this->sendEnd(copies.grantors, digest, ticket, broken);
-    if (copies.copies.empty()) {
+    this->sendEnd(copies.grantors, digest, ticket, unsettled);
+    if (copies.queue.empty()) {
         this->local.erase(digest);
         return;
     }
     this->startAsking(digest);
 }
 
-void CopyLeaseExchange::sendEnd(const std::vector<VmId> &grantors, RequestDigest digest, CopyTicket ticket, bool broken)
+void CopyLeaseExchange::sendEnd(const std::vector<VmId> &grantors, RequestDigest digest, CopyTicket ticket,
+                                bool unsettled)
 {
     wire::CopyLeaseAsk ask;
     ask.digest = static_cast<std::int64_t>(digest);
     ask.ticket = ticket;
     ask.ended = true;
-    ask.broken = broken;
+    ask.broken = unsettled;
     for (const VmId &grantor : grantors) {
         if (grantor == this->settings.vm) {
-            endCopyLease(this->granted, digest, {grantor, ticket}, broken, this->clock.now());
+            endCopyLease(this->granted, digest, {grantor, ticket}, unsettled, this->clock.now());
         } else {
             this->ports.ask(grantor, ask);
         }
     }
 }
 
-void CopyLeaseExchange::send(const VmId &grantor, RequestDigest digest, CopyTicket ticket)
+void CopyLeaseExchange::sendAsk(const VmId &grantor, RequestDigest digest, CopyTicket ticket)
 {
     wire::CopyLeaseAsk ask;
     ask.digest = static_cast<std::int64_t>(digest);
@@ -176,13 +178,13 @@
 
 void CopyLeaseExchange::renew(RequestDigest digest, LocalCopies &copies)
 {
-    const CopyTicket ticket = copies.copies.front().ticket;
+    const CopyTicket ticket = copies.queue.front().ticket;
     copies.grantors = this->grantorsOf(digest);
     for (const VmId &grantor : copies.grantors) {
         if (grantor == this->settings.vm) {
             askCopyLease(this->granted, digest, {grantor, ticket}, this->clock.now());
         } else {
-            this->send(grantor, digest, ticket);
+            this->sendAsk(grantor, digest, ticket);
         }
     }
     this->setDue(copies, renewalInterval);
@@ -204,7 +206,7 @@
         }
         if (found->second.held) {
             this->renew(digest, found->second);
-        } else if (found->second.asked == 0) {
+        } else if (found->second.refused) {
             this->startAsking(digest);
         } else {
             this->askNext(digest);
--- a/lacewing/copyleaseexchange.h
+++ b/lacewing/copyleaseexchange.h
@@ -2,7 +2,7 @@
 //
 //   CopyLeaseExchange leases(clock, settings, ports);
 //   const auto ticket = leases.acquire(digest, [] { ... });   // when the copy may be sent
-//   leases.release(ticket, broken);                           // when it has ended or was given up
+//   leases.release(ticket, unsettled);                        // when it has ended or was given up
 //
 // The grantor of a request is the first VM by rendezvous hashing. If it does not answer, the next ones are asked; after
 // maxGrantorsAsked the copy is sent without a lease, so that a VM that is cut off from the others serves on.
@@ -18,8 +18,6 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
-#include <map>
-#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -51,8 +49,8 @@
 /// Counts since the start, for the metrics page.
 struct CopyLeaseCounters {
     std::int64_t acquired = 0; ///< leases that copies of this VM got
-    std::int64_t waited = 0; ///< asks answered with another copy in progress
-    std::int64_t unanswered = 0; ///< copies that were sent without a lease, as no grantor answered
+    std::int64_t refused = 0; ///< asks answered with another copy in progress
+    std::int64_t withoutLease = 0; ///< copies that were sent although no grantor answered
 };
 
 class CopyLeaseExchange
@@ -71,8 +69,8 @@
     CopyTicket acquire(RequestDigest digest, std::function<void()> onGranted);
     /// Gives up a lease, or the wait for it.
     /// @param ticket of the copy; unknown ones are ignored
-    /// @param broken whether the copy's connection to its endpoint broke
-    void release(CopyTicket ticket, bool broken);
+    /// @param unsettled whether the endpoint may still run the copy, or has crashed under it
+    void release(CopyTicket ticket, bool unsettled);
     /// Asks again where an answer is missing or another copy was in progress, and renews leases.
     void expire();
 
@@ -89,9 +87,10 @@
 
     /// Copies of one request at this VM. The first one asks for the lease or has it.
     struct LocalCopies {
-        std::deque<Copy> copies;
+        std::deque<Copy> queue;
         std::vector<VmId> grantors; ///< to ask, by rank
         std::size_t asked = 0; ///< asks sent to them so far
+        bool refused = false; ///< another copy was in progress
         bool held = false; ///< the first copy may be in progress
         TimePoint due; ///< next ask
     };
@@ -99,12 +98,12 @@
     std::vector<VmId> grantorsOf(RequestDigest digest) const;
     void startAsking(RequestDigest digest);
     void askNext(RequestDigest digest);
-    void renew(RequestDigest digest, LocalCopies &local);
+    void renew(RequestDigest digest, LocalCopies &copies);
     void onDecision(RequestDigest digest, CopyTicket ticket, const CopyLeaseDecision &decision);
     void grant(RequestDigest digest);
-    void send(const VmId &grantor, RequestDigest digest, CopyTicket ticket);
-    void sendEnd(const std::vector<VmId> &grantors, RequestDigest digest, CopyTicket ticket, bool broken);
-    void setDue(LocalCopies &local, Duration delay);
+    void sendAsk(const VmId &grantor, RequestDigest digest, CopyTicket ticket);
+    void sendEnd(const std::vector<VmId> &grantors, RequestDigest digest, CopyTicket ticket, bool unsettled);
+    void setDue(LocalCopies &copies, Duration delay);
 
     const RuntimeClock &clock;
     CopyLeaseSettings settings;
--- a/lacewing/copyleases.cpp
+++ b/lacewing/copyleases.cpp
@@ -23,13 +23,13 @@
     return {true, Duration {0}};
 }
 
-void endCopyLease(CopyLeases &leases, RequestDigest digest, const CopyId &copy, bool broken, TimePoint now)
+void endCopyLease(CopyLeases &leases, RequestDigest digest, const CopyId &copy, bool unsettled, TimePoint now)
 {
     const auto found = leases.find(digest);
     if (found == leases.end() || !(found->second.holder == copy)) {
         return;
     }
-    if (!broken) {
+    if (!unsettled) {
         leases.erase(found);
     } else if (!found->second.awaitsVerdict) {
         found->second.awaitsVerdict = true;
--- a/lacewing/copyleases.h
+++ b/lacewing/copyleases.h
@@ -19,10 +19,11 @@
 
 /// A lease that is not renewed, since its holder has crashed or is cut off, ends after this time.
 constexpr Duration copyLeaseTime = milliseconds(1500);
-/// After a copy's connection broke, no other copy is sent until the crash has been reported to all VMs and has settled
-/// (settlingTime). Otherwise the next copy would be sent before the request is known to be proven.
+/// After a copy whose connection broke or was given up, no other copy is sent until a crash would have been reported to
+/// all VMs and have settled (settlingTime). Otherwise the next copy would be sent beside the one that was given up, or
+/// before the request is known to be proven.
 constexpr Duration copyVerdictTime = milliseconds(300);
-/// Requests of which a VM grants the lease; a further one is granted without being recorded.
+/// Leases that a VM records; further ones are granted without a record.
 constexpr std::size_t maxCopyLeases = 4096;
 
 /// A copy of a request, as the VM that received it names it.
@@ -36,7 +37,7 @@
 struct CopyLease {
     CopyId holder;
     TimePoint until;
-    bool awaitsVerdict = false; ///< the holder's connection broke
+    bool awaitsVerdict = false; ///< the holder has ended unsettled
 };
 
 /// Leases by request.
@@ -58,9 +59,9 @@
 /// @param leases changed
 /// @param digest of the request
 /// @param copy that is not in progress any more
-/// @param broken whether its connection to the endpoint broke
+/// @param unsettled whether the endpoint may still run it, or has crashed under it
 /// @param now current time
-void endCopyLease(CopyLeases &leases, RequestDigest digest, const CopyId &copy, bool broken, TimePoint now);
+void endCopyLease(CopyLeases &leases, RequestDigest digest, const CopyId &copy, bool unsettled, TimePoint now);
 
 /// Removes the leases that have expired.
 void expireCopyLeases(CopyLeases &leases, TimePoint now);
--- a/lacewing/crashwatch.cpp
+++ b/lacewing/crashwatch.cpp
@@ -37,14 +37,18 @@
 
 void addTo(ContentInProgress &inProgress, const RequestContent &content, std::optional<Duration> answeredFor)
 {
+    const auto add = [](std::vector<RequestDigest> &digests, RequestDigest digest) {
+        const bool known = std::find(digests.begin(), digests.end(), digest) != digests.end();
+        if (!known && digests.size() < maxInProgressPerCrash) {
+            digests.push_back(digest);
+        }
+    };
     const bool late = answeredFor && *answeredFor >= earlyCrashWindow;
-    (late ? inProgress.requests.late : inProgress.requests.early).push_back(content.digest);
+    add(late ? inProgress.requests.late : inProgress.requests.early, content.digest);
     const bool justBegun = answeredFor && *answeredFor < partCrashWindow;
     std::vector<RequestDigest> &parts = justBegun ? inProgress.parts.early : inProgress.parts.late;
     for (const RequestDigest part : content.parts) {
-        if (std::find(parts.begin(), parts.end(), part) == parts.end()) {
-            parts.push_back(part);
-        }
+        add(parts, part);
     }
 }
 
@@ -344,7 +348,7 @@
 {
     const TimePoint now = this->clock.now();
     std::erase_if(this->unconfirmed,
-                  [now](const auto &entry) { return now - entry.second.latest >= unconfirmedRetention; });
+                  [now](const auto &entry) { return now - entry.second.first >= unconfirmedRetention; });
 }
 
 } // namespace lacewing
--- a/lacewing/crashwatch.h
+++ b/lacewing/crashwatch.h
@@ -116,8 +116,8 @@
     struct UnconfirmedCrash {
         EndpointIncarnation incarnation;
         ContentInProgress inProgress;
-        TimePoint first; ///< broken connection
-        TimePoint latest; ///< broken connection
+        TimePoint first; ///< when the first connection broke
+        TimePoint latest; ///< when the latest connection broke
         int probes = 0;
         bool probing = false;
     };
--- a/lacewing/entrynode.cpp
+++ b/lacewing/entrynode.cpp
@@ -132,12 +132,6 @@
         this->receiveEndpointUpdate(this->settings.vm, this->settings.zone, news);
     };
     this->dataPath.onPromptUpdate = [this](const wire::PromptSent &prompt) { this->gossip.sendPromptToAll(prompt); };
-    this->gossip.onCrashUpdate = [this](const wire::CrashNews &news) { this->dataPath.crashWatch().take(news); };
-    this->dataPath.crashWatch().onUpdate
-        = [this](const wire::CrashNews &news) { this->gossip.sendCrashUpdateToAll(news); };
-    this->gossip.onLimitUpdate
-        = [this](const VmId &vm, const wire::LimitNews &news) { this->dataPath.applyLimitUpdate(vm, news); };
-    this->dataPath.onLimitUpdate = [this](const wire::LimitNews &news) { this->sendLimitUpdate(news); };
     this->gossip.onRejectionDigest
         = [this](const wire::RejectionDigest &digest) { this->dataPath.applyRejectionDigest(digest); };
     this->gossip.onVmStarted = [this](const VmId &vm) { this->tellRejections(vm); };
@@ -156,7 +150,7 @@
     this->connectConfigTransfer();
     this->connectQuota();
     this->connectOrigins();
-    this->connectCopyLeases();
+    this->connectCrashesAndLimits();
     this->connectForwarding();
 }
 
--- a/lacewing/entrynode.h
+++ b/lacewing/entrynode.h
@@ -194,7 +194,7 @@
     QuotaPorts quotaPorts();
     void connectOrigins();
     CopyLeasePorts copyLeasePorts();
-    void connectCopyLeases();
+    void connectCrashesAndLimits();
     OriginSettings originSettings() const;
     OriginPorts originPorts();
     std::vector<OriginVm> originVms(bool ownZone) const;
--- a/lacewing/entrynodemetrics.cpp
+++ b/lacewing/entrynodemetrics.cpp
@@ -49,8 +49,8 @@
     line("parts_proven_to_crash_total", crashes.partsProven);
     line("crash_digests_untold_total", crashes.untold);
     line("copy_leases_acquired_total", this->copyLeases.counts.acquired);
-    line("copy_leases_refused_total", this->copyLeases.counts.waited);
-    line("copies_without_lease_total", this->copyLeases.counts.unanswered);
+    line("copy_leases_refused_total", this->copyLeases.counts.refused);
+    line("copies_without_lease_total", this->copyLeases.counts.withoutLease);
     line("requests_open", static_cast<std::int64_t>(this->dataPath.openRequests()));
     line("orders_total", this->owner.ordersSent);
     line("load_checks_total", this->owner.loadChecks);
--- a/lacewing/entrynodeupdates.cpp
+++ b/lacewing/entrynodeupdates.cpp
@@ -206,8 +206,14 @@
     return ports;
 }
 
-void EntryNode::connectCopyLeases()
+void EntryNode::connectCrashesAndLimits()
 {
+    this->gossip.onCrashUpdate = [this](const wire::CrashNews &news) { this->dataPath.crashWatch().take(news); };
+    this->dataPath.crashWatch().onUpdate
+        = [this](const wire::CrashNews &news) { this->gossip.sendCrashUpdateToAll(news); };
+    this->gossip.onLimitUpdate
+        = [this](const VmId &vm, const wire::LimitNews &news) { this->dataPath.applyLimitUpdate(vm, news); };
+    this->dataPath.onLimitUpdate = [this](const wire::LimitNews &news) { this->sendLimitUpdate(news); };
     this->gossip.onCopyLeaseAsk
         = [this](const VmId &vm, const wire::CopyLeaseAsk &ask) { this->copyLeases.receiveAsk(vm, ask); };
     this->gossip.onCopyLeaseAnswer
@@ -216,7 +222,7 @@
         return this->copyLeases.acquire(digest, std::move(onGranted));
     };
     this->dataPath.releaseCopyLease
-        = [this](std::int64_t ticket, bool broken) { this->copyLeases.release(ticket, broken); };
+        = [this](std::int64_t ticket, bool unsettled) { this->copyLeases.release(ticket, unsettled); };
 }
 
 void EntryNode::tellRejections(const VmId &vm)
--- a/lacewing/gateway.h
+++ b/lacewing/gateway.h
@@ -237,8 +237,8 @@
 
     /// Asks for the lease of a suspected request (copyleaseexchange.h); if not set, copies are sent without one.
     std::function<std::int64_t(RequestDigest, std::function<void()> onGranted)> acquireCopyLease;
-    /// Gives up a lease, or the wait for it.
-    std::function<void(std::int64_t ticket, bool broken)> releaseCopyLease;
+    /// Gives up a lease, or the wait for it; unsettled: the endpoint may still run the copy, or has crashed under it.
+    std::function<void(std::int64_t ticket, bool unsettled)> releaseCopyLease;
 
     /// Remembers the software version of the endpoint that a resumable stream is sent to; if not set, nothing is.
     std::function<void(const OrganisationName &, const ServiceName &, const std::string &attempt,
--- a/lacewing/lacewing.thrift
+++ b/lacewing/lacewing.thrift
@@ -342,7 +342,7 @@
   1: i64 digest,                       // of the request
   2: i64 ticket,                       // of the copy, among those of the sender
   3: bool ended = false,               // the copy is not in progress any more, or was given up
-  4: bool broken = false               // its connection to the endpoint broke
+  4: bool broken = false               // its connection broke, or the endpoint may still run it
 }
 
 /** Answers an ask that ends no lease. */
--- a/lacewing/relay.cpp
+++ b/lacewing/relay.cpp
@@ -395,7 +395,7 @@
     if (this->endpoint.empty()) {
         return;
     }
-    this->recordUnansweredEnd(false, this->written);
+    this->recordUnansweredEnd(false, this->written); // unless the endpoint has answered
     recordExchangeEnd(this->gateway.reach.of(this->service));
     this->recordReturn(false); // unless the endpoint has answered
     if (isIncarnation(this->gateway.fleetState, this->endpoint, this->incarnationStart)) {
--- a/lacewing/relay.h
+++ b/lacewing/relay.h
@@ -200,7 +200,7 @@
     bool copyLeaseHeld = false; ///< this copy of a suspected request may be sent
     bool awaitsAnswer = false; ///< counted in the unanswered requests of the endpoint
     bool written = false; ///< the request may be on its way to the endpoint
-    bool connectionBroke = false; ///< the connection to the endpoint that ran it
+    bool mayStillRun = false; ///< written, and neither answered completely nor stated not to have run
     bool noPromptsAhead = false; ///< the queue was empty ahead of the prompt when it was sent
     bool countedAsSuspect = false; ///< counted in the endpoint's ownCrashSuspects
     bool awaitsOrigin = false; ///< waits until it is known which software version may run it
--- a/lacewing/relayanswer.cpp
+++ b/lacewing/relayanswer.cpp
@@ -50,9 +50,9 @@
         this->link->skipAnswer();
         return;
     }
-    this->recordUnansweredEnd(true, true);
     constexpr int misdirected = 421;
     constexpr int unavailable = 503;
+    this->recordUnansweredEnd(answer.head.status != misdirected, false); // another endpoint shows nothing of this one
     if (answer.head.status != misdirected) { // which may come from another endpoint at the same address
         this->gateway.recordStatement({this->endpoint, this->incarnationStart}, answerInfo.stated, answerInfo.id);
     }
@@ -149,7 +149,8 @@
     }
     this->lastByteAt = now;
     if (this->copyLeaseHeld && this->age() - this->timeToFirstByte >= earlyCrashWindow) {
-        this->releaseCopyLease(); // it would have crashed the endpoint by now
+        this->mayStillRun = false; // as far as it may crash the endpoint
+        this->releaseCopyLease();
     }
 }
 
@@ -191,6 +192,7 @@
         this->onFailure(LinkFailure::Truncated);
         return;
     }
+    this->mayStillRun = false;
     const int status = this->link->answer().head.status;
     this->gateway.counts.answered += 1;
     if (this->organisation != nullptr) {
--- a/lacewing/relaycopies.cpp
+++ b/lacewing/relaycopies.cpp
@@ -54,10 +54,10 @@
 
 void Relay::releaseCopyLease()
 {
-    const bool broken = std::exchange(this->connectionBroke, false);
+    const bool unsettled = std::exchange(this->mayStillRun, false);
     this->copyLeaseHeld = false;
     if (const std::int64_t lease = std::exchange(this->copyTicket, 0); lease != 0) {
-        this->gateway.releaseCopyLease(lease, broken);
+        this->gateway.releaseCopyLease(lease, unsettled);
     }
 }
 
--- a/lacewing/relayend.cpp
+++ b/lacewing/relayend.cpp
@@ -25,7 +25,6 @@
         this->onPeerFailure(failure);
         return;
     }
-    this->recordUnansweredEnd(false, false); // its connection is closed by the other side
     if (failure != LinkFailure::NotConnected) {
         this->history.suspected = this->suspicion() != Suspicion::None; // evaluated before this failure is recorded
         this->recordBrokenConnection(address);
@@ -53,7 +52,6 @@
 
 void Relay::recordBrokenConnection(const std::string &address)
 {
-    this->connectionBroke = true;
     std::optional<Duration> answeredFor;
     if (this->timeToFirstByte.count() > 0) {
         answeredFor = this->age() - this->timeToFirstByte;
@@ -112,6 +110,7 @@
         = this->gateway.checkSend({this->endpoint, this->incarnationStart}, this->softwareVersion, this->info.id);
     if (hold == SendHold::None) {
         this->written = true;
+        this->mayStillRun = true;
         return true;
     }
     this->link->close();
@@ -173,6 +172,7 @@
 void Relay::attemptEnded(AttemptEnding ending, std::string_view reason)
 {
     this->history.mayHaveRun += ending == AttemptEnding::MayHaveRun ? 1 : 0;
+    this->mayStillRun = this->mayStillRun && ending == AttemptEnding::MayHaveRun;
     const bool rejected = ending == AttemptEnding::NotRun && this->history.sends >= maxSendsWithRejectionLimit
         && this->gateway.limitsRejections(this->service);
     if (rejected) { // a further endpoint would most probably reject it as well
--- a/lacewing/testing/copyleasetest.cpp
+++ b/lacewing/testing/copyleasetest.cpp
@@ -433,3 +433,33 @@
     model.advance(milliseconds(500));
     cr_assert_eq(model.waits.size(), 1U);
 }
+
+// A repeated ask may be answered twice, by a refusal and by a grant.
+Test(copylease, leaseThatIsGrantedAfterARefusalIsEnded)
+{
+    RuntimeClock clock;
+    clock.pause();
+    std::vector<wire::CopyLeaseAsk> asks;
+    CopyLeasePorts ports;
+    ports.ask = [&asks](const VmId &, const wire::CopyLeaseAsk &ask) { asks.push_back(ask); };
+    ports.vms = [] { return std::vector<VmId> {"vm2", "vm3", "vm4", "vm5", "vm6"}; };
+    ports.wakeAfter = [](Duration) {};
+    CopyLeaseExchange exchange(clock, {"vm1", 0}, std::move(ports));
+    RequestDigest digest = 1;
+    while (rendezvousScore(digest, "vm2") > rendezvousScore(digest, "vm1")) {
+        digest += 1; // another VM is the grantor
+    }
+    bool granted = false;
+    const CopyTicket ticket = exchange.acquire(digest, [&granted] { granted = true; });
+    cr_assert_eq(asks.size(), 1U);
+    wire::CopyLeaseAnswer answer;
+    answer.digest = asks.front().digest;
+    answer.ticket = ticket;
+    exchange.receiveAnswer("vm2", answer);
+    cr_assert_not(granted);
+    answer.granted = true;
+    exchange.receiveAnswer("vm2", answer);
+    cr_assert(granted);
+    exchange.release(ticket, false);
+    cr_assert(asks.back().ended);
+}
--- a/lacewing/testing/crashwatchtest.cpp
+++ b/lacewing/testing/crashwatchtest.cpp
@@ -183,3 +183,23 @@
     fixture.watch.recordAnswer("i", born, early, fixture.clock.now());
     cr_assert_eq(fixture.watch.suspicionOf(fixture.content), Suspicion::None, "an earlier connection, a later request");
 }
+
+// An endpoint that breaks every connection and goes on running.
+Test(crashwatch, requestsOfBrokenConnectionsAreBounded)
+{
+    WatchFixture fixture(Port::Accepting);
+    std::size_t reported = 0;
+    fixture.watch.onUpdate = [&reported](const wire::CrashNews &update) {
+        for (const wire::CrashReport &report : update.crashes) {
+            reported += report.digests.size();
+        }
+    };
+    for (RequestDigest digest = 1; digest <= 2 * maxInProgressPerCrash; ++digest) {
+        fixture.content.digest = digest;
+        fixture.breakConnection();
+        fixture.breakConnection();
+    }
+    fixture.list("i", born + 1);
+    fixture.runFor(probed);
+    cr_assert_eq(reported, maxInProgressPerCrash, "%zu requests told", reported);
+}
--- a/lacewing/unansweredrequests.cpp
+++ b/lacewing/unansweredrequests.cpp
@@ -38,9 +38,9 @@
     UnansweredRequests::Statement &known = unanswered.others[vm];
     const bool lower = count < known.count;
     known = {count, now};
-    if (count <= 0) {
-        unanswered.others.erase(vm);
-    }
+    std::erase_if(unanswered.others, [now](const auto &entry) {
+        return entry.second.count <= 0 || now - entry.second.at >= unansweredStatementLife; // of a VM that has ended
+    });
     return lower;
 }
 
--- a/lacewing/unansweredrequests.h
+++ b/lacewing/unansweredrequests.h
@@ -25,7 +25,7 @@
 constexpr Duration abandonedMemory = milliseconds(30000);
 /// A VM's statement is dropped if it has not been repeated for this long: three times in turn.
 constexpr Duration unansweredStatementLife = milliseconds(3500);
-/// Requests given up that are remembered of one endpoint, more than any limit of unanswered ones that matters.
+/// Requests given up that are remembered of one endpoint; a further one replaces the oldest.
 constexpr std::size_t maxAbandoned = 64;
 
 struct UnansweredRequests {
@@ -49,10 +49,10 @@
 /// @return number of earlier requests that this VM has given up, which the endpoint has probably just read
 std::int32_t recordAnswered(UnansweredRequests &unanswered, TimePoint sentAt, TimePoint now);
 
-/// Records that a request of this VM was not written, or that its connection was closed by the other side.
+/// Records that a request of this VM has not been written to the endpoint, or has reached another one.
 void recordUndelivered(UnansweredRequests &unanswered);
 
-/// Records that this VM has given up a request that it has written.
+/// Records that a request that this VM has written ends without an answer: it was given up, or its connection broke.
 /// @param unanswered changed
 /// @param sentAt when the request was sent
 void recordAbandoned(UnansweredRequests &unanswered, TimePoint sentAt);
