Event log: lines of several threads

Cause: the event log keeps its rate limits in one map without a lock, and each VM of such a process logs on its own thread. Ruled out: the store's fake, whose topics are locked.

--- a/lacewing/eventlog.cpp
+++ b/lacewing/eventlog.cpp
@@ -1,5 +1,6 @@
-// A line is at most a few hundred bytes, so a write to a pipe is atomic. The wall-clock time is only for readers of the
-// log; the rate limit uses the steady clock.
+// A line is at most a few hundred bytes, so a write to a pipe is atomic. Standard output is non-blocking in programs,
+// so that no thread waits long for the lock. The wall-clock time is only for readers of the log; the rate limit uses
+// the steady clock.
 
 #include "eventlog.h"
 
@@ -9,6 +10,7 @@
 #include <cstdio>
 #include <ctime>
 #include <map>
+#include <mutex>
 #include <span>
 #include <string>
 
@@ -26,6 +28,7 @@
 };
 
 struct EventLog {
+    std::mutex mutex; ///< a program may run several VMs, each on its own thread
     std::map<std::string, LineBudget, std::less<>> budgets;
     int unwritten = 0;
 };
@@ -76,6 +79,7 @@
 void logEvent(std::string_view event, std::initializer_list<LogField> fields)
 {
     EventLog &log = eventLog();
+    const std::lock_guard<std::mutex> lock(log.mutex);
     auto found = log.budgets.find(event);
     if (found == log.budgets.end()) {
         found = log.budgets.emplace(std::string(event), LineBudget {}).first;
--- a/lacewing/eventlog.h
+++ b/lacewing/eventlog.h
@@ -26,7 +26,7 @@
 /// @return whole milliseconds as text, for the value of a log field
 std::string inMilliseconds(Duration duration);
 
-/// Writes one line.
+/// Writes one line. May be called on several threads at once.
 /// @param event name of the event, lower case with underscores
 /// @param fields key=value pairs, in order
 void logEvent(std::string_view event, std::initializer_list<LogField> fields);
