A VM of the same size is not larger

storecopytest failed in 2 of some 60 runs beside load: the owner whose claim was lost had given the zone to another VM (ownership_lost, reason larger_vm).

Cause: VMs that state no processor time have 0, and 0 is at least twice 0, so that each owner yielded after its shortest tenure of 3 s.

--- a/lacewing/testing/zoneclaimtest.cpp
+++ b/lacewing/testing/zoneclaimtest.cpp
@@ -321,6 +321,15 @@
     cr_assert_not(shouldClaim(claim, view, start + minTenure));
 }
 
+Test(zoneclaim, aVmOfTheSameSizeIsNotLarger)
+{
+    cr_expect_not(isLargerVm(0, 0));
+    cr_expect_not(isLargerVm(120, 120));
+    cr_expect_not(isLargerVm(239, 120));
+    cr_expect(isLargerVm(240, 120));
+    cr_expect(isLargerVm(1, 0));
+}
+
 // The orders of an owner that reaches no endpoint do not arrive.
 Test(zoneclaim, anOwnerThatIsCutOffYieldsToAVmThatIsNot)
 {
--- a/lacewing/vmgossip.cpp
+++ b/lacewing/vmgossip.cpp
@@ -543,7 +543,7 @@
             view.heard += 1;
             view.connected += vmConnected ? 1 : 0;
             view.ahead += vmConnected && this->claimsBefore(name, vm.millicores) ? 1 : 0;
-            view.hasLargerVm = view.hasLargerVm || (vmConnected && vm.millicores >= yieldFactor * this->millicores);
+            view.hasLargerVm = view.hasLargerVm || (vmConnected && isLargerVm(vm.millicores, this->millicores));
         }
     }
     return view;
--- a/lacewing/zoneclaim.cpp
+++ b/lacewing/zoneclaim.cpp
@@ -140,6 +140,11 @@
     return false;
 }
 
+bool isLargerVm(std::int32_t millicores, std::int32_t own)
+{
+    return millicores > own && millicores >= yieldFactor * own;
+}
+
 bool shouldYield(const ZoneClaim &claim, const ZoneView &view, TimePoint now)
 {
     const bool betterOwner = view.hasLargerVm || othersReachMore(view);
--- a/lacewing/zoneclaim.h
+++ b/lacewing/zoneclaim.h
@@ -77,7 +77,7 @@
     std::size_t inUse = 0; ///< VMs that may be running, whether heard or not
     std::size_t heard = 0; ///< VMs heard within vmFreshness that are not leaving
     std::size_t ahead = 0; ///< heard VMs whose turn to claim is before that of this VM
-    bool hasLargerVm = false; ///< a heard VM has at least yieldFactor times the processor time of this VM
+    bool hasLargerVm = false; ///< isLargerVm() holds for a heard VM
     bool cutOff = false; ///< this VM is cut off from a service, so that its orders reach no endpoint
     std::size_t connected = 0; ///< heard VMs that do not say that they are cut off
 };
@@ -165,6 +165,11 @@
 /// @return whether this VM loses the ownership
 bool applyNewestClaim(ZoneClaim &claim, std::int64_t newest, TimePoint sentAt, TimePoint now);
 
+/// @param millicores processor time of another VM, in thousandths of a core; 0: not stated
+/// @param own processor time of this VM; 0: not stated
+/// @return whether the other VM has so much more that an owner yields to it
+bool isLargerVm(std::int32_t millicores, std::int32_t own);
+
 /// @param claim of this VM
 /// @param view of the zone
 /// @param now time
