--- a/lacewing/testing/endpointlimittest.cpp
+++ b/lacewing/testing/endpointlimittest.cpp
@@ -428,3 +428,67 @@
         }
     }
 }
+
+namespace {
+
+struct LongPause {
+    std::size_t most = 0; ///< arrivals in four seconds
+    std::size_t held = 0; ///< arrivals at the end of the pause
+    std::size_t after = 0; ///< arrivals in the time after the pause, those included
+};
+
+constexpr Duration afterPause = milliseconds(12000);
+
+LongPause runLongPause(unsigned seed, std::size_t vmCount, double rate, Duration pause, Duration patience)
+{
+    constexpr Duration window = milliseconds(4000);
+    PausingZone zone(seed, vmCount, rate, Counted::OfAllVms);
+    zone.run(milliseconds(5000), 10, false, patience);
+    zone.run(pause, 10, true, patience);
+    const std::size_t before = zone.arrivals.size();
+    zone.run(milliseconds(1), 10, false, patience);
+    const std::size_t held = zone.arrivals.size() - before;
+    zone.run(afterPause, 10, false, patience);
+    return {maxInWindow(zone.arrivals, window), held, zone.arrivals.size() - before};
+}
+
+} // namespace
+
+// Guards against as many requests as may be unanswered for each time in which callers give up.
+Test(endpointlimit, silenceDoesNotAddUpToMoreThanTheLimitAllows)
+{
+    constexpr unsigned seeds = 10;
+    const bool allWays = std::getenv("LACEWING_ALL_WAYS") != nullptr;
+    for (const auto &[vmCount, rate] :
+         {std::tuple {1U, 3.4}, std::tuple {6U, 1.0}, std::tuple {6U, 3.4}, std::tuple {17U, 2.2},
+          std::tuple {17U, 12.0}, std::tuple {39U, 0.3}, std::tuple {85U, 3.4}}) {
+        for (const Duration pause : {milliseconds(12000), milliseconds(20000), milliseconds(30000)}) {
+            for (const Duration patience : {milliseconds(600), milliseconds(4000)}) {
+                const double allowed = 1.5 * rate * 4 + 5;
+                std::size_t most = 0;
+                unsigned broken = 0;
+                std::size_t held = 0;
+                std::size_t after = 0;
+                for (unsigned seed = 0; seed < seeds; ++seed) {
+                    const LongPause run = runLongPause(seed, vmCount, rate, pause, patience);
+                    most = std::max(most, run.most);
+                    broken += static_cast<double>(run.most) > allowed ? 1 : 0;
+                    held = std::max(held, run.held);
+                    after += run.after;
+                }
+                if (allWays) {
+                    cr_log_warn("vms=%u rate=%.1f pause=%lld patience=%lld most=%zu allowed=%.1f broken=%u held=%zu "
+                                "after=%zu",
+                                vmCount, rate, static_cast<long long>(toMilliseconds(pause)),
+                                static_cast<long long>(toMilliseconds(patience)), most, allowed, broken, held,
+                                after / seeds);
+                }
+                cr_expect_eq(broken, 0U, "%u VMs, %.1f a second, silent for %lld ms: %zu in 4 s, allowed %.1f", vmCount,
+                             rate, static_cast<long long>(toMilliseconds(pause)), most, allowed);
+                cr_expect_geq(static_cast<double>(after),
+                              0.5 * rate * static_cast<double>(toMilliseconds(afterPause)) / 1000 * seeds,
+                              "it is used again: %zu", after);
+            }
+        }
+    }
+}
