A request given up at a limited endpoint counts until a later one is answered

An endpoint that states a limit, is silent for 12 to 30 s and reads on got up to twice what it had stated allows, in one moment and the four seconds after it.

Cause: a request that was given up counted for four seconds, as if it had been read by then, so that each four seconds of silence admitted as many again; and it took its token again only when its own VM got an answer, which most VMs did not. Told apart by what arrives at once, which grows with the silence (18, 25, 35 at 85 VMs), and by one VM against 85 (20 and 22; 18 and 37 in 4 s). Debt that is forgotten is not it.

Now it counts until a later request is answered, to any VM; VMs tell each other in the notice that they send anyway (field 9 of LimitNews, optional). While an endpoint answers nothing it gets single requests, in a quarter of the time of its silence.

--- a/lacewing/endpointlimit.cpp
+++ b/lacewing/endpointlimit.cpp
@@ -17,11 +17,21 @@
 /// Maximum debt of the bucket, as time at the stated rate; one more request may be owed on top.
 constexpr Duration maxDebtTime = milliseconds(4000);
 
+/// @return whether one more request may show whether the endpoint answers again
+bool mayProbe(const EndpointLimit &limit, TimePoint now)
+{
+    const Duration silence = now - limit.unanswered.lastAnswered;
+    const auto atRate = std::chrono::ceil<Duration>(std::chrono::duration<double>(probeIntervalRequests / limit.rate));
+    const Duration interval
+        = std::max(std::clamp(silence / probesPerSilence, minProbeInterval, maxProbeInterval), atRate);
+    return now - limit.unanswered.lastSent >= interval + limit.probeTurn;
+}
+
 /// @return whether as many requests are unanswered as may be
 bool awaitsAnswers(const EndpointLimit &limit, TimePoint now)
 {
     const double most = limit.rate * std::chrono::duration<double>(unansweredTime).count() + extraUnanswered;
-    return countUnanswered(limit.unanswered, now) + 1 > most;
+    return countUnanswered(limit.unanswered, now) + 1 > most && !mayProbe(limit, now);
 }
 
 double tokensAt(const EndpointLimit &limit, TimePoint now)
--- a/lacewing/endpointlimit.h
+++ b/lacewing/endpointlimit.h
@@ -32,6 +32,17 @@
 /// rate allows and three requests more.
 constexpr Duration unansweredTime = milliseconds(750);
 constexpr double extraUnanswered = 2;
+/// An endpoint that has as many unanswered and answers nothing gets one more request, of all VMs, in a part of the time
+/// for which it has been silent. Longer intervals would leave it unused for long after its return, with shorter ones
+/// the requests add up.
+constexpr int probesPerSilence = 4;
+constexpr Duration minProbeInterval = milliseconds(2000);
+constexpr Duration maxProbeInterval = milliseconds(8000);
+/// The interval is at least as long as the rate takes for this number of requests.
+constexpr double probeIntervalRequests = 5;
+/// VMs take turns within this time, so that the announcement of the first such request reaches the others before
+/// theirs.
+constexpr Duration probeTurns = milliseconds(500);
 /// An endpoint that has as many unanswered is checked again after this time, unless an answer comes before.
 constexpr Duration unansweredRecheck = milliseconds(250);
 /// Answers that arrive within this time of each other may have been sent in either order.
@@ -48,6 +59,7 @@
     TimePoint refilled; ///< time for which `tokens` holds
     TimePoint lastNamed; ///< when the newest answer with a limit arrived
     TimePoint endedAt; ///< when the answer that ended the last limit arrived
+    Duration probeTurn {0}; ///< of this VM, within probeTurns
     TimePoint told; ///< when any VM last announced the limit
     UnansweredRequests unanswered; ///< counted without a limit, too
 };
--- a/lacewing/gateway.h
+++ b/lacewing/gateway.h
@@ -304,6 +304,8 @@
     void changeUnanswered(const EndpointInstance &instance,
                           const std::function<std::int32_t(UnansweredRequests &)> &change);
     void stateUnanswered(const EndpointName &id, std::int32_t sent);
+    void takeTokensAgain(const EndpointName &id, std::int32_t requests);
+    bool recordStatedLimit(EndpointLimit &limit, double perSecond, TimePoint at);
     void flushUnanswered();
     std::size_t countShunned(const ServiceName &service) const;
     void wakePaced(const EndpointName &id);
--- a/lacewing/gatewayupdates.cpp
+++ b/lacewing/gatewayupdates.cpp
@@ -119,7 +119,7 @@
                  {{"endpoint", id}, {"id", answer.id}, {"per_second", std::to_string(*answer.stated.limit)}});
         return;
     }
-    const bool changed = lacewing::recordLimit(limit, *answer.stated.limit, now, now);
+    const bool changed = this->recordStatedLimit(limit, *answer.stated.limit, now);
     if (changed) {
         logEvent("limit_named",
                  {{"endpoint", id}, {"id", answer.id}, {"per_second", std::to_string(*answer.stated.limit)}});
@@ -129,6 +129,15 @@
     }
 }
 
+bool Gateway::recordStatedLimit(EndpointLimit &limit, double perSecond, TimePoint at)
+{
+    const bool changed = lacewing::recordLimit(limit, perSecond, at, this->now());
+    if (changed) {
+        limit.probeTurn = Duration {std::uniform_int_distribution<Duration::rep>(0, probeTurns.count())(this->random)};
+    }
+    return changed;
+}
+
 void Gateway::announceLimit(const EndpointName &id, double perSecond, Duration age)
 {
     FleetEndpoint &endpoint = this->fleetState.endpoints.at(id);
@@ -146,7 +155,7 @@
 void Gateway::recordSend(const EndpointName &id)
 {
     EndpointLimit &limit = this->fleetState.endpoints.at(id).stated.limit;
-    recordOpened(limit.unanswered);
+    recordOpened(limit.unanswered, this->now());
     if (isLimited(limit)) {
         takeTokens(limit, 1, this->now());
         this->stateUnanswered(id, 1);
@@ -155,13 +164,18 @@
 
 void Gateway::stateUnanswered(const EndpointName &id, std::int32_t sent)
 {
-    const FleetEndpoint &endpoint = this->fleetState.endpoints.at(id);
+    FleetEndpoint &endpoint = this->fleetState.endpoints.at(id);
+    UnansweredRequests &unanswered = endpoint.stated.limit.unanswered;
+    const TimePoint now = this->now();
     this->unansweredChanged.erase(id);
     wire::LimitNews update;
     update.endpoint = id;
     update.born = endpoint.entry.born;
     update.sent = sent;
-    update.__set_unanswered(ownUnanswered(endpoint.stated.limit.unanswered, this->now()));
+    update.__set_unanswered(ownUnanswered(unanswered, now));
+    if (const TimePoint sentAt = std::exchange(unanswered.untold, {}); sentAt != TimePoint {}) {
+        update.__set_answeredAgeMilliseconds(toMilliseconds(now - sentAt));
+    }
     if (this->onLimitUpdate) {
         this->onLimitUpdate(update);
     }
@@ -179,8 +193,7 @@
         return;
     }
     if (justRead > 0) {
-        takeTokens(limit, justRead, this->now());
-        this->stateUnanswered(instance.id, justRead);
+        this->takeTokensAgain(instance.id, justRead);
         return;
     }
     this->unansweredChanged.insert(instance.id);
@@ -194,6 +207,12 @@
     }
 }
 
+void Gateway::takeTokensAgain(const EndpointName &id, std::int32_t requests)
+{
+    takeTokens(this->fleetState.endpoints.at(id).stated.limit, requests, this->now());
+    this->stateUnanswered(id, requests);
+}
+
 void Gateway::flushUnanswered()
 {
     for (const EndpointName &id : std::exchange(this->unansweredChanged, {})) {
@@ -227,15 +246,25 @@
     EndpointLimit &limit = this->fleetState.endpoints.at(update.endpoint).stated.limit;
     const TimePoint now = this->now();
     const TimePoint at = now - milliseconds(std::max<std::int64_t>(0, update.ageMilliseconds));
+    if (update.sent > 0) {
+        recordSentElsewhere(limit.unanswered, now);
+    }
     if (update.sent > 0 && isLimited(limit)) {
         takeTokens(limit, update.sent, now);
     }
+    if (update.__isset.answeredAgeMilliseconds) {
+        const TimePoint sentAt = now - milliseconds(std::max<std::int64_t>(0, update.answeredAgeMilliseconds));
+        const std::int32_t justRead = recordAnsweredElsewhere(limit.unanswered, sentAt, now);
+        if (justRead > 0 && isLimited(limit)) {
+            this->takeTokensAgain(update.endpoint, justRead);
+        }
+    }
     if (update.__isset.unanswered && recordStated(limit.unanswered, vm, update.unanswered, now)) {
         this->wakeWaiting();
     }
     if (isPlausibleLimit(update.perSecond)) {
         limit.told = now;
-        if (lacewing::recordLimit(limit, update.perSecond, at, now)) {
+        if (this->recordStatedLimit(limit, update.perSecond, at)) {
             logEvent("limit_told", {{"endpoint", update.endpoint}, {"per_second", std::to_string(update.perSecond)}});
         }
     } else if (update.perSecond == 0 && recordNoLimit(limit, at, now)) {
--- a/lacewing/lacewing.thrift
+++ b/lacewing/lacewing.thrift
@@ -310,7 +310,8 @@
   5: i32 sent = 0,                     // requests that the sender has just sent there
   6: optional i32 rejected,            // requests of the sender that the endpoint has just rejected for want of room
   7: optional double maxRejections,    // a second, all VMs together: with more of them the endpoint falls over
-  8: optional i32 unanswered           // requests of the sender that the endpoint has not answered
+  8: optional i32 unanswered,          // requests of the sender that the endpoint has not answered
+  9: optional i64 answeredAgeMilliseconds // since the latest of the sender's answered requests was sent; once for each
 }
 
 /** An endpoint ended with requests of the sender in progress. */
--- a/lacewing/testing/endpointlimittest.cpp
+++ b/lacewing/testing/endpointlimittest.cpp
@@ -10,6 +10,7 @@
 #include <random>
 #include <string>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 #include "endpointchoice.h"
@@ -112,6 +113,41 @@
     cr_assert(hasRoom(limit, now));
 }
 
+Test(endpointlimit, aRequestGivenUpCountsUntilALaterOneIsAnswered)
+{
+    UnansweredRequests unanswered;
+    recordOpened(unanswered, start);
+    recordAbandoned(unanswered, start);
+    const TimePoint later = start + milliseconds(10000);
+    cr_expect_eq(ownUnanswered(unanswered, later), 1, "nothing was answered");
+    UnansweredRequests earlier = unanswered;
+    cr_expect_eq(recordAnsweredElsewhere(earlier, start - milliseconds(1), later), 0);
+    cr_expect_eq(ownUnanswered(earlier, later), 1, "a request from before it was answered");
+    UnansweredRequests soon = unanswered;
+    cr_expect_eq(recordAnsweredElsewhere(soon, start + milliseconds(1), start + milliseconds(100)), 0);
+    cr_expect_eq(ownUnanswered(soon, start + milliseconds(100)), 1, "its own link may hold it");
+    cr_expect_eq(ownUnanswered(soon, start + abandonedRetention), 0);
+    cr_expect_eq(recordAnsweredElsewhere(unanswered, start + milliseconds(1), later), 1, "it takes its token again");
+    cr_expect_eq(ownUnanswered(unanswered, later), 0);
+}
+
+Test(endpointlimit, anEndpointThatAnswersNothingGetsSingleRequests)
+{
+    EndpointLimit limit = limitOf(2);
+    recordOpened(limit.unanswered, start);
+    recordAnswered(limit.unanswered, start, start);
+    std::vector<std::int64_t> sent;
+    for (TimePoint now = start; now < start + milliseconds(30000); now += milliseconds(10)) {
+        if (hasRoom(limit, now)) {
+            takeTokens(limit, 1, now);
+            recordOpened(limit.unanswered, now);
+            sent.push_back(toMilliseconds(now - start));
+        }
+    }
+    const std::vector<std::int64_t> expected {500, 1000, 1500, 4000, 6500, 9000, 12000, 16000, 21340, 28460};
+    cr_expect(sent == expected, "%zu requests", sent.size());
+}
+
 Test(endpointlimit, requestGoesToAnotherEndpointIfOneIsAtItsLimit)
 {
     Fleet fleet;
@@ -266,11 +302,15 @@
         std::size_t to;
         std::int32_t sent;
         std::int32_t unanswered;
+        TimePoint readUntil;
     };
 
     PausingZone(unsigned seed, std::size_t vmCount, double rate, Counted counted)
         : random(seed), way(counted), limits(vmCount, limitOf(rate)), changedAt(vmCount)
     {
+        for (EndpointLimit &limit : this->limits) {
+            limit.probeTurn = probeTurns * static_cast<int>(this->random() % 100) / 100;
+        }
     }
 
     bool chance(double share)
@@ -292,11 +332,12 @@
     void state(std::size_t from, std::int32_t sent)
     {
         this->changedAt[from] = {};
+        const TimePoint readUntil = std::exchange(this->limits[from].unanswered.untold, {});
         const std::int32_t unanswered = ownUnanswered(this->limits[from].unanswered, this->now);
         for (std::size_t to = 0; to < this->limits.size(); ++to) {
             if (to != from && !this->chance(0.03)) {
                 const auto delay = std::uniform_int_distribution<int>(1, 4)(this->random);
-                this->inFlight.push_back({this->now + milliseconds(delay), from, to, sent, unanswered});
+                this->inFlight.push_back({this->now + milliseconds(delay), from, to, sent, unanswered, readUntil});
             }
         }
     }
@@ -304,18 +345,32 @@
     void send(std::size_t vm)
     {
         takeTokens(this->limits[vm], 1, this->now);
-        recordOpened(this->limits[vm].unanswered);
+        recordOpened(this->limits[vm].unanswered, this->now);
         this->open.push_back({vm, this->now, {}});
         this->state(vm, 1);
     }
 
+    /// Requests that were given up and have just been read take their tokens again.
+    void takeAgain(std::size_t vm, std::int32_t read)
+    {
+        if (read > 0) {
+            takeTokens(this->limits[vm], read, this->now);
+            this->state(vm, read);
+        }
+    }
+
     void deliver()
     {
-        for (const Datagram &datagram : this->inFlight) {
+        for (const Datagram &datagram : std::vector<Datagram>(this->inFlight)) {
             if (datagram.at <= this->now) {
                 EndpointLimit &limit = this->limits[datagram.to];
                 if (datagram.sent > 0) {
                     takeTokens(limit, datagram.sent, this->now);
+                    recordSentElsewhere(limit.unanswered, this->now);
+                }
+                if (datagram.readUntil != TimePoint {}) {
+                    this->takeAgain(datagram.to,
+                                    recordAnsweredElsewhere(limit.unanswered, datagram.readUntil, this->now));
                 }
                 recordStated(limit.unanswered, std::to_string(datagram.from), datagram.unanswered, this->now);
             }
@@ -333,10 +388,7 @@
             EndpointLimit &limit = this->limits[request.vm];
             const bool arrived = request.arrived != TimePoint {};
             if (arrived && this->now - request.arrived >= milliseconds(60) && !request.abandoned) {
-                if (const std::int32_t read = recordAnswered(limit.unanswered, request.sent, this->now); read > 0) {
-                    takeTokens(limit, read, this->now);
-                    this->state(request.vm, read);
-                }
+                this->takeAgain(request.vm, recordAnswered(limit.unanswered, request.sent, this->now));
             } else if (!request.abandoned && this->now - request.sent >= patience) {
                 recordAbandoned(limit.unanswered, request.sent);
                 request.abandoned = true;
--- a/lacewing/unansweredrequests.cpp
+++ b/lacewing/unansweredrequests.cpp
@@ -1,4 +1,5 @@
-// An answer to one request shows that the endpoint has read what this VM sent before it.
+// An answer to one request shows that the endpoint has read what was sent before it: by this VM, and by others as long
+// as their links do not hold it.
 
 #include "unansweredrequests.h"
 
@@ -6,19 +7,49 @@
 
 namespace lacewing {
 
-void recordOpened(UnansweredRequests &unanswered)
+namespace {
+
+bool counts(const UnansweredRequests &unanswered, TimePoint sent, TimePoint now)
+{
+    return now - sent < abandonedRetention || (sent > unanswered.readUntil && now - sent < abandonedMemory);
+}
+
+void recordAnswer(UnansweredRequests &unanswered, TimePoint sentAt, TimePoint now)
+{
+    unanswered.lastAnswered = now;
+    unanswered.readUntil = std::max(unanswered.readUntil, sentAt);
+    std::erase_if(unanswered.abandoned, [now](TimePoint sent) { return now - sent >= abandonedMemory; });
+}
+
+} // namespace
+
+void recordOpened(UnansweredRequests &unanswered, TimePoint now)
 {
     unanswered.open += 1;
+    unanswered.lastSent = now;
+}
+
+void recordSentElsewhere(UnansweredRequests &unanswered, TimePoint now)
+{
+    unanswered.lastSent = now;
 }
 
 std::int32_t recordAnswered(UnansweredRequests &unanswered, TimePoint sentAt, TimePoint now)
 {
     recordUndelivered(unanswered);
-    std::erase_if(unanswered.abandoned, [now](TimePoint sent) { return now - sent >= abandonedMemory; });
+    recordAnswer(unanswered, sentAt, now);
+    unanswered.untold = std::max(unanswered.untold, sentAt);
     return static_cast<std::int32_t>(
         std::erase_if(unanswered.abandoned, [sentAt](TimePoint sent) { return sent <= sentAt; }));
 }
 
+std::int32_t recordAnsweredElsewhere(UnansweredRequests &unanswered, TimePoint sentAt, TimePoint now)
+{
+    recordAnswer(unanswered, sentAt, now);
+    return static_cast<std::int32_t>(
+        std::erase_if(unanswered.abandoned, [&](TimePoint sent) { return !counts(unanswered, sent, now); }));
+}
+
 void recordUndelivered(UnansweredRequests &unanswered)
 {
     unanswered.open = std::max(0, unanswered.open - 1); // the entry may have been replaced meanwhile
@@ -46,8 +77,8 @@
 
 std::int32_t ownUnanswered(const UnansweredRequests &unanswered, TimePoint now)
 {
-    const auto counts = [now](TimePoint sent) { return now - sent < abandonedRetention; };
-    const auto abandoned = std::count_if(unanswered.abandoned.begin(), unanswered.abandoned.end(), counts);
+    const auto abandoned = std::count_if(unanswered.abandoned.begin(), unanswered.abandoned.end(),
+                                         [&](TimePoint sent) { return counts(unanswered, sent, now); });
     return unanswered.open + static_cast<std::int32_t>(abandoned);
 }
 
