--- a/lacewing/testing/endpointlimittest.cpp
+++ b/lacewing/testing/endpointlimittest.cpp
@@ -361,7 +361,8 @@
 
     void deliver()
     {
-        for (const Datagram &datagram : std::vector<Datagram>(this->inFlight)) {
+        const std::vector<Datagram> arriving = this->inFlight; // what is received may cause further ones
+        for (const Datagram &datagram : arriving) {
             if (datagram.at <= this->now) {
                 EndpointLimit &limit = this->limits[datagram.to];
                 if (datagram.sent > 0) {
