--- a/lacewing/testing/eventlogtest.cpp
+++ b/lacewing/testing/eventlogtest.cpp
@@ -63,6 +63,7 @@
 {
     std::latch ready(threadCount);
     std::vector<std::thread> threads;
+    threads.reserve(threadCount);
     for (int number = 0; number < threadCount; ++number) {
         threads.emplace_back([&ready] {
             ready.arrive_and_wait();
