--- a/lacewing/endpointlimit.cpp
+++ b/lacewing/endpointlimit.cpp
@@ -23,7 +23,7 @@
     const Duration silence = now - limit.unanswered.lastAnswered;
     const auto atRate = std::chrono::ceil<Duration>(std::chrono::duration<double>(probeIntervalRequests / limit.rate));
     const Duration interval
-        = std::max(std::clamp(silence / probesPerSilence, minProbeInterval, maxProbeInterval), atRate);
+        = std::max(std::clamp(silence / silencePerProbeInterval, minProbeInterval, maxProbeInterval), atRate);
     return now - limit.unanswered.lastSent >= interval + limit.probeTurn;
 }
 
--- a/lacewing/endpointlimit.h
+++ b/lacewing/endpointlimit.h
@@ -32,10 +32,10 @@
 /// rate allows and three requests more.
 constexpr Duration unansweredTime = milliseconds(750);
 constexpr double extraUnanswered = 2;
-/// An endpoint that has as many unanswered and answers nothing gets one more request, of all VMs, in a part of the time
-/// for which it has been silent. Longer intervals would leave it unused for long after its return, with shorter ones
-/// the requests add up.
-constexpr int probesPerSilence = 4;
+/// An endpoint with that many unanswered requests gets probes: single requests that show whether it answers again. The
+/// interval between two of them, over all VMs, is the time since its last answer divided by this number. Longer
+/// intervals would leave the endpoint unused after its return, with shorter ones the probes add up.
+constexpr int silencePerProbeInterval = 4;
 constexpr Duration minProbeInterval = milliseconds(2000);
 constexpr Duration maxProbeInterval = milliseconds(8000);
 /// The interval is at least as long as the rate takes for this number of requests.
--- a/lacewing/gatewayupdates.cpp
+++ b/lacewing/gatewayupdates.cpp
@@ -173,7 +173,7 @@
     update.born = endpoint.entry.born;
     update.sent = sent;
     update.__set_unanswered(ownUnanswered(unanswered, now));
-    if (const TimePoint sentAt = std::exchange(unanswered.untold, {}); sentAt != TimePoint {}) {
+    if (const TimePoint sentAt = std::exchange(unanswered.unannouncedAnswer, {}); sentAt != TimePoint {}) {
         update.__set_answeredAgeMilliseconds(toMilliseconds(now - sentAt));
     }
     if (this->onLimitUpdate) {
--- a/lacewing/testing/endpointlimittest.cpp
+++ b/lacewing/testing/endpointlimittest.cpp
@@ -332,7 +332,7 @@
     void state(std::size_t from, std::int32_t sent)
     {
         this->changedAt[from] = {};
-        const TimePoint readUntil = std::exchange(this->limits[from].unanswered.untold, {});
+        const TimePoint readUntil = std::exchange(this->limits[from].unanswered.unannouncedAnswer, {});
         const std::int32_t unanswered = ownUnanswered(this->limits[from].unanswered, this->now);
         for (std::size_t to = 0; to < this->limits.size(); ++to) {
             if (to != from && !this->chance(0.03)) {
--- a/lacewing/unansweredrequests.cpp
+++ b/lacewing/unansweredrequests.cpp
@@ -14,7 +14,7 @@
     return now - sent < abandonedRetention || (sent > unanswered.readUntil && now - sent < abandonedMemory);
 }
 
-void recordAnswer(UnansweredRequests &unanswered, TimePoint sentAt, TimePoint now)
+void updateReadUntil(UnansweredRequests &unanswered, TimePoint sentAt, TimePoint now)
 {
     unanswered.lastAnswered = now;
     unanswered.readUntil = std::max(unanswered.readUntil, sentAt);
@@ -37,15 +37,15 @@
 std::int32_t recordAnswered(UnansweredRequests &unanswered, TimePoint sentAt, TimePoint now)
 {
     recordUndelivered(unanswered);
-    recordAnswer(unanswered, sentAt, now);
-    unanswered.untold = std::max(unanswered.untold, sentAt);
+    updateReadUntil(unanswered, sentAt, now);
+    unanswered.unannouncedAnswer = std::max(unanswered.unannouncedAnswer, sentAt);
     return static_cast<std::int32_t>(
         std::erase_if(unanswered.abandoned, [sentAt](TimePoint sent) { return sent <= sentAt; }));
 }
 
 std::int32_t recordAnsweredElsewhere(UnansweredRequests &unanswered, TimePoint sentAt, TimePoint now)
 {
-    recordAnswer(unanswered, sentAt, now);
+    updateReadUntil(unanswered, sentAt, now);
     return static_cast<std::int32_t>(
         std::erase_if(unanswered.abandoned, [&](TimePoint sent) { return !counts(unanswered, sent, now); }));
 }
--- a/lacewing/unansweredrequests.h
+++ b/lacewing/unansweredrequests.h
@@ -42,7 +42,7 @@
     TimePoint lastSent; ///< when a request of any VM was last sent
     TimePoint lastAnswered; ///< when a request of any VM was last answered
     TimePoint readUntil; ///< when the latest of the answered requests of all VMs was sent
-    TimePoint untold; ///< when the latest answered request of this VM was sent; zero: the other VMs were told of it
+    TimePoint unannouncedAnswer; ///< when the latest answered request of this VM was sent; zero: it was announced
 };
 
 /// Records a request that this VM sends.
