--- a/lacewing/httpclient.cpp
+++ b/lacewing/httpclient.cpp
@@ -1,5 +1,7 @@
 // The server may have closed an idle connection, so the pool checks a connection before reuse. If the server closes the
 // connection after this check, the exchange fails before the first byte of the reply.
+//
+// An exchange with a stall timeout is written and read in parts, and the timer of the connection starts anew with each.
 
 #include "httpclient.h"
 
@@ -13,10 +15,14 @@
 
 constexpr std::size_t maxExtensionBytes = 64 * kibibyte; ///< of all chunks of a reply
 
-asio::awaitable<NetError> exchange(HttpConnection &connection, const http::request<http::string_body> &request,
-                                   http::response_parser<http::string_body> &parser)
+using RequestMessage = http::request<http::string_body>;
+using ReplyParser = http::response_parser<http::string_body>;
+
+asio::awaitable<NetError> exchangeWhole(HttpConnection &connection, const HttpCall &call, const RequestMessage &request,
+                                        ReplyParser &parser)
 {
     NetError error;
+    connection.stream.expires_after(call.timeout);
     co_await http::async_write(connection.stream, request, awaitInto(error));
     if (!error) {
         co_await http::async_read(connection.stream, connection.buffer, parser, awaitInto(error));
@@ -24,10 +30,43 @@
     co_return error;
 }
 
-http::request<http::string_body> makeRequest(const HttpCall &call)
+asio::awaitable<NetError> writeInParts(HttpConnection &connection, const HttpCall &call, const RequestMessage &request)
+{
+    NetError error;
+    http::request_serializer<http::string_body> serializer(request);
+    while (!error && !serializer.is_done()) {
+        connection.stream.expires_after(call.stallTimeout);
+        co_await http::async_write_some(connection.stream, serializer, awaitInto(error));
+    }
+    co_return error;
+}
+
+asio::awaitable<NetError> exchangeInParts(HttpConnection &connection, const HttpCall &call,
+                                          const RequestMessage &request, ReplyParser &parser, HttpReply &reply)
+{
+    NetError error = co_await writeInParts(connection, call, request);
+    if (!error) {
+        connection.stream.expires_after(call.timeout);
+        co_await http::async_read_header(connection.stream, connection.buffer, parser, awaitInto(error));
+    }
+    if (error) {
+        co_return error;
+    }
+    if (call.mayReceive && !parser.is_done()) {
+        const auto length = parser.content_length();
+        reply.declined = !call.mayReceive(length ? std::optional<std::uint64_t>(*length) : std::nullopt);
+    }
+    while (!error && !reply.declined && !parser.is_done()) {
+        connection.stream.expires_after(call.stallTimeout);
+        co_await http::async_read_some(connection.stream, connection.buffer, parser, awaitInto(error));
+    }
+    co_return error;
+}
+
+RequestMessage makeRequest(const HttpCall &call)
 {
     constexpr unsigned httpVersion = 11;
-    http::request<http::string_body> request(call.method, call.target, httpVersion);
+    RequestMessage request(call.method, call.target, httpVersion);
     request.set(http::field::host, call.address);
     if (!call.body.empty()) {
         request.set(http::field::content_type, "application/json");
@@ -40,9 +79,8 @@
     return request;
 }
 
-HttpReply readReply(http::response<http::string_body> &response)
+void readReply(http::response<http::string_body> &response, HttpReply &reply)
 {
-    HttpReply reply;
     reply.status = static_cast<int>(response.result_int());
     const auto retryAfter = response[http::field::retry_after];
     reply.retryAfter = parseRetryAfter(std::string_view(retryAfter.data(), retryAfter.size()));
@@ -50,7 +88,6 @@
         reply.headers.push_back({std::string(field.name_string()), std::string(field.value())});
     }
     reply.body = std::move(response.body());
-    return reply;
 }
 
 } // namespace
@@ -118,7 +155,7 @@
 
 asio::awaitable<HttpReply> fetch(HttpPool &pool, const HttpCall &call)
 {
-    const http::request<http::string_body> request = makeRequest(call);
+    const RequestMessage request = makeRequest(call);
     HttpReply reply;
     bool fresh = false;
     for (bool retry = true; retry;) {
@@ -132,8 +169,8 @@
             pool.release(std::move(connection));
             break;
         }
-        http::response_parser<http::string_body> parser;
-        parser.body_limit(maxReplyBytes);
+        ReplyParser parser;
+        parser.body_limit(call.maxBodyBytes);
         std::size_t extensionBytes = 0;
         auto onChunk = [&](std::uint64_t, beast::string_view extensions, beast::error_code &tooMany) {
             extensionBytes += extensions.size();
@@ -142,18 +179,25 @@
             }
         };
         parser.on_chunk_header(onChunk);
-        connection->stream.expires_after(call.timeout);
-        const NetError error = co_await exchange(*connection, request, parser);
-        if (!error) {
+        const bool inParts = call.stallTimeout.count() > 0;
+        if (inParts) {
+            reply.error = co_await exchangeInParts(*connection, call, request, parser, reply);
+        } else {
+            reply.error = co_await exchangeWhole(*connection, call, request, parser);
+        }
+        reply.bodyBytes = parser.get().body().size();
+        if (reply.declined) {
+            readReply(parser.get(), reply);
+            break;
+        }
+        if (!reply.error) {
             const bool keep = parser.get().keep_alive();
-            const bool silent = reply.keptConnectionSilent;
-            reply = readReply(parser.get());
-            reply.keptConnectionSilent = silent;
+            readReply(parser.get(), reply);
             if (keep) {
                 pool.release(std::move(connection));
             }
         } else if (connection->reused && !parser.got_some()) {
-            reply.keptConnectionSilent = error == beast::error::timeout;
+            reply.keptConnectionSilent = reply.error == beast::error::timeout;
             fresh = true;
             retry = true;
         }
--- a/lacewing/httpclient.h
+++ b/lacewing/httpclient.h
@@ -9,9 +9,11 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -83,8 +85,16 @@
     std::string target;
     std::map<std::string, std::string> headers;
     std::string body;
+    /// Until the reply begins if stallTimeout is set, else until its end.
     Duration timeout = milliseconds(2000);
+    /// Between two parts of the request or of the reply; 0: `timeout` bounds the whole exchange. A bound on the whole
+    /// would end a large transfer on a slow link each time.
+    Duration stallTimeout {0};
+    std::size_t maxBodyBytes = maxReplyBytes; ///< of the reply
     std::function<bool()> mayWrite; ///< called just before the request is written; absent: it may be
+    /// Called with the size of a reply's body before the body is received; nothing: not stated. If it returns false,
+    /// the reply is not received and the connection is closed. Absent: it is received. Needs a stallTimeout.
+    std::function<bool(std::optional<std::uint64_t> bytes)> mayReceive;
 };
 
 struct HttpReply {
@@ -93,6 +103,9 @@
     std::string body;
     Duration retryAfter {0};
     bool held = false; ///< nothing was sent, because mayWrite did not allow it
+    bool declined = false; ///< the body was not received, because mayReceive did not allow it
+    std::size_t bodyBytes = 0; ///< received of the body, also if the exchange failed
+    NetError error; ///< that ended the exchange; none if it was completed or no connection could be made
     bool keptConnectionSilent = false; ///< a kept connection timed out, and the request was sent on a new one
 };
 
