--- a/lacewing/callerconnection.cpp
+++ b/lacewing/callerconnection.cpp
@@ -77,6 +77,7 @@
         return;
     }
     this->input.append(this->readBuffer.data(), size);
+    this->lastInput = std::chrono::steady_clock::now();
     if (!this->requestInProgress) {
         this->parse();
     }
@@ -279,6 +280,14 @@
     return this->output.size() + this->writingBytes.size();
 }
 
+bool CallerConnection::isReceivingLargeBody() const
+{
+    constexpr std::size_t largePart = 16 * kibibyte;
+    constexpr std::chrono::milliseconds longestGap(1000); // the sender gives up after it
+    return !this->closed && !this->requestInProgress && this->reader && this->reader->headRead()
+        && this->reader->body.size() >= largePart && std::chrono::steady_clock::now() - this->lastInput < longestGap;
+}
+
 bool CallerConnection::isDelivering() const
 {
     return !this->closed && !this->requestInProgress && (this->pendingOutput() > 0 || this->closeAfterAnswer);
--- a/lacewing/callerconnection.h
+++ b/lacewing/callerconnection.h
@@ -71,10 +71,14 @@
     /// answer and the caller has not closed the connection
     bool isDelivering() const;
 
+    /// @return whether a large part of a request's body has arrived and more is arriving
+    bool isReceivingLargeBody() const;
+
     /// Closes the connection once its caller may no longer reuse it, by shortening the idle timeout. A connection that
     /// has already been idle for longer than the shortened timeout is closed now.
     void closeWhenIdle();
 
+    bool fromVm = false; ///< the caller is another VM
     /// Set when the process is stopping: answers then announce that the connection closes.
     bool closing = false;
 
@@ -100,6 +104,7 @@
     std::string input;
     std::array<char, 4096> readBuffer {};
     std::unique_ptr<RequestReader> reader;
+    std::chrono::steady_clock::time_point lastInput; ///< when bytes arrived last
     std::string output;
     std::string writingBytes;
     std::function<void()> onDrained;
--- a/lacewing/configtransfer.cpp
+++ b/lacewing/configtransfer.cpp
@@ -18,7 +18,7 @@
 
 /// Interval of the checks whether a VM has to be asked, while this VM is behind.
 constexpr Duration checkInterval = milliseconds(100);
-/// A configuration of the largest size takes a quarter of a second on a link of 10 Mbit/s.
+/// For a part of a configuration, and for the answer to the whole.
 constexpr Duration sendTimeout = milliseconds(1000);
 /// A lag that lasts longer than this is logged.
 constexpr Duration loggedLag = milliseconds(1000);
@@ -113,6 +113,11 @@
                   {"behind_ms", inMilliseconds(*lag)},
                   {"holders", std::to_string(this->catchUp.holders.size())}});
     }
+    // Several VMs that send at the same time slow each other down.
+    if (this->ports.isReceiving && this->ports.isReceiving()) {
+        this->scheduleCheck(checkInterval);
+        return;
+    }
     if (const auto holder = holderToAsk(this->catchUp, this->random(), now)) {
         recordAsked(this->catchUp, *holder, now);
         this->counts.asked += 1;
@@ -137,6 +142,7 @@
     call.headers[headers.front().name] = headers.front().value;
     call.body = this->record;
     call.timeout = sendTimeout;
+    call.stallTimeout = sendTimeout;
     co_await fetch(this->pool, call); // a VM that did not get it asks again
 }
 
--- a/lacewing/configtransfer.h
+++ b/lacewing/configtransfer.h
@@ -44,6 +44,8 @@
     std::function<void(const VmId &, std::int64_t known)> sendAsk;
     /// Returns the contact of a VM that is alive at its announced address.
     std::function<std::optional<VmContact>(const VmId &)> contactOf;
+    /// Returns whether another VM is sending a large record.
+    std::function<bool()> isReceiving;
     /// Called when a VM asks whose contact is not known.
     std::function<void()> onContactUnknown;
     /// Decodes a record and puts the configuration into force if it is newer. Returns whether it could be decoded.
--- a/lacewing/entrynodeconfig.cpp
+++ b/lacewing/entrynodeconfig.cpp
@@ -65,6 +65,7 @@
         }
         return contact->second;
     };
+    ports.isReceiving = [this] { return this->dataPath.isReceivingFromVm(); };
     ports.onContactUnknown = [this] { this->refreshContacts(); };
     ports.sendAsk = [this](const VmId &vm, std::int64_t known) { this->gossip.sendConfigAsk(vm, known); };
     ports.onRecord = [this](const std::string &record) { return this->onConfigRecord && this->onConfigRecord(record); };
--- a/lacewing/gateway.cpp
+++ b/lacewing/gateway.cpp
@@ -78,6 +78,7 @@
     }
     const auto caller = std::make_shared<CallerConnection>(std::move(socket), limits);
     caller->closing = this->stopping;
+    caller->fromVm = sender == Sender::Vm;
     this->callers[caller] = {};
     const std::weak_ptr<CallerConnection> weak = caller;
     CallerConnection::Handlers handlers;
@@ -278,6 +279,13 @@
     return static_cast<std::size_t>(std::count_if(this->callers.begin(), this->callers.end(), isDelivering));
 }
 
+bool Gateway::isReceivingFromVm() const
+{
+    return std::any_of(this->callers.begin(), this->callers.end(), [](const auto &entry) {
+        return entry.first->fromVm && entry.first->isReceivingLargeBody();
+    });
+}
+
 std::size_t Gateway::unwrittenBytes() const
 {
     const auto add = [](std::size_t sum, const auto &entry) { return sum + entry.first->pendingOutput(); };
--- a/lacewing/gateway.h
+++ b/lacewing/gateway.h
@@ -259,6 +259,9 @@
     /// Called when a request starts to wait for weights that no endpoint has loaded.
     std::function<void()> onDemandChanged;
 
+    /// @return whether another VM is sending a large body, such as a configuration
+    bool isReceivingFromVm() const;
+
 private:
     friend class Relay;
 
--- a/lacewing/httpclient.cpp
+++ b/lacewing/httpclient.cpp
@@ -52,13 +52,19 @@
     if (error) {
         co_return error;
     }
+    const auto length = parser.content_length();
+    if (length && *length > call.maxBodyBytes) {
+        co_return NetError(http::error::body_limit);
+    }
     if (call.mayReceive && !parser.is_done()) {
-        const auto length = parser.content_length();
         reply.declined = !call.mayReceive(length ? std::optional<std::uint64_t>(*length) : std::nullopt);
     }
     while (!error && !reply.declined && !parser.is_done()) {
         connection.stream.expires_after(call.stallTimeout);
         co_await http::async_read_some(connection.stream, connection.buffer, parser, awaitInto(error));
+        if (!error && parser.get().body().size() > call.maxBodyBytes) {
+            error = http::error::body_limit;
+        }
     }
     co_return error;
 }
