JSON from outside is bounded before anything is built from it

One entry of another writer in the list of endpoints ended every VM, and each again at its start: values that are nested 120,000 deep were copied and printed by recursion.

--- a/lacewing/callerrequest.cpp
+++ b/lacewing/callerrequest.cpp
@@ -15,6 +15,7 @@
 #include <openssl/sha.h>
 #include <xxhash.h>
 
+#include "boundedjson.h"
 #include "resultcode.h"
 
 namespace lacewing {
@@ -34,29 +35,6 @@
     return code;
 }
 
-bool nestsTooDeep(std::string_view text, std::size_t deepest)
-{
-    std::size_t depth = 0;
-    bool inString = false;
-    for (std::size_t index = 0; index < text.size(); ++index) {
-        const char letter = text[index];
-        if (inString) {
-            index += letter == '\\' ? 1 : 0;
-            inString = letter != '"';
-        } else if (letter == '"') {
-            inString = true;
-        } else if (letter == '{' || letter == '[') {
-            ++depth;
-        } else if ((letter == '}' || letter == ']') && depth > 0) {
-            --depth;
-        }
-        if (depth > deepest) {
-            return true;
-        }
-    }
-    return false;
-}
-
 /// What is hashed and counted of a prompt.
 struct PromptSummary {
     std::string leading; ///< at most prefixBytes
--- a/lacewing/commandchanges.cpp
+++ b/lacewing/commandchanges.cpp
@@ -8,6 +8,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "boundedjson.h"
 #include "callerrequest.h"
 #include "changejson.h"
 #include "commandline.h"
@@ -259,8 +260,7 @@
 
 CommandChanges readChangesFile(std::string_view text)
 {
-    constexpr bool throwing = false;
-    Json document = Json::parse(text, nullptr, throwing);
+    Json document = parseBoundedJson(text);
     if (document.is_object() && document.contains("changes")) {
         document = Json(document["changes"]);
     }
@@ -282,9 +282,8 @@
 
 bool readPreset(wire::PresetSpec &preset, const std::string &json)
 {
-    constexpr bool throwing = false;
     wire::ConfigChange change;
-    const Json fields = Json::parse(json, nullptr, throwing);
+    const Json fields = parseBoundedJson(json);
     const bool good = readChangeJson(Json {{"preset_define", fields}}, change).empty();
     preset = change.presetDefine;
     return good;
--- a/lacewing/engineevents.cpp
+++ b/lacewing/engineevents.cpp
@@ -5,6 +5,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "boundedjson.h"
+
 namespace lacewing {
 
 namespace {
@@ -58,7 +60,7 @@
         event.kind = EngineEventKind::Done;
         return true;
     }
-    const Json json = Json::parse(data, nullptr, false);
+    const Json json = parseBoundedJson(data);
     if (!json.is_object()) {
         return true;
     }
--- a/lacewing/enginereports.cpp
+++ b/lacewing/enginereports.cpp
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "boundedjson.h"
 #include "callerrequest.h"
 
 namespace lacewing {
@@ -44,7 +45,7 @@
 
 bool readLoadReport(std::string_view body, EndpointReported &report)
 {
-    const Json json = Json::parse(body, nullptr, false);
+    const Json json = parseBoundedJson(body);
     if (!json.is_object()) {
         return false;
     }
@@ -58,7 +59,7 @@
 
 bool readCacheEvents(std::string_view body, std::int64_t &next, std::vector<CacheReported> &reports)
 {
-    const Json json = Json::parse(body, nullptr, false);
+    const Json json = parseBoundedJson(body);
     if (!json.is_object() || !json.contains("next") || !json["next"].is_number_integer() || !json.contains("events")
         || !json["events"].is_array()) {
         return false;
@@ -84,7 +85,7 @@
     if (status != unavailable) {
         return false;
     }
-    const Json json = Json::parse(body, nullptr, false);
+    const Json json = parseBoundedJson(body);
     if (!json.is_object()) {
         return false;
     }
--- a/lacewing/enginerun.cpp
+++ b/lacewing/enginerun.cpp
@@ -15,6 +15,7 @@
 #include <boost/asio/detached.hpp>
 #include <nlohmann/json.hpp>
 
+#include "boundedjson.h"
 #include "callerrequest.h"
 #include "relaycredit.h"
 #include "sizes.h"
@@ -67,7 +68,7 @@
     constexpr int conflict = 409;
     constexpr int unavailable = 503;
     constexpr int badRequest = 400;
-    const auto json = nlohmann::json::parse(body, nullptr, false);
+    const auto json = parseBoundedJson(body);
     std::string word;
     if (json.is_object() && json.contains("error") && json["error"].is_object() && json["error"].contains("code")
         && json["error"]["code"].is_string()) {
--- a/lacewing/operatorclient.cpp
+++ b/lacewing/operatorclient.cpp
@@ -12,6 +12,7 @@
 #include <thread>
 
 #include "blockinghttp.h"
+#include "boundedjson.h"
 #include "operatorjson.h"
 #include "randomtext.h"
 #include "resultcode.h"
@@ -115,8 +116,7 @@
     OperatorCallResult result;
     result.sent = error != ResultCode::PeerUnreachable || answer.sent;
     result.status = error ? 0 : answer.status;
-    constexpr bool throwing = false;
-    result.body = Json::parse(answer.body, nullptr, throwing);
+    result.body = parseBoundedJson(answer.body);
     return result;
 }
 
--- a/lacewing/operatorjson.cpp
+++ b/lacewing/operatorjson.cpp
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 
 #include "blackboard.h"
+#include "boundedjson.h"
 #include "changejson.h"
 #include "configreplay.h"
 
@@ -101,8 +102,7 @@
 
 std::string readChange(std::string_view body, wire::ConfigRecord &change)
 {
-    constexpr bool throwing = false;
-    const Json document = Json::parse(body, nullptr, throwing);
+    const Json document = parseBoundedJson(body);
     if (!document.is_object()) {
         return "the body is not a JSON object";
     }
--- a/lacewing/platformjson.cpp
+++ b/lacewing/platformjson.cpp
@@ -10,6 +10,7 @@
 #include <nlohmann/json.hpp>
 #include <openssl/evp.h>
 
+#include "boundedjson.h"
 #include "codec.h"
 #include "resultcode.h"
 
@@ -104,8 +105,7 @@
 
 Json parseObject(std::string_view body)
 {
-    constexpr bool throwing = false;
-    Json document = Json::parse(body, nullptr, throwing);
+    Json document = parseBoundedJson(body);
     return document.is_object() ? std::move(document) : Json::object();
 }
 
