The store says until when several software versions matter

Streams begun at a software version went on at another one, with nothing in the answer to show it, when all VMs were killed just after the endpoints of the first version had left. VMs that start ask others what they have seen; if all have just started, they took the one version that is listed for the only one that there was.

The owner of each zone stores until when several versions matter, beside the announcements of VMs, which each VM lists at its start. Until it is read, a stream is taken up only at a version that is known.

--- a/lacewing/entrynode.cpp
+++ b/lacewing/entrynode.cpp
@@ -312,6 +312,7 @@
             this->after(listVmsRetry, [this] { this->refreshVms(); });
             return;
         }
+        this->mixesRead = true;
         this->contacts.clear();
         for (const VmContact &contact : *listed) {
             this->gossip.addContact(contact);
--- a/lacewing/entrynode.h
+++ b/lacewing/entrynode.h
@@ -127,6 +127,8 @@
     void countUnreadableRecord();
     /// Records whether the platform's store answered a call; a change is logged.
     void recordStoreResult(bool answered);
+    /// Records until when several software versions of a service matter, as stored on the platform.
+    void recordStoredMix(const ServiceName &service, std::int64_t untilUnixSeconds);
 
     /// Further lines for the metrics page; set by the platform adapter.
     std::function<std::string()> extraMetrics;
@@ -200,6 +202,7 @@
     std::vector<OriginVm> originVms(bool ownZone) const;
     void findStreamOrigin(const OrganisationName &organisation, const ServiceName &service, const std::string &attempt,
                           const OriginDone &done);
+    void storeMixes();
     bool versionsUnsettled(const ServiceName &service) const;
     void askVersions();
     std::optional<wire::OriginAnswer> answerVersions(StreamKey key) const;
@@ -291,6 +294,7 @@
     std::int64_t storeEra = unnamedEra; ///< newest that the platform's store has named
     std::int64_t unreadableRecords = 0; ///< records of the platform that could not be read
     bool operatorChangesRead = false; ///< all operators' changes from before the start have been read
+    bool mixesRead = false; ///< what was stored of the software versions is known
     bool storeUp = true;
     bool storeQueryPending = false; ///< a call about the claim is in flight to the store
     StallDetector stallDetector;
--- a/lacewing/entrynodeorigins.cpp
+++ b/lacewing/entrynodeorigins.cpp
@@ -3,12 +3,13 @@
 //
 // A VM that has just started asks some VMs of its zone which versions they have seen, until one of them has watched for
 // as long as a stream may be resumed: a version that is gone from the list may have begun a stream that is resumed
-// here.
+// here. If all VMs have just started, the platform's store says whether there was another version.
 
 #include "entrynode.h"
 
 #include <algorithm>
 #include <random>
+#include <utility>
 
 namespace lacewing {
 
@@ -17,6 +18,8 @@
 /// A VM that has just started asks other VMs for the versions that they have seen this often, at this interval.
 constexpr int versionAskRounds = 5;
 constexpr Duration versionAskInterval = milliseconds(200);
+/// A stored time is stored again if it has grown by this much. Some seconds less are covered by listAgeMargin.
+constexpr std::int64_t storedMixStep = 5; ///< seconds
 /// VMs that are asked in each round.
 constexpr std::size_t versionAsks = 2;
 
@@ -93,7 +96,10 @@
         });
         return;
     }
-    if (const auto outcome = decideWithoutRecord(this->versions, service, !attempt.empty(), now)) {
+    const auto known = this->versions.find(service);
+    const bool watched = known != this->versions.end() && watchedLongEnough(known->second, now);
+    const auto outcome = decideWithoutRecord(this->versions, service, !attempt.empty(), now);
+    if (outcome && (this->mixesRead || watched || outcome->result == OriginResult::Unknown)) {
         done(*outcome);
         return;
     }
@@ -105,7 +111,10 @@
     const auto found = this->versions.find(service);
     const std::vector<OriginVm> vms = this->originVms(true);
     const bool othersHeard = std::any_of(vms.begin(), vms.end(), [](const OriginVm &one) { return one.usable; });
-    return this->versionRounds < versionAskRounds && othersHeard && found != this->versions.end()
+    const bool asking = this->versionRounds < versionAskRounds && othersHeard;
+    const bool reading
+        = !this->mixesRead && this->clock.now() - this->startedAt < versionAskRounds * versionAskInterval;
+    return (asking || reading) && found != this->versions.end()
         && !needsOrigins(this->versions, service, this->clock.now())
         && !watchedLongEnough(found->second, this->clock.now());
 }
@@ -132,6 +141,38 @@
     }
 }
 
+void EntryNode::storeMixes()
+{
+    if (!this->owner.active()) {
+        return; // the owner of the zone stores what all of its VMs see
+    }
+    const TimePoint now = this->clock.now();
+    for (auto &[service, one] : this->versions) {
+        const Duration left = one.streamLife.count() > 0 ? mixedFor(one, now) : Duration {0};
+        const std::int64_t until = this->clock.unixSeconds(now + left);
+        if (left.count() == 0 || until < one.storedUntil + storedMixStep) {
+            continue;
+        }
+        const std::int64_t before = std::exchange(one.storedUntil, until);
+        this->port.storeMix(service, until, [this, name = service, before, until](bool stored) {
+            ServiceVersions &changed = this->versions[name];
+            if (!stored && changed.storedUntil == until) {
+                changed.storedUntil = before; // stored with the next heartbeat
+            }
+        });
+    }
+}
+
+void EntryNode::recordStoredMix(const ServiceName &service, std::int64_t untilUnixSeconds)
+{
+    const TimePoint now = this->clock.now();
+    const std::int64_t left = std::clamp<std::int64_t>(untilUnixSeconds - this->clock.unixSeconds(now), 0,
+                                                       toMilliseconds(maxStreamLife + listAgeMargin) / 1000);
+    if (left > 0) {
+        lacewing::recordStoredMix(this->versions, service, std::chrono::seconds(left), now);
+    }
+}
+
 std::optional<wire::OriginAnswer> EntryNode::answerVersions(StreamKey key) const
 {
     const TimePoint now = this->clock.now();
@@ -183,6 +224,9 @@
     }
     const ServiceName &service = after.softwareVersion ? after.service : before.service;
     recordVersions(this->versions, service, before.softwareVersion, after.softwareVersion, now);
+    if (before.softwareVersion != after.softwareVersion) {
+        this->storeMixes();
+    }
 }
 
 } // namespace lacewing
--- a/lacewing/entrynodeplacement.cpp
+++ b/lacewing/entrynodeplacement.cpp
@@ -295,6 +295,7 @@
     recordHeartbeat(this->dataPath.configProof, this->gossip.lastNumber(), begun);
     this->quota.heartbeat();
     this->dataPath.repeatUnanswered();
+    this->storeMixes();
 }
 
 void EntryNode::onOwnerLeaving(const VmId &vm, const ZoneName &zone)
--- a/lacewing/platformport.h
+++ b/lacewing/platformport.h
@@ -70,7 +70,10 @@
     std::function<void(const VmContact &, std::function<void(bool)>)> announce;
     /// Withdraws the announcement.
     std::function<void(const VmId &)> withdraw;
-    /// Lists the VMs that are announced.
+    /// Stores until when several software versions of a service matter. The answer is whether it was stored.
+    std::function<void(const ServiceName &, std::int64_t untilUnixSeconds, std::function<void(bool)>)> storeMix;
+    /// Lists the VMs that are announced. Before its callback, EntryNode::recordStoredMix() is called for each service
+    /// with a stored mix.
     std::function<void(std::function<void(std::optional<std::vector<VmContact>>)>)> listVms;
 };
 
--- a/lacewing/softwareversions.cpp
+++ b/lacewing/softwareversions.cpp
@@ -1,5 +1,5 @@
 // A VM that has just started sees the versions of now only. It asks others (originexchange.h), whose answers count like
-// what it had seen itself.
+// what it had seen itself, and reads what was stored.
 
 #include "softwareversions.h"
 
@@ -114,6 +114,27 @@
     told.watchedSince = std::min(told.watchedSince.value_or(now), now - std::max(Duration {0}, watched));
 }
 
+Duration mixedFor(const ServiceVersions &service, TimePoint now)
+{
+    std::vector<TimePoint> ends; // of each version's time
+    for (const auto &[version, seen] : service.seen) {
+        ends.push_back((seen.listed > 0 ? now : seen.last) + windowOf(service));
+    }
+    if (ends.size() < 2) {
+        return Duration {0};
+    }
+    std::sort(ends.begin(), ends.end());
+    return std::max(Duration {0}, ends[ends.size() - 2] - now);
+}
+
+void recordStoredMix(SoftwareVersions &versions, const ServiceName &service, Duration left, TimePoint now)
+{
+    ServiceVersions &known = versions[service];
+    if (!watchedLongEnough(known, now)) {
+        known.toldMixedUntil = std::max(known.toldMixedUntil, now + std::min(left, maxStreamLife + listAgeMargin));
+    }
+}
+
 bool needsOrigins(const SoftwareVersions &versions, const ServiceName &service, TimePoint now)
 {
     const auto found = versions.find(service);
--- a/lacewing/softwareversions.h
+++ b/lacewing/softwareversions.h
@@ -7,6 +7,9 @@
 // streams in progress at both versions. While one version serves, nothing has to be remembered of any stream. Asked for
 // each stream; takes a comparison for each version seen recently, which are two at most times.
 //
+// All VMs may be killed at the same time, and those that start in their place see the versions of that moment only. So
+// while several versions matter, the platform's store says until when.
+//
 // Versions have no order. An endpoint that states none counts as of a version of its own, the empty one.
 
 #pragma once
@@ -45,6 +48,7 @@
     Duration streamLife {0}; ///< for which a stream may be resumed after it was sent; 0: streams are not resumed
     std::optional<TimePoint> watchedSince; ///< the versions are known from this time on
     TimePoint toldMixedUntil; ///< another VM has seen several versions; they matter until then
+    std::int64_t storedUntil = 0; ///< seconds since 1970: this VM has stored that they matter until then
     std::optional<FirstVersion> first; ///< of the latest time with several versions
 };
 
@@ -78,6 +82,20 @@
 void recordToldVersions(SoftwareVersions &versions, const ServiceName &service, const std::optional<std::string> &sole,
                         Duration watched, TimePoint now);
 
+/// @param service what was seen of its endpoints
+/// @param now current time
+/// @return for how long a stream of another version than the present one may still be resumed, as far as this VM has
+/// seen itself; 0: no other version was listed recently
+Duration mixedFor(const ServiceVersions &service, TimePoint now);
+
+/// Takes in what the VMs have stored of the versions for those that start later. A VM that has watched for long enough
+/// knows better.
+/// @param versions changed
+/// @param service that had several versions
+/// @param left for which a stream of one of them may still be resumed
+/// @param now current time
+void recordStoredMix(SoftwareVersions &versions, const ServiceName &service, Duration left, TimePoint now);
+
 /// @return whether a stream that may be resumed now may have been sent to one of several versions
 bool needsOrigins(const SoftwareVersions &versions, const ServiceName &service, TimePoint now);
 
--- a/lacewing/testing/entrynodefixture.cpp
+++ b/lacewing/testing/entrynodefixture.cpp
@@ -68,6 +68,7 @@
         }
     };
     made.withdraw = [](const VmId &) {};
+    made.storeMix = [](const ServiceName &, std::int64_t, const std::function<void(bool)> &stored) { stored(true); };
     made.listVms
         = [this](const std::function<void(std::optional<std::vector<VmContact>>)> &done) { done(this->contacts); };
     return made;
