Stored times of software versions are stored again in a new era

The store may come back from a copy in which the time is an earlier one, and a VM that starts would take one version for the only one. Found by reading; the era's own test covers announcements, which are restored in the same way.

--- a/lacewing/entrynode.cpp
+++ b/lacewing/entrynode.cpp
@@ -253,6 +253,9 @@
     this->storeEra = era;
     this->lastStoreFailure = now; // entries that were written last are missing until the endpoints write them again
     recordNewEra(this->dataPath.configProof, now);
+    for (auto &[service, one] : this->versions) {
+        one.storedUntil = 0; // what was stored may be lost
+    }
     this->restoreAnnouncement();
     this->renewClaim();
 }
