--- a/lacewing/testing/storereadstest.cpp
+++ b/lacewing/testing/storereadstest.cpp
@@ -90,10 +90,7 @@
                                       this->load.versions - this->known},
                                      0);
             this->end(read, now, waits ? 0 : checkMilliseconds);
-        } else if (read.active && reset) {
-            this->end(read, now, waits ? retryMilliseconds : checkMilliseconds);
-        } else if (read.active && this->way == Way::Whole && now - read.begun >= answerMilliseconds
-                   && (this->resetBefore || !waits)) { // the first read had waited and has time left
+        } else if (read.active && (reset || this->isLate(read, waits, now))) {
             this->end(read, now, waits ? retryMilliseconds : checkMilliseconds);
         }
         this->resetBefore = this->resetBefore || reset;
@@ -102,6 +99,12 @@
         }
     }
 
+    /// @return whether the read is ended before its answer; the first one had waited and has time left
+    bool isLate(const Read &read, bool waits, int now) const
+    {
+        return this->way == Way::Whole && now - read.begun >= answerMilliseconds && (this->resetBefore || !waits);
+    }
+
     void begin(Read &read, int now)
     {
         const bool byRecord = this->way == Way::Newest;
