--- a/lacewing/configcatchup.h
+++ b/lacewing/configcatchup.h
@@ -37,7 +37,7 @@
 constexpr Duration unusableRecordPause = milliseconds(30000);
 
 /// Limit of the size of a configuration that another VM sends.
-constexpr std::uint64_t maxConfigRecordBytes = std::uint64_t {4096} * 1024;
+constexpr std::uint64_t maxConfigRecordBytes = std::uint64_t {1024} * 1024;
 
 /// Rate at which a VM sends its configuration to others; half of a link of 10 Mbit/s.
 constexpr double configSendRate = 600e3; ///< bytes per second
