--- a/lacewing/entrynode.cpp
+++ b/lacewing/entrynode.cpp
@@ -1,5 +1,4 @@
-// Timers: the claim of the zone is checked five times a second. Demand is reported four times a second while there is
-// any, and at once when a request starts to wait for weights. Each VM sends a heartbeat once a second.
+// Demand is reported four times a second while there is any, and at once when a request starts to wait for weights.
 //
 // entrynodelist.cpp handles the platform's list of endpoints, entrynodeupdates.cpp updates about endpoints,
 // entrynodeplacement.cpp the ownership of the zone and the demand for adapters, entrynodeconfig.cpp proofs that the
--- a/lacewing/gatewayrejections.cpp
+++ b/lacewing/gatewayrejections.cpp
@@ -55,7 +55,7 @@
     RejectionLimit &limit = this->rejectionLimits[service];
     const bool isNew = !hasRejectionLimit(limit, now);
     const bool changed = lacewing::recordRejectionLimit(limit, rate, now);
-    if (isNew && now - this->startedAt < newcomerTime) {
+    if (isNew && now - this->startedAt < newcomerTime) { // it knows as little as a VM that stood still
         for (const EndpointName &id : endpointsOf(this->fleetState, service)) {
             recordStall(this->fleetState.endpoints.at(id).rejections, Duration {0}, rate, this->draw(), now);
         }
