A VM reads no body from a sender without its token

A VM accepts bodies of 1 MB on the port for other VMs, which may be configurations, and looked at the token when the body was complete. A sender without the token could fill that memory on each connection.

Ruled out: the limit itself, which is as before.

The token is checked when the head has been read, and a request without it is refused then.

--- a/lacewing/callerconnection.cpp
+++ b/lacewing/callerconnection.cpp
@@ -96,6 +96,14 @@
         this->rejectMalformed(error);
         return;
     }
+    if (!this->reader->complete() && this->reader->headRead() && !this->mayReadBody()) {
+        this->cancelTimer();
+        this->requestInProgress = true;
+        this->input.clear();
+        const auto self = this->shared_from_this();
+        this->handlers.onRequest(std::move(this->reader->head), {});
+        return;
+    }
     if (!this->reader->complete()) {
         if (!begun && (used > 0 || !this->input.empty())) {
             this->armTimer(this->limits.headTimeout);
@@ -116,6 +124,13 @@
     this->handlers.onRequest(std::move(this->reader->head), std::move(this->reader->body));
 }
 
+bool CallerConnection::mayReadBody()
+{
+    this->bodyAllowed
+        = this->bodyAllowed || !this->handlers.mayReadBody || this->handlers.mayReadBody(this->reader->head);
+    return this->bodyAllowed;
+}
+
 void CallerConnection::rejectMalformed(const ReadError &error)
 {
     constexpr int badRequest = 400;
@@ -196,6 +211,7 @@
         return;
     }
     this->reader = std::make_unique<RequestReader>(this->limits.headBytes, this->limits.bodyBytes);
+    this->bodyAllowed = false;
     this->armTimer(this->idleTimeout);
     if (!this->input.empty()) {
         const auto self = this->shared_from_this();
--- a/lacewing/callerconnection.h
+++ b/lacewing/callerconnection.h
@@ -32,6 +32,9 @@
     struct Handlers {
         /// A complete request was read; to be answered with beginAnswer(), writeBody() and finishAnswer().
         std::function<void(HttpRequestHead, std::string body)> onRequest;
+        /// The head of a request was read, and not yet its body. If this returns false, the request is handed over
+        /// without its body, and its answer has to be the last one. Absent: bodies of all requests are read.
+        std::function<bool(const HttpRequestHead &)> mayReadBody;
         /// A request is malformed, too large or incomplete at its timeout; status is the HTTP status of the answer.
         std::function<void(int status)> onMalformedRequest;
         /// A complete request arrived after this side of the connection was closed, and can't be answered.
@@ -86,6 +89,7 @@
     void startRead();
     void onBytes(const NetError &error, std::size_t size);
     void parse();
+    bool mayReadBody();
     void rejectMalformed(const ReadError &error);
     void readDiscarded(std::string_view bytes);
     void flush();
@@ -105,6 +109,7 @@
     std::array<char, 4096> readBuffer {};
     std::unique_ptr<RequestReader> reader;
     std::chrono::steady_clock::time_point lastInput; ///< when bytes arrived last
+    bool bodyAllowed = false; ///< the body of the request that is being read
     std::string output;
     std::string writingBytes;
     std::function<void()> onDrained;
--- a/lacewing/gateway.cpp
+++ b/lacewing/gateway.cpp
@@ -92,6 +92,9 @@
             this->onRequest(from, std::move(head), std::move(body));
         }
     };
+    if (sender == Sender::Vm) { // whose bodies may be larger than those of callers
+        handlers.mayReadBody = [this](const HttpRequestHead &head) { return this->showsToken(head); };
+    }
     handlers.onMalformedRequest = [weak](int status) {
         if (const auto from = weak.lock()) {
             logEvent("request_unreadable", {{"status", std::to_string(status)}});
@@ -281,12 +284,6 @@
     return static_cast<std::size_t>(std::count_if(this->callers.begin(), this->callers.end(), isDelivering));
 }
 
-bool Gateway::isReceivingFromVm() const
-{
-    return std::any_of(this->callers.begin(), this->callers.end(),
-                       [](const auto &entry) { return entry.first->fromVm && entry.first->isReceivingLargeBody(); });
-}
-
 std::size_t Gateway::unwrittenBytes() const
 {
     const auto add = [](std::size_t sum, const auto &entry) { return sum + entry.first->pendingOutput(); };
--- a/lacewing/gateway.h
+++ b/lacewing/gateway.h
@@ -275,6 +275,7 @@
     void accept(Tcp::acceptor &listener, Sender sender);
     void addCaller(Tcp::socket socket, Sender sender);
     void onRequest(const std::shared_ptr<CallerConnection> &caller, HttpRequestHead head, std::string body);
+    bool showsToken(const HttpRequestHead &head) const;
     void onForwardedRequest(const std::shared_ptr<CallerConnection> &caller, HttpRequestHead head, std::string body);
     void takeConfigRecord(CallerConnection &vm, const VmId &from, const std::string &record) const;
     void startRequest(const std::shared_ptr<CallerConnection> &caller, HttpRequestHead head, std::string body,
--- a/lacewing/gatewayforwarding.cpp
+++ b/lacewing/gatewayforwarding.cpp
@@ -22,6 +22,13 @@
     return error;
 }
 
+bool Gateway::showsToken(const HttpRequestHead &head) const
+{
+    HttpHeaders headers = head.headers;
+    const auto forwarded = takeForwarding(headers);
+    return forwarded && equalSecrets(forwarded->token, this->token);
+}
+
 void Gateway::onForwardedRequest(const std::shared_ptr<CallerConnection> &caller, HttpRequestHead head,
                                  std::string body)
 {
@@ -46,6 +53,12 @@
     this->startRequest(caller, std::move(head), std::move(body), std::move(forwarded));
 }
 
+bool Gateway::isReceivingFromVm() const
+{
+    return std::any_of(this->callers.begin(), this->callers.end(),
+                       [](const auto &entry) { return entry.first->fromVm && entry.first->isReceivingLargeBody(); });
+}
+
 void Gateway::cancelForwarded(const VmId &vm, std::string_view id)
 {
     const auto found = std::find_if(this->relays.begin(), this->relays.end(),
