Streams that have begun are stored for VMs that start

Callers saw: after all VMs were killed while two software versions serve, each stream that they took up was refused (code 214), though endpoints of its version were there.

Cause: the records of streams were in the memory of VMs alone. Streams that began before the second version was listed were not recorded at all.

While several versions matter, each VM stores the streams that it has begun, with one call every 500 ms or more seldom, and a VM that starts reads what the VMs of its zone have stored. A stream is stored when its first bytes have arrived: before, it could still go to another version. While one version serves, nothing is stored or read.

Tests: versionmemorytest, two new tests, whole VMs: 13 of 13 streams refused before, 13 of 13 go on at their version now, and one that was never begun is refused as before.

--- a/lacewing/entrynode.cpp
+++ b/lacewing/entrynode.cpp
@@ -78,6 +78,7 @@
       owner(ioContext, this->clock, this->port, this->settings.zone),
       quota(this->clock, this->quotaSettings(), this->quotaPorts()),
       origins(this->clock, this->originSettings(), this->originPorts()),
+      originStore(this->originStorePorts()),
       copyLeases(this->clock, {this->settings.vm, this->gossip.ownIncarnation() / 2}, this->copyLeasePorts()),
       configTransfer(ioContext, this->clock, this->settings.vm, this->configTransferPorts()),
       random(static_cast<std::uint64_t>(this->gossip.ownIncarnation())),
@@ -149,6 +150,7 @@
     this->connectConfigTransfer();
     this->connectQuota();
     this->connectOrigins();
+    this->connectOriginStore();
     this->connectCrashesAndLimits();
     this->connectForwarding();
 }
@@ -321,16 +323,11 @@
             this->contacts[contact.vm] = contact;
         }
         this->quota.vmsListed();
+        this->restoreOrigins();
         this->heartbeat();
     });
 }
 
-void EntryNode::shareRetryBudget()
-{
-    const double burst = burstShare(this->settings.retryBurst, this->gossip.vmsInUse());
-    this->dataPath.setRetryLimits(this->settings.retryShare, burst);
-}
-
 bool EntryNode::ready() const
 {
     const bool listed = isKnown(this->dataPath.fleet().list.position);
@@ -363,6 +360,7 @@
     this->stopOwning("stopping");
     this->quota.beginStop();
     this->origins.beginStop();
+    this->originStore.flush();
     this->heartbeat(); // so that another VM takes over the zone at once
     this->after(leaveRepeatDelay, [this] { this->heartbeat(); }); // in case a datagram is lost
     this->port.withdraw(this->settings.vm);
--- a/lacewing/entrynode.h
+++ b/lacewing/entrynode.h
@@ -26,6 +26,7 @@
 #include "copyleaseexchange.h"
 #include "gateway.h"
 #include "originexchange.h"
+#include "originstore.h"
 #include "placementowner.h"
 #include "platformport.h"
 #include "quotaexchange.h"
@@ -165,6 +166,13 @@
         std::optional<std::string> softwareVersion; ///< nothing: the endpoint is not listed
     };
 
+    /// Whether the streams that were stored have been read.
+    enum class OriginRestore {
+        NotBegun,
+        InProgress,
+        Done,
+    };
+
     void checkForStall();
     /// The last demand report that was sent to the owner of a zone.
     struct SentDemand {
@@ -203,6 +211,12 @@
     void findStreamOrigin(const OrganisationName &organisation, const ServiceName &service, const std::string &attempt,
                           const OriginDone &done);
     void storeMixes();
+    OriginStorePorts originStorePorts();
+    void connectOriginStore();
+    bool needsStoredOrigins() const;
+    bool awaitsStoredOrigins(const ServiceName &service) const;
+    void restoreOrigins();
+    void receiveStoredOrigins(const std::optional<std::vector<std::string>> &records);
     bool versionsUnsettled(const ServiceName &service) const;
     void askVersions();
     std::optional<wire::OriginAnswer> answerVersions(StreamKey key) const;
@@ -267,6 +281,7 @@
     PlacementOwner owner;
     QuotaExchange quota;
     OriginExchange origins;
+    OriginStore originStore;
     CopyLeaseExchange copyLeases;
     ConfigTransfer configTransfer;
     SoftwareVersions versions; ///< of the endpoints' software, by service
@@ -295,6 +310,9 @@
     std::int64_t unreadableRecords = 0; ///< records of the platform that could not be read
     bool operatorChangesRead = false; ///< all operators' changes from before the start have been read
     bool mixesRead = false; ///< what was stored of the software versions is known
+    OriginRestore originRestore = OriginRestore::NotBegun;
+    TimePoint originRestoreBegun; ///< first time
+    std::int64_t originsRestored = 0; ///< streams
     bool storeUp = true;
     bool storeQueryPending = false; ///< a call about the claim is in flight to the store
     StallDetector stallDetector;
--- a/lacewing/entrynodemetrics.cpp
+++ b/lacewing/entrynodemetrics.cpp
@@ -29,6 +29,9 @@
     }
     line("origins_unknown_total", counters.originsUnknown);
     line("origins_recorded_total", this->origins.recorded);
+    line("origins_stored_total", this->originStore.stored);
+    line("origins_not_stored_total", this->originStore.dropped);
+    line("origins_restored_total", this->originsRestored);
     line("requests_forwarded_total", counters.forwarded);
     line("requests_taken_over_total", counters.takenOver);
     line("endpoint_connections_made_total", counters.connectionsMade);
--- a/lacewing/entrynodeorigins.cpp
+++ b/lacewing/entrynodeorigins.cpp
@@ -20,6 +20,8 @@
 constexpr Duration versionAskInterval = milliseconds(200);
 /// A stored time is stored again if it has grown by this much. Some seconds less are covered by listAgeMargin.
 constexpr std::int64_t storedMixStep = 5; ///< seconds
+/// A resumption that waits until the stored streams are read looks again after this time.
+constexpr Duration storedOriginsInterval = milliseconds(20);
 /// VMs that are asked in each round.
 constexpr std::size_t versionAsks = 2;
 
@@ -90,6 +92,13 @@
                                  const std::string &attempt, const OriginDone &done)
 {
     const TimePoint now = this->clock.now();
+    this->restoreOrigins();
+    if (this->awaitsStoredOrigins(service)) {
+        this->after(storedOriginsInterval, [this, organisation, service, attempt, done] {
+            this->findStreamOrigin(organisation, service, attempt, done);
+        });
+        return;
+    }
     if (this->versionsUnsettled(service)) {
         this->after(versionAskInterval, [this, organisation, service, attempt, done] {
             this->findStreamOrigin(organisation, service, attempt, done);
@@ -223,7 +232,12 @@
         return;
     }
     const ServiceName &service = after.softwareVersion ? after.service : before.service;
+    const bool mixedBefore = needsOrigins(this->versions, service, now);
     recordVersions(this->versions, service, before.softwareVersion, after.softwareVersion, now);
+    if (!mixedBefore && needsOrigins(this->versions, service, now)) {
+        this->dataPath.recordBegunOrigins(service);
+        this->restoreOrigins();
+    }
     if (before.softwareVersion != after.softwareVersion) {
         this->storeMixes();
     }
--- a/lacewing/entrynodequota.cpp
+++ b/lacewing/entrynodequota.cpp
@@ -44,4 +44,10 @@
     };
 }
 
+void EntryNode::shareRetryBudget()
+{
+    const double burst = burstShare(this->settings.retryBurst, this->gossip.vmsInUse());
+    this->dataPath.setRetryLimits(this->settings.retryShare, burst);
+}
+
 } // namespace lacewing
--- a/lacewing/gateway.h
+++ b/lacewing/gateway.h
@@ -245,10 +245,18 @@
     std::function<void(const OrganisationName &, const ServiceName &, const std::string &attempt,
                        const std::string &softwareVersion)>
         recordOrigin;
+    /// Called when the first bytes of a resumable stream have arrived, which then goes on at no other version.
+    std::function<void(const OrganisationName &, const ServiceName &, const std::string &attempt,
+                       const std::string &softwareVersion)>
+        onStreamBegun;
     /// Finds the software version that began a stream; if not set, any version may go on with it.
     std::function<void(const OrganisationName &, const ServiceName &, const std::string &attempt, OriginDone)>
         findOrigin;
 
+    /// Calls recordOrigin() and onStreamBegun() for each stream in progress.
+    /// @param service that has a second software version now
+    void recordBegunOrigins(const ServiceName &service);
+
     /// Called when an endpoint has stated something that decides whether it gets requests.
     std::function<void()> onStatement;
     /// Called with each update for other VMs of an endpoint's rate limit, and of requests sent to that endpoint.
--- a/lacewing/platformport.h
+++ b/lacewing/platformport.h
@@ -72,6 +72,11 @@
     std::function<void(const VmId &)> withdraw;
     /// Stores until when several software versions of a service matter. The answer is whether it was stored.
     std::function<void(const ServiceName &, std::int64_t untilUnixSeconds, std::function<void(bool)>)> storeMix;
+    /// Stores the record of the streams that this VM has begun, among those of its zone. The answer is whether it is
+    /// certain that it was stored.
+    std::function<void(std::string record, std::function<void(bool)>)> storeOrigins;
+    /// Reads what the VMs of the zone have stored last of the streams that they have begun, oldest first.
+    std::function<void(std::function<void(std::optional<std::vector<std::string>>)>)> readOrigins;
     /// Lists the VMs that are announced. Before its callback, EntryNode::recordStoredMix() is called for each service
     /// with a stored mix.
     std::function<void(std::function<void(std::optional<std::vector<VmContact>>)>)> listVms;
--- a/lacewing/relay.h
+++ b/lacewing/relay.h
@@ -79,6 +79,10 @@
     /// @param verified service that was verified
     void onVerified(const ServiceName &verified);
 
+    /// Records the origin of a stream that has begun before a second software version was listed.
+    /// @param changed service with the second version
+    void recordBegunOrigin(const ServiceName &changed);
+
     /// @return weights that the request waits for; empty if it does not wait
     const std::string &waitingFor() const;
     /// @param other another waiting request
@@ -100,6 +104,7 @@
     void resumeAs(const OriginOutcome &outcome);
     void refuseVersionGone();
     void recordOrigin(const FleetEndpoint &target);
+    void reportBegun() const;
     OrganisationName organisationName() const;
     /// Runs a handler of this request. An exception ends this request only, not the process.
     void run(const std::function<void()> &part);
@@ -165,6 +170,7 @@
     ServiceName service;
     std::string weights;
     std::optional<std::string> softwareVersion; ///< of the endpoints that may run the request; nothing: any
+    std::string sentVersion; ///< software version of the endpoint that a resumable stream was sent to last
     RequestContent content; ///< that an endpoint executes
     std::string awaitedWeights;
     TimePoint arrived;
--- a/lacewing/relayanswer.cpp
+++ b/lacewing/relayanswer.cpp
@@ -143,6 +143,7 @@
     if (this->timeToFirstByte.count() == 0) {
         this->timeToFirstByte = now - this->arrived;
         this->leaveQueue();
+        this->reportBegun();
     } else if (now - this->lastByteAt > this->maxGap) {
         this->maxGap = now - this->lastByteAt;
         this->maxGapAt = now - this->arrived;
--- a/lacewing/relayorigin.cpp
+++ b/lacewing/relayorigin.cpp
@@ -81,7 +81,33 @@
 {
     const std::string &attempt = originAttempt(this->info);
     if (this->gateway.recordOrigin && keepsOrigins(*this->route) && !attempt.empty()) {
-        this->gateway.recordOrigin(this->organisationName(), this->service, attempt, target.entry.softwareVersion);
+        this->sentVersion = target.entry.softwareVersion;
+        this->gateway.recordOrigin(this->organisationName(), this->service, attempt, this->sentVersion);
+    }
+}
+
+void Relay::reportBegun() const
+{
+    const std::string &attempt = originAttempt(this->info);
+    if (this->gateway.onStreamBegun && this->peer.empty() && keepsOrigins(*this->route) && !attempt.empty()) {
+        this->gateway.onStreamBegun(this->organisationName(), this->service, attempt, this->sentVersion);
+    }
+}
+
+void Relay::recordBegunOrigin(const ServiceName &changed)
+{
+    const std::string &attempt = originAttempt(this->info);
+    const bool begun = this->peer.empty() && this->timeToFirstByte.count() > 0 && this->service == changed;
+    if (begun && !this->done && keepsOrigins(*this->route) && !attempt.empty()) {
+        this->gateway.recordOrigin(this->organisationName(), this->service, attempt, this->sentVersion);
+        this->reportBegun();
+    }
+}
+
+void Gateway::recordBegunOrigins(const ServiceName &service)
+{
+    for (const auto &relay : this->relays) {
+        relay->recordBegunOrigin(service);
     }
 }
 
--- a/lacewing/testing/entrynodefixture.cpp
+++ b/lacewing/testing/entrynodefixture.cpp
@@ -69,6 +69,12 @@
     };
     made.withdraw = [](const VmId &) {};
     made.storeMix = [](const ServiceName &, std::int64_t, const std::function<void(bool)> &stored) { stored(true); };
+    made.storeOrigins = [this](const std::string &record, const std::function<void(bool)> &stored) {
+        this->origins.push_back(record);
+        stored(true);
+    };
+    made.readOrigins
+        = [this](const std::function<void(std::optional<std::vector<std::string>>)> &done) { done(this->origins); };
     made.listVms
         = [this](const std::function<void(std::optional<std::vector<VmContact>>)> &done) { done(this->contacts); };
     return made;
--- a/lacewing/testing/entrynodefixture.h
+++ b/lacewing/testing/entrynodefixture.h
@@ -18,6 +18,7 @@
     std::vector<VmContact> contacts;
     std::vector<VmId> claims;
     std::set<VmId> unreachableVms;
+    std::vector<std::string> origins; ///< records of streams that VMs have begun
     asio::io_context *storedLater = nullptr; ///< if set, announcements are stored only in a later turn of this loop
     asio::io_context *loadsNeverEnd = nullptr; ///< if set, endpoints accept each order but never hold more than a model
     int orders = 0; ///< number of orders sent
