rejectionzonestest: all VMs killed at the same time

Simulated now: VMs that start do not know of the limit and send to up to eight endpoints until their first answer, while the callers of the second before return.

--- a/lacewing/testing/rejectionzonestest.cpp
+++ b/lacewing/testing/rejectionzonestest.cpp
@@ -48,6 +48,8 @@
     bool losesZone = true; ///< the endpoints of the first zone are lost, and half of the VMs start again
     int stallMilliseconds = 0; ///< for which half of the VMs stand still, several times
     AfterStall afterStall = AfterStall::Cautious;
+    bool restartsAll = false; ///< all VMs are killed at the same time and start again
+    bool limitStored = false; ///< a VM that starts knows of the limit
 };
 
 struct Outcome {
@@ -66,6 +68,8 @@
 constexpr int crashMilliseconds = 3000; ///< when the endpoints of the first zone are lost for downMilliseconds
 constexpr int restartMilliseconds = 5000; ///< when half of the VMs start again
 constexpr int replayMilliseconds = 12000;
+constexpr int absenceMilliseconds = 1000; ///< of VMs that are killed; their callers return over the same time
+constexpr int sendsWithoutLimit = 8;
 constexpr int rampMilliseconds = 1000; ///< with half of the load, before VMs stand still
 constexpr std::array<int, 3> stallBegins {2500, 6000, 9500}; ///< milliseconds
 constexpr double lossShare = 0.03;
@@ -120,6 +124,7 @@
           endpoints(static_cast<std::size_t>(sizes.zones * sizes.endpointsPerZone)),
           budgets(static_cast<std::size_t>(this->vmCount)),
           stalledUntil(static_cast<std::size_t>(this->vmCount), 0),
+          knowsLimit(static_cast<std::size_t>(this->vmCount), true),
           views(static_cast<std::size_t>(this->vmCount), std::vector<EndpointRejections>(this->endpoints.size()))
     {
         for (std::size_t index = 0; index < this->endpoints.size(); ++index) {
@@ -134,6 +139,7 @@
         std::poisson_distribution<int> arrivals(perMillisecond);
         std::poisson_distribution<int> fewArrivals(perMillisecond / 2);
         std::uniform_int_distribution<int> anyVm(0, this->vmCount - 1);
+        std::uniform_int_distribution<int> anyDelay(0, absenceMilliseconds);
         std::bernoulli_distribution isForeign(this->deployment.foreignShare);
         for (int now = 0; now < replayMilliseconds; ++now) {
             this->disturb(now);
@@ -150,7 +156,9 @@
             this->requests.erase(now);
             for (const ModelRequest &request : sent) {
                 if (this->isStalled(request.vm, now)) {
-                    this->requests[this->stalledUntil[static_cast<std::size_t>(request.vm)]].push_back(request);
+                    const int spread = this->deployment.restartsAll ? anyDelay(this->random) : 0;
+                    this->requests[this->stalledUntil[static_cast<std::size_t>(request.vm)] + spread].push_back(
+                        request);
                 } else {
                     this->send(request, now);
                 }
@@ -202,9 +210,43 @@
         }
     }
 
+    /// All VMs are killed; endpoints drop the requests of connections that are closed.
+    void restartAll(int now)
+    {
+        for (ModelEndpoint &endpoint : this->endpoints) {
+            this->outcome.served -= endpoint.running(now);
+            endpoint.ends.clear();
+        }
+        for (int vm = 0; vm < this->vmCount; ++vm) {
+            const auto index = static_cast<std::size_t>(vm);
+            this->stalledUntil[index] = now + absenceMilliseconds;
+            this->views[index].assign(this->endpoints.size(), {});
+            this->knowsLimit[index] = false;
+            if (this->deployment.limitStored) {
+                this->learnLimit(vm, now + absenceMilliseconds);
+            }
+        }
+    }
+
+    void learnLimit(int vm, int now)
+    {
+        const auto index = static_cast<std::size_t>(vm);
+        if (this->knowsLimit[index]) {
+            return;
+        }
+        this->knowsLimit[index] = true;
+        std::uniform_real_distribution<double> draw(0, 1);
+        for (EndpointRejections &known : this->views[index]) {
+            recordStall(known, Duration {0}, this->deployment.rate, draw(this->random), at(now));
+        }
+    }
+
     void disturb(int now)
     {
         this->stall(now);
+        if (this->deployment.restartsAll && now == restartMilliseconds) {
+            this->restartAll(now);
+        }
         if (!this->deployment.losesZone) {
             return;
         }
@@ -293,7 +335,8 @@
         std::uniform_real_distribution<double> draw(0, 1);
         std::erase_if(candidates, [&](int index) {
             const auto &view = this->views[static_cast<std::size_t>(request.vm)][static_cast<std::size_t>(index)];
-            return draw(this->random) >= requestShare(view, at(now));
+            return this->knowsLimit[static_cast<std::size_t>(request.vm)]
+                && draw(this->random) >= requestShare(view, at(now));
         });
         const auto seen = [&](int index) {
             return this->endpoints[static_cast<std::size_t>(index)]
@@ -306,7 +349,9 @@
 
     void send(ModelRequest request, int now)
     {
-        const int chosen = request.sends < maxSendsWithRejectionLimit ? this->choose(request, now) : -1;
+        const int mostSends
+            = this->knowsLimit[static_cast<std::size_t>(request.vm)] ? maxSendsWithRejectionLimit : sendsWithoutLimit;
+        const int chosen = request.sends < mostSends ? this->choose(request, now) : -1;
         if (chosen < 0) {
             return; // refused
         }
@@ -316,6 +361,8 @@
         if (!endpoint.isDown(now) && endpoint.running(now) < this->deployment.room) {
             endpoint.ends.push_back(now + workMilliseconds);
             this->outcome.served += 1;
+            this->announced[now + workMilliseconds].push_back(
+                {request.vm, [this, vm = request.vm](int then) { this->learnLimit(vm, then); }});
             return;
         }
         if (!endpoint.isDown(now)) {
@@ -359,6 +406,7 @@
             this->outcome.received += other == vm ? 0 : announcementBytes;
             const int delay = other == vm ? tripMilliseconds : 3 * tripMilliseconds;
             const auto apply = [this, other, index, value = draw(this->random)](int then) {
+                this->learnLimit(other, then);
                 recordRejections(this->views[static_cast<std::size_t>(other)][static_cast<std::size_t>(index)], 1,
                                  this->deployment.rate, value, at(then));
             };
@@ -373,6 +421,7 @@
     std::vector<ModelEndpoint> endpoints;
     std::vector<AnnouncementBudget> budgets;
     std::vector<int> stalledUntil; ///< by VM
+    std::vector<bool> knowsLimit; ///< by VM
     std::vector<std::vector<EndpointRejections>> views;
     std::map<int, std::vector<ModelRequest>> requests;
     std::map<int, std::vector<Announcement>> announced;
@@ -469,3 +518,42 @@
         }
     }
 }
+
+// All VMs are killed at the same time. Those that start do not know of the limit, and their callers come back together.
+Test(rejectionzones, endpointsDoNotFallAfterAllVmsWereKilled)
+{
+    const bool allWays = std::getenv("LACEWING_ALL_WAYS") != nullptr; // those that are compared, and more seeds
+    for (const auto &[zones, vmsPerZone, endpointsPerZone, room] :
+         {std::tuple {1, 12, 9, 2}, std::tuple {1, 3, 9, 2}, std::tuple {5, 17, 1, 6}, std::tuple {5, 17, 12, 6}}) {
+        for (const double rate : {3.0, 5.0, 20.0}) {
+            for (const double load : {0.6, 0.9, 1.2}) {
+                for (const bool stored : {false, true}) {
+                    if (stored && !allWays) {
+                        continue;
+                    }
+                    Deployment deployment {zones, vmsPerZone, endpointsPerZone, room, rate, load};
+                    deployment.losesZone = false;
+                    deployment.restartsAll = true;
+                    deployment.limitStored = stored;
+                    Outcome sum;
+                    int worst = 0;
+                    const unsigned seeds = allWays ? 5U : 2U;
+                    const int allowed = 2 + zones * endpointsPerZone / 10;
+                    for (unsigned seed = 1; seed <= seeds; ++seed) {
+                        const Outcome one = Model(deployment, Way::AllAndStarted, seed).run();
+                        sum.falls += one.falls;
+                        sum.offered += one.offered;
+                        sum.served += one.served;
+                        worst = std::max(worst, one.falls);
+                        cr_expect_leq(one.falls, allowed, "%d VMs, rate %g, load %g, seed %u: %d falls",
+                                      zones * vmsPerZone, rate, load, seed, one.falls);
+                    }
+                    cr_log_info("%2d VMs, %2d endpoints, rate %2g, load %.2f, limit stored %d: falls %3d (most %2d, "
+                                "allowed %d), served %.3f",
+                                zones * vmsPerZone, zones * endpointsPerZone, rate, load, stored ? 1 : 0, sum.falls,
+                                worst, allowed, static_cast<double>(sum.served) / sum.offered);
+                }
+            }
+        }
+    }
+}
