Stored streams are read again only while they can be resumed

A VM that starts while the store is away asked for them five times a second for ever; found in the read-through. It stops when the streams from before its start can't be resumed any more, and asks twice a second until then.

--- a/lacewing/entrynodeoriginstore.cpp
+++ b/lacewing/entrynodeoriginstore.cpp
@@ -1,5 +1,5 @@
-// Stores the streams that this VM begins while several software versions serve, and reads those of its zone at the
-// start.
+// Stores the streams that begin while several software versions serve, at this VM or at others of a zone that it owns,
+// and reads those of its zone at the start.
 
 #include "entrynode.h"
 
@@ -12,7 +12,7 @@
 namespace {
 
 /// A store that does not answer is asked again after this time.
-constexpr Duration restoreRetry = milliseconds(200);
+constexpr Duration restoreRetry = milliseconds(500);
 /// Resumptions wait for the stored streams for this time at most; later ones are decided without.
 constexpr Duration maxRestoreWait = milliseconds(1000);
 
@@ -94,7 +94,7 @@
 
 void EntryNode::receiveStoredOrigins(const std::optional<std::vector<std::string>> &records)
 {
-    if (!records) {
+    if (!records && this->needsStoredOrigins()) {
         this->after(restoreRetry, [this] {
             this->port.readOrigins(
                 [this](const std::optional<std::vector<std::string>> &again) { this->receiveStoredOrigins(again); });
@@ -102,6 +102,9 @@
         return;
     }
     this->originRestore = OriginRestore::Done;
+    if (!records) {
+        return; // the streams from before the start can't be resumed any more
+    }
     Duration life {0};
     for (const auto &[service, one] : this->versions) {
         life = std::max(life, one.streamLife);
