--- a/lacewing/originstore.h
+++ b/lacewing/originstore.h
@@ -1,6 +1,6 @@
 // Stores on the platform which software version began each stream, for the VMs that start after all have ended.
 //
-//   OriginStore store(ports);
+//   OriginStore store(vm, ports);
 //   store.add(key, version);   // when the first bytes of a stream have arrived, while several versions serve
 //   store.receive(records);    // that another VM of the zone has sent
 //   ...
