--- a/lacewing/originstore.h
+++ b/lacewing/originstore.h
@@ -6,7 +6,7 @@
 //   ...
 //   if (const auto records = decodeOrigins(read)) ...   // at a VM that starts
 //
-// Load pattern: during a release, each VM begins some ten streams a second for a minute. All VMs may be killed at the
+// Load pattern: during a release, a VM begins some ten streams per second for a minute. All VMs may be killed at the
 // same time, and most of their streams are resumed within seconds after the first VM is back. Calls on the platform are
 // few and dear, datagrams within a zone are neither: one VM stores the streams of its zone. What began within the last
 // interval is not known afterwards.
