BUDGET: a VM that starts has no retries, and earns them

Callers saw: more arrivals at the servers than all VMs together may cause, while VMs were killed and started again.

Cause: a retry budget began with all that a VM may save up, half of the slack over all VMs, so that it was spent at each start of all of them. Class: a bound over all processes that each start fills anew.

Now a budget starts empty and is filled by requests and by time (a quarter of the slack in each window, over all VMs).

--- a/lacewing/coresettings.h
+++ b/lacewing/coresettings.h
@@ -40,6 +40,7 @@
     double retryShare = 0.1; ///< retries allowed as a share of first attempts
     double retryFloor = 20; ///< retries a second allowed however little traffic there is
     double retryBurst = 200; ///< retries that may be saved up
+    double retryAtStart = 200; ///< retries that are saved up when the process starts
     std::int32_t mostAttempts = 6; ///< in a row without progress
     Duration retryBackoff = milliseconds(20); ///< before the second attempt; doubles up to retryBackoffLimit
     Duration retryBackoffLimit = milliseconds(1000);
--- a/lacewing/entrynode.cpp
+++ b/lacewing/entrynode.cpp
@@ -214,6 +214,7 @@
     this->dataPath.setRevocationBound(next.revocationBound);
     this->settings.retryShare = next.retryShare;
     this->settings.retryBurst = next.retryBurst;
+    this->settings.retryWindow = next.retryWindow;
     this->shareRetryBudget();
     logEvent("settings_reloaded", {{"needs_restart", moved ? "yes" : "no"}});
 }
--- a/lacewing/entrynode.h
+++ b/lacewing/entrynode.h
@@ -57,7 +57,8 @@
     std::int32_t zoneCount = 1; ///< zones that the organisations' quotas are divided among
     QuotaBounds quotaBounds;
     double retryShare = 0.2; ///< of all VMs together
-    double retryBurst = 50; ///< of all VMs together
+    double retryBurst = 50; ///< of all VMs together, in each retryWindow
+    Duration retryWindow = milliseconds(10000);
 };
 
 /// Source from which this VM learned of a change.
--- a/lacewing/entrynodequota.cpp
+++ b/lacewing/entrynodequota.cpp
@@ -46,8 +46,9 @@
 
 void EntryNode::shareRetryBudget()
 {
-    const double burst = burstShare(this->settings.retryBurst, this->gossip.vmsInUse());
-    this->dataPath.setRetryLimits(this->settings.retryShare, burst);
+    const std::size_t vms = this->gossip.vmsInUse();
+    this->dataPath.setRetryLimits(this->settings.retryShare, burstShare(this->settings.retryBurst, vms),
+                                  floorShare(this->settings.retryBurst, this->settings.retryWindow, vms));
 }
 
 } // namespace lacewing
--- a/lacewing/gateway.cpp
+++ b/lacewing/gateway.cpp
@@ -41,8 +41,8 @@
     this->reach.onChanged
         = [this](const ServiceName &service, bool unreachable) { this->onReachChanged(service, unreachable); };
     this->reach.onVerified = [this](const ServiceName &service) { this->resumeVerified(service); };
-    this->budgetSettings.retryFloor = 0;
-    this->setRetryLimits(this->settings.retryShare, this->settings.retryBurst);
+    this->budgetSettings.retryAtStart = this->settings.retryAtStart;
+    this->setRetryLimits(this->settings.retryShare, this->settings.retryBurst, 0);
 }
 
 Gateway::~Gateway() = default;
@@ -211,10 +211,11 @@
     }
 }
 
-void Gateway::setRetryLimits(double share, double burst)
+void Gateway::setRetryLimits(double share, double burst, double perSecond)
 {
     this->budgetSettings.retryShare = share;
     this->budgetSettings.retryBurst = burst;
+    this->budgetSettings.retryFloor = perSecond;
 }
 
 void Gateway::setRevocationBound(std::optional<Duration> bound)
--- a/lacewing/gateway.h
+++ b/lacewing/gateway.h
@@ -56,6 +56,7 @@
     ZoneName zone;
     double retryShare = 0.2; ///< retries as a share of requests, for each VM
     double retryBurst = 1; ///< maximum unused retries that this VM accumulates for each service
+    double retryAtStart = 0; ///< unused retries of each service when this VM starts
     std::size_t maxConnections = 2000; ///< of callers
     std::optional<Duration> revocationBound; ///< a key taken away is not used for longer; nothing: no proof is needed
     Duration versionBound = milliseconds(5000); ///< a new version is in force within this time after its acknowledgment
@@ -124,7 +125,8 @@
 
     /// @param share retries as a share of requests
     /// @param burst maximum unused retries that this VM accumulates for each service
-    void setRetryLimits(double share, double burst);
+    /// @param perSecond retries that it earns by time for each service
+    void setRetryLimits(double share, double burst, double perSecond);
     /// @param bound on the use of a key that was taken away; nothing: no proof is needed
     void setRevocationBound(std::optional<Duration> bound);
     /// @return maximum unused retries that this VM accumulates for each service
--- a/lacewing/retrybudget.cpp
+++ b/lacewing/retrybudget.cpp
@@ -15,7 +15,7 @@
 {
     if (!budget.started) {
         budget.started = true;
-        budget.tokens = settings.retryBurst;
+        budget.tokens = std::min(settings.retryBurst, settings.retryAtStart);
     } else {
         const double seconds = std::chrono::duration<double>(now - budget.refilled).count();
         budget.tokens = std::min(settings.retryBurst, budget.tokens + seconds * settings.retryFloor);
@@ -40,6 +40,13 @@
     return std::max(1.0, part * burstOfAll / static_cast<double>(std::max<std::size_t>(1, vms)));
 }
 
+double floorShare(double burstOfAll, Duration window, std::size_t vms)
+{
+    constexpr double part = 0.25;
+    const double seconds = std::chrono::duration<double>(std::max(window, Duration(milliseconds(1000)))).count();
+    return part * burstOfAll / seconds / static_cast<double>(std::max<std::size_t>(1, vms));
+}
+
 void noteFirstAttempt(RetryBudget &budget, const CoreSettings &settings, TimePoint now)
 {
     refill(budget, settings, now);
--- a/lacewing/retrybudget.h
+++ b/lacewing/retrybudget.h
@@ -3,6 +3,9 @@
 // A token bucket: each first attempt adds retryShare tokens, time adds retryFloor a second, a retry takes
 // one. The burst lets the streams of one lost VM move at once. A retry without a token is put off, not
 // refused, until its deadline or routeWait ends.
+//
+// Where a bound holds over all VMs, a bucket starts empty. Load pattern: all VMs are killed again and again while
+// endpoints fail most requests, so that whatever a bucket holds at the start is spent as often as VMs start.
 
 #pragma once
 
@@ -20,14 +23,21 @@
     bool started = false;
 };
 
-/// What one VM may save up of a burst that all VMs share. Half of its part: a VM that starts has a full bucket, so
-/// the sum keeps within the burst also if every VM is restarted once while it is counted. At least one, since a bucket
-/// that never holds a whole token allows nothing.
-/// @param burstOfAll retries that all VMs together may have saved up
+/// What one VM may save up of a burst that all VMs share: half of its part. The other half is left for what the VMs
+/// earn by time (floorShare) and for VMs that take each other for gone. At least one, since a bucket that never holds a
+/// whole token allows nothing.
+/// @param burstOfAll retries that all VMs together may make beyond their share of the requests, in each window
 /// @param vms that share it
 /// @return retries of one VM
 double burstShare(double burstOfAll, std::size_t vms);
 
+/// What one VM earns by time of a burst that all VMs share: a quarter of its part in each window.
+/// @param burstOfAll as above
+/// @param window in which they are counted
+/// @param vms that share it
+/// @return retries a second of one VM
+double floorShare(double burstOfAll, Duration window, std::size_t vms);
+
 /// Counts a first attempt.
 /// @param budget changed
 /// @param settings share, floor and burst
