ORDER: one software version is concluded only from a list read since

Callers saw: streams that had begun at a new software version went on at the old one, when they were taken up at a VM that was out of step: it stood still, or its calls to the store were held up or refused.

Cause: the only version on the list was taken for the only one there is, however old the list was. Class: knowledge of now that is concluded from having heard nothing. The same cause elsewhere, mended here: a version that came and went in a gap of the list, "no record" of a VM that stood still, and "no endpoint of the version is left".

Why it works: an endpoint is in the store before any VM sends to it, the stream began before it was taken up, and the read begins after that. Without a read, a stream goes on only where a VM remembers it: each VM now remembers the streams it sends, also while one version serves.

--- a/lacewing/datagramcounts.h
+++ b/lacewing/datagramcounts.h
@@ -35,9 +35,11 @@
     RejectionDigest,
     CopyLeaseAsk,
     CopyLeaseAnswer,
+    ListAsk,
+    ListAnswer,
     PassedOn, ///< datagram of another VM, forwarded within the zone
 };
-constexpr std::size_t datagramKindCount = 21;
+constexpr std::size_t datagramKindCount = 23;
 
 struct DatagramCount {
     std::int64_t datagrams = 0;
--- a/lacewing/entrynode.cpp
+++ b/lacewing/entrynode.cpp
@@ -79,6 +79,7 @@
       quota(this->clock, this->quotaSettings(), this->quotaPorts()),
       origins(this->clock, this->originSettings(), this->originPorts()),
       originStore(this->settings.vm, this->originStorePorts()),
+      listConfirmation(this->clock, this->listConfirmationPorts(), this->gossip.ownIncarnation() / 2),
       copyLeases(this->clock, {this->settings.vm, this->gossip.ownIncarnation() / 2}, this->copyLeasePorts()),
       configTransfer(ioContext, this->clock, this->settings.vm, this->configTransferPorts()),
       random(static_cast<std::uint64_t>(this->gossip.ownIncarnation())),
--- a/lacewing/entrynode.h
+++ b/lacewing/entrynode.h
@@ -25,6 +25,7 @@
 #include "configtransfer.h"
 #include "copyleaseexchange.h"
 #include "gateway.h"
+#include "listconfirmation.h"
 #include "originexchange.h"
 #include "originstore.h"
 #include "placementowner.h"
@@ -143,6 +144,9 @@
     std::function<void(const StorePosition &position)> onConfigBehind;
     /// Called to read at once whether there are newer operators' changes; set by the component that reads them.
     std::function<void()> onConfigCheck;
+    /// Called to read the list of endpoints at once; set by the component that reads it. A read that has begun before
+    /// may still be in progress: listRead() names its start.
+    std::function<void()> onListCheck;
     /// Called when the store answers again after calls that failed; set by the component that reads the operators'
     /// changes, whose connection may have gone silent.
     std::function<void()> onStoreRegained;
@@ -167,6 +171,14 @@
         std::optional<std::string> softwareVersion; ///< nothing: the endpoint is not listed
     };
 
+    /// A stream whose origin is asked for.
+    struct OriginQuery {
+        OrganisationName organisation;
+        ServiceName service;
+        std::string attempt; ///< that began it; empty: not named
+        OriginDone done;
+    };
+
     /// Whether the streams that were stored have been read.
     enum class OriginRestore {
         NotBegun,
@@ -208,9 +220,13 @@
     void connectCrashesAndLimits();
     OriginSettings originSettings() const;
     OriginPorts originPorts();
+    ListConfirmationPorts listConfirmationPorts();
+    void noteListGap(TimePoint read);
+    void restartVersionWatch(std::string_view reason);
+    std::optional<OriginOutcome> originWithoutRecord(const ServiceName &service, const std::string &attempt) const;
+    void concludeOrigin(const OriginQuery &query, bool listConfirmed);
     std::vector<OriginVm> originVms(bool ownZone) const;
-    void findStreamOrigin(const OrganisationName &organisation, const ServiceName &service, const std::string &attempt,
-                          const OriginDone &done);
+    void findStreamOrigin(const OriginQuery &query);
     void storeMixes();
     OriginStorePorts originStorePorts();
     std::optional<VmId> originStorer() const;
@@ -284,6 +300,7 @@
     QuotaExchange quota;
     OriginExchange origins;
     OriginStore originStore;
+    ListConfirmation listConfirmation;
     CopyLeaseExchange copyLeases;
     ConfigTransfer configTransfer;
     SoftwareVersions versions; ///< of the endpoints' software, by service
--- a/lacewing/entrynodelist.cpp
+++ b/lacewing/entrynodelist.cpp
@@ -250,6 +250,9 @@
 
 void EntryNode::recordOwnersRead(const VmId &vm, const ListAnnouncement &statement)
 {
+    if (follows(this->dataPath.fleet().list, statement)) {
+        this->noteListGap(statement.read);
+    }
     const StorePosition before = this->dataPath.fleet().list.position;
     this->dataPath.changeFleet([&](Fleet &fleet) { recordStatement(fleet.list, statement, vm); });
     recordUpdateFromOther(this->listChain, before, this->dataPath.fleet().list);
@@ -278,13 +281,14 @@
 
 void EntryNode::listRead(const ListRead &read)
 {
-    const TimePoint asked = this->clock.now() - read.age;
-    this->dataPath.changeFleet([&read, asked](Fleet &fleet) { recordOwnRead(fleet.list, read.end, asked); });
+    this->noteListGap(read.begun);
+    this->dataPath.changeFleet([&read](Fleet &fleet) { recordOwnRead(fleet.list, read.end, read.begun); });
     if (read.relisted) {
         resetChain(this->listChain);
     }
     this->forwardListChange();
     this->onFleetChanged();
+    this->listConfirmation.listRead(read.begun);
 }
 
 } // namespace lacewing
--- a/lacewing/entrynodemetrics.cpp
+++ b/lacewing/entrynodemetrics.cpp
@@ -29,6 +29,9 @@
     }
     line("origins_unknown_total", counters.originsUnknown);
     line("origins_recorded_total", this->origins.recorded);
+    line("list_confirmed_by_owner_total", this->listConfirmation.counts.byOwner);
+    line("list_confirmed_by_own_read_total", this->listConfirmation.counts.byOwnRead);
+    line("list_not_confirmed_total", this->listConfirmation.counts.failed);
     line("origins_stored_total", this->originStore.stored);
     line("origins_not_stored_total", this->originStore.dropped);
     line("origins_restored_total", this->originsRestored);
--- a/lacewing/entrynodeorigins.cpp
+++ b/lacewing/entrynodeorigins.cpp
@@ -3,7 +3,12 @@
 //
 // A VM that has just started asks some VMs of its zone which versions they have seen, until one of them has watched for
 // as long as a stream may be resumed: a version that is gone from the list may have begun a stream that is resumed
-// here. If all VMs have just started, the platform's store says whether there was another version.
+// here. If all VMs have just started, the platform's store says whether there was another version. So does a VM that
+// has stood still, or whose copy of the list was old.
+//
+// That a version is the only one is concluded from what is not listed. The list of a VM that stands still, is cut off
+// or has its calls to the store held up may be as old as that, so the conclusion waits for a read that was begun after
+// the stream was taken up (listconfirmation.h). Without one, a stream goes on only if a VM remembers it.
 
 #include "entrynode.h"
 
@@ -11,6 +16,8 @@
 #include <random>
 #include <utility>
 
+#include "eventlog.h"
+
 namespace lacewing {
 
 namespace {
@@ -22,6 +29,9 @@
 constexpr std::int64_t storedMixStep = 5; ///< seconds
 /// A resumption that waits until the stored streams are read looks again after this time.
 constexpr Duration storedOriginsInterval = milliseconds(20);
+/// An endpoint that two reads of the list have both missed was listed for less than the time between them: it is
+/// announced as leaving for 2 s at least, or its entry expires after some seconds.
+constexpr Duration longestListGap = milliseconds(2000);
 /// VMs that are asked in each round.
 constexpr std::size_t versionAsks = 2;
 
@@ -74,43 +84,124 @@
     this->origins.answerOther = [this](StreamKey key) { return this->answerVersions(key); };
     this->origins.onOtherAnswer
         = [this](StreamKey key, const wire::OriginAnswer &answer) { this->receiveVersions(key, answer); };
+    this->gossip.onListAsk
+        = [this](const VmId &vm, const wire::ListAsk &ask) { this->listConfirmation.receiveAsk(vm, ask); };
+    this->gossip.onListAnswer
+        = [this](const VmId &vm, const wire::ListAnswer &answer) { this->listConfirmation.receiveAnswer(vm, answer); };
     this->dataPath.recordOrigin = [this](const OrganisationName &organisation, const ServiceName &service,
                                          const std::string &attempt, const std::string &softwareVersion) {
+        const StreamKey key = streamKey(organisation, service, attempt);
+        const Duration life = this->versions[service].streamLife;
         if (needsOrigins(this->versions, service, this->clock.now())) {
-            this->origins.record(streamKey(organisation, service, attempt), softwareVersion,
-                                 this->versions[service].streamLife);
+            this->origins.record(key, softwareVersion, life);
+        } else {
+            this->origins.remember(key, softwareVersion, life);
         }
     };
-    this->dataPath.findOrigin
-        = [this](const OrganisationName &organisation, const ServiceName &service, const std::string &attempt,
-                 const OriginDone &done) { this->findStreamOrigin(organisation, service, attempt, done); };
+    this->dataPath.confirmList
+        = [this](ListConfirmation::Done done) { this->listConfirmation.confirm(std::move(done)); };
+    this->dataPath.findOrigin = [this](const OrganisationName &organisation, const ServiceName &service,
+                                       const std::string &attempt, const OriginDone &done) {
+        this->findStreamOrigin({organisation, service, attempt, done});
+    };
+}
+
+ListConfirmationPorts EntryNode::listConfirmationPorts()
+{
+    ListConfirmationPorts ports;
+    ports.owner = [this] {
+        const std::optional<VmId> owning = this->originStorer();
+        return owning == this->settings.vm ? std::nullopt : owning;
+    };
+    ports.mayRead = [this] { return this->storeUp && this->onListCheck; };
+    ports.read = [this] { this->onListCheck(); };
+    ports.position = [this] { return this->dataPath.fleet().list.position; };
+    ports.ask = [this](const VmId &vm, const wire::ListAsk &ask) { this->gossip.sendListAsk(vm, ask); };
+    ports.answer = [this](const VmId &vm, const wire::ListAnswer &answer) { this->gossip.sendListAnswer(vm, answer); };
+    ports.wakeAfter = [this](Duration delay) { this->after(delay, [this] { this->listConfirmation.expire(); }); };
+    return ports;
+}
+
+void EntryNode::noteListGap(TimePoint read)
+{
+    const ListFreshness &list = this->dataPath.fleet().list;
+    if (isKnown(list.position) && read - list.current > longestListGap) {
+        this->restartVersionWatch("list_gap");
+    }
 }
 
-void EntryNode::findStreamOrigin(const OrganisationName &organisation, const ServiceName &service,
-                                 const std::string &attempt, const OriginDone &done)
+void EntryNode::restartVersionWatch(std::string_view reason)
+{
+    logEvent("version_watch_restarted",
+             {{"reason", std::string(reason)},
+              {"list_age_ms", inMilliseconds(this->clock.now() - this->dataPath.fleet().list.current)}});
+    restartWatch(this->versions, this->clock.now());
+    const bool ended = this->versionRounds >= versionAskRounds;
+    this->versionRounds = 0;
+    if (ended) {
+        this->askVersions();
+    }
+}
+
+std::optional<OriginOutcome> EntryNode::originWithoutRecord(const ServiceName &service,
+                                                            const std::string &attempt) const
 {
     const TimePoint now = this->clock.now();
+    const auto seen = this->versions.find(service);
+    const bool watched = seen != this->versions.end() && watchedLongEnough(seen->second, now);
+    const auto outcome = decideWithoutRecord(this->versions, service, !attempt.empty(), now);
+    const bool settled = outcome && (this->mixesRead || watched || outcome->result == OriginResult::Unknown);
+    return settled ? outcome : std::nullopt;
+}
+
+void EntryNode::findStreamOrigin(const OriginQuery &query)
+{
+    this->checkForStall(); // the request may have come while this VM stood still
     this->restoreOrigins();
-    if (this->awaitsStoredOrigins(service)) {
-        this->after(storedOriginsInterval, [this, organisation, service, attempt, done] {
-            this->findStreamOrigin(organisation, service, attempt, done);
-        });
+    if (!query.attempt.empty()) {
+        if (const std::string *known
+            = this->origins.known(streamKey(query.organisation, query.service, query.attempt))) {
+            query.done({OriginResult::Known, *known, "own_memory"});
+            return;
+        }
+    }
+    if (this->awaitsStoredOrigins(query.service)) {
+        this->after(storedOriginsInterval, [this, query] { this->findStreamOrigin(query); });
         return;
     }
-    if (this->versionsUnsettled(service)) {
-        this->after(versionAskInterval, [this, organisation, service, attempt, done] {
-            this->findStreamOrigin(organisation, service, attempt, done);
-        });
+    if (this->versionsUnsettled(query.service)) {
+        this->after(versionAskInterval, [this, query] { this->findStreamOrigin(query); });
         return;
     }
-    const auto known = this->versions.find(service);
-    const bool watched = known != this->versions.end() && watchedLongEnough(known->second, now);
-    const auto outcome = decideWithoutRecord(this->versions, service, !attempt.empty(), now);
-    if (outcome && (this->mixesRead || watched || outcome->result == OriginResult::Unknown)) {
-        done(*outcome);
+    const auto outcome = this->originWithoutRecord(query.service, query.attempt);
+    if (outcome && outcome->result != OriginResult::Unknown) {
+        this->listConfirmation.confirm([this, query](bool confirmed) { this->concludeOrigin(query, confirmed); });
         return;
     }
-    this->origins.find(streamKey(organisation, service, attempt), originBasis(this->versions, service, now), done);
+    this->concludeOrigin(query, true);
+}
+
+void EntryNode::concludeOrigin(const OriginQuery &query, bool listConfirmed)
+{
+    if (this->versionsUnsettled(query.service)) { // the read has shown a gap in what this VM has seen
+        this->findStreamOrigin(query);
+        return;
+    }
+    const StreamKey key = streamKey(query.organisation, query.service, query.attempt);
+    if (!listConfirmed) {
+        const auto found = [done = query.done](const OriginOutcome &outcome) {
+            const bool unknown = outcome.result == OriginResult::Unknown;
+            done(unknown ? OriginOutcome {OriginResult::Unknown, {}, "list_not_confirmed"} : outcome);
+        };
+        this->origins.find(key, {}, OriginScope::Zone, found);
+        return;
+    }
+    if (const auto outcome = this->originWithoutRecord(query.service, query.attempt)) {
+        query.done(*outcome);
+        return;
+    }
+    this->origins.find(key, originBasis(this->versions, query.service, this->clock.now()), OriginScope::Holders,
+                       query.done);
 }
 
 bool EntryNode::versionsUnsettled(const ServiceName &service) const
@@ -224,6 +315,9 @@
 {
     const TimePoint now = this->clock.now();
     const ListedVersion after = this->listedVersion(id);
+    if (now - this->dataPath.fleet().list.current > longestListGap) { // listRead() or an announcement follows
+        restartWatch(this->versions, now);
+    }
     if (before.softwareVersion && after.softwareVersion && before.service != after.service) {
         recordVersions(this->versions, before.service, before.softwareVersion, std::nullopt, now);
         recordVersions(this->versions, after.service, std::nullopt, after.softwareVersion, now);
--- a/lacewing/entrynodeplacement.cpp
+++ b/lacewing/entrynodeplacement.cpp
@@ -42,6 +42,8 @@
     if (this->stallDetector.gap() >= stallGap) {
         logEvent("stalled", {{"owner", this->claim.held ? "yes" : "no"}});
         recordStall(this->claim, this->clock.now());
+        this->restartVersionWatch("stalled");
+        this->origins.restartCollection();
     }
 }
 
--- a/lacewing/gateway.h
+++ b/lacewing/gateway.h
@@ -251,6 +251,8 @@
     std::function<void(const OrganisationName &, const ServiceName &, const std::string &attempt,
                        const std::string &softwareVersion)>
         onStreamBegun;
+    /// Asks whether the list of endpoints has all that is listed now; if not set, it counts as such.
+    std::function<void(std::function<void(bool confirmed)> done)> confirmList;
     /// Finds the software version that began a stream; if not set, any version may go on with it.
     std::function<void(const OrganisationName &, const ServiceName &, const std::string &attempt, OriginDone)>
         findOrigin;
--- a/lacewing/lacewing.thrift
+++ b/lacewing/lacewing.thrift
@@ -476,7 +476,15 @@
   3: string softwareVersion,
   4: i64 collectedMilliseconds = 0     // for how long the sender has collected records
 }
-
+/** The sender asks the owner of its zone to read the list of endpoints now. */
+struct ListAsk { 1: i64 ticket }
+/** Answer of the owner, after a read that it has begun since it got the ask. */
+struct ListAnswer {
+  1: i64 ticket,
+  2: bool current,                     // whether it could read
+  3: i64 offset = 0,                   // end of the list
+  4: i64 era = 0                       // of the store, to which the offset belongs
+}
 
 /** One datagram. Exactly one of the optional bodies is set. */
 struct VmDatagram {
@@ -513,5 +521,7 @@
   31: optional ForwardCancel forwardCancel,
   32: optional RejectionDigest rejectionDigest,
   33: optional CopyLeaseAsk copyLeaseAsk,
-  34: optional CopyLeaseAnswer copyLeaseAnswer
+  34: optional CopyLeaseAnswer copyLeaseAnswer,
+  35: optional ListAsk listAsk,
+  36: optional ListAnswer listAnswer
 }
--- a/lacewing/listfreshness.h
+++ b/lacewing/listfreshness.h
@@ -37,7 +37,7 @@
 /// A completed read of the list by this VM.
 struct ListRead {
     StorePosition end; ///< of the part that was read
-    Duration age {0}; ///< time since the read was started
+    TimePoint begun; ///< when the read was started
     bool relisted
         = false; ///< all endpoints were listed anew: those that came and went since the previous read were not seen
 };
--- a/lacewing/originexchange.cpp
+++ b/lacewing/originexchange.cpp
@@ -68,6 +68,11 @@
     return this->clock.now() - this->origins.completeSince;
 }
 
+void OriginExchange::restartCollection()
+{
+    this->origins.completeSince = this->clock.now();
+}
+
 std::vector<OriginVm> OriginExchange::rank(StreamKey key, std::vector<OriginVm> vms)
 {
     std::vector<std::pair<StreamKey, std::size_t>> scores;
@@ -234,7 +239,20 @@
     }
 }
 
-void OriginExchange::find(StreamKey key, const OriginBasis &basis, OriginDone done)
+void OriginExchange::remember(StreamKey key, const std::string &softwareVersion, Duration life)
+{
+    const TimePoint now = this->clock.now();
+    rememberOrigin(this->unshared, key, softwareVersion, now + life, now);
+}
+
+const std::string *OriginExchange::known(StreamKey key) const
+{
+    const TimePoint now = this->clock.now();
+    const std::string *shared = findOrigin(this->origins, key, now);
+    return shared != nullptr ? shared : findOrigin(this->unshared, key, now);
+}
+
+void OriginExchange::find(StreamKey key, const OriginBasis &basis, OriginScope scope, OriginDone done)
 {
     const std::int64_t ticket = ++this->lastTicket;
     PendingFind &pending = this->pendingFinds[ticket];
@@ -242,9 +260,10 @@
     pending.evidence.attemptNamed = true;
     pending.evidence.firstVersion = basis.firstVersion;
     pending.evidence.sinceSecond = basis.sinceSecond;
+    pending.scope = scope;
     pending.done = std::move(done);
-    if (const std::string *known = findOrigin(this->origins, key, this->clock.now())) {
-        pending.evidence.recorded = *known;
+    if (const std::string *remembered = this->known(key)) {
+        pending.evidence.recorded = *remembered;
         pending.evidence.recordSource = "own_memory";
         this->finish(ticket);
         return;
@@ -284,9 +303,10 @@
     if (own && pending.proving.contains(this->settings.vm)) {
         pending.evidence.denials.back().collected.push_back(this->collected());
     }
+    const std::size_t ownAsks = pending.scope == OriginScope::Zone ? ranked.size() : zoneAsks;
     std::size_t asked = 0;
     for (const OriginVm &one : ranked) {
-        if (one.usable && one.vm != this->settings.vm && asked < (own ? zoneAsks : otherZoneAsks)) {
+        if (one.usable && one.vm != this->settings.vm && asked < (own ? ownAsks : otherZoneAsks)) {
             this->sendAsk(ticket, pending, one.vm, zone);
             asked += 1;
         }
@@ -383,9 +403,9 @@
     if (const auto other = this->answerOther ? this->answerOther(key) : std::nullopt) {
         answer = *other;
     } else {
-        const std::string *known = findOrigin(this->origins, key, this->clock.now());
-        answer.known = known != nullptr;
-        answer.softwareVersion = known == nullptr ? std::string() : *known;
+        const std::string *remembered = this->known(key);
+        answer.known = remembered != nullptr;
+        answer.softwareVersion = remembered == nullptr ? std::string() : *remembered;
         answer.collectedMilliseconds = toMilliseconds(this->collected());
     }
     answer.ticket = ask.ticket;
--- a/lacewing/originexchange.h
+++ b/lacewing/originexchange.h
@@ -91,6 +91,12 @@
 std::optional<OriginOutcome> decideWithoutRecord(const SoftwareVersions &versions, const ServiceName &service,
                                                  bool attemptNamed, TimePoint now);
 
+/// Which VMs of the own zone are asked for a record.
+enum class OriginScope {
+    Holders, ///< those that the record was sent to, and some more
+    Zone, ///< all: only the VM that began the stream may know it
+};
+
 class OriginExchange
 {
 public:
@@ -104,17 +110,28 @@
     /// @param softwareVersion of the endpoint that it is sent to
     /// @param life for which it may be resumed
     void record(StreamKey key, const std::string &softwareVersion, Duration life);
+    /// Remembers a stream here alone, since all endpoints that this VM knows of have one software version.
+    /// @param key of the stream
+    /// @param softwareVersion of the endpoint that it is sent to
+    /// @param life for which it may be resumed
+    void remember(StreamKey key, const std::string &softwareVersion, Duration life);
+    /// @param key of a stream
+    /// @return the version that began it, as this VM remembers it; null: it does not
+    const std::string *known(StreamKey key) const;
     /// Finds the version that began a stream.
     /// @param key of the stream
     /// @param basis of the decision if there is no record
+    /// @param scope VMs to ask
     /// @param done called once, possibly before this function returns
-    void find(StreamKey key, const OriginBasis &basis, OriginDone done);
+    void find(StreamKey key, const OriginBasis &basis, OriginScope scope, OriginDone done);
     /// Asks one VM, for what is not a stream.
     /// @param vm to be asked
     /// @param key that the VM knows
     void askOne(const VmId &vm, StreamKey key);
     /// Hands the records that this VM has to the other VMs of its zone.
     void beginStop();
+    /// Records may have been lost on their way to this VM: what it has not recorded proves nothing any more.
+    void restartCollection();
     /// Sends what is due, and continues with asks that were not answered in time.
     void expire();
 
@@ -136,6 +153,7 @@
         OriginEvidence evidence;
         std::map<VmId, std::size_t> unanswered; ///< VMs that were asked, with the number of their zone's denials
         std::set<VmId> proving; ///< VMs whose denial counts
+        OriginScope scope = OriginScope::Holders;
         bool otherZones = false; ///< these have been asked
         TimePoint due;
         OriginDone done;
@@ -181,6 +199,7 @@
     OriginSettings settings;
     OriginPorts ports;
     StreamOrigins origins;
+    StreamOrigins unshared; ///< streams that only this VM remembers
     std::map<VmId, std::vector<Batch>> batches; ///< by holder; the last one is being filled
     std::optional<TimePoint> flushDue;
     std::deque<Repeat> repeats; ///< in the order of their times
--- a/lacewing/relay.cpp
+++ b/lacewing/relay.cpp
@@ -199,7 +199,7 @@
 void Relay::waitFor(const EndpointChoice &choice)
 {
     if (choice.result == ChoiceResult::VersionGone) {
-        this->refuseVersionGone();
+        this->onVersionGone();
         return;
     }
     if (choice.result == ChoiceResult::Resting) {
--- a/lacewing/relay.h
+++ b/lacewing/relay.h
@@ -102,7 +102,9 @@
     void findOrigin();
     void onOrigin(const OriginOutcome &outcome);
     void resumeAs(const OriginOutcome &outcome);
-    void refuseVersionGone();
+    void onVersionGone();
+    void onListConfirmed(bool confirmed);
+    void refuseVersionGone(Duration retryAfter);
     void recordOrigin(const FleetEndpoint &target);
     void reportBegun() const;
     OrganisationName organisationName() const;
@@ -210,6 +212,7 @@
     bool noPromptsAhead = false; ///< the queue was empty ahead of the prompt when it was sent
     bool countedAsSuspect = false; ///< counted in the endpoint's ownCrashSuspects
     bool awaitsOrigin = false; ///< waits until it is known which software version may run it
+    bool versionGoneChecked = false; ///< by a list that was read after no endpoint of the version had been found
     bool awaitsVerification = false; ///< of the connection to the service, after connections could not be made
     bool answerBegun = false;
     bool done = false;
--- a/lacewing/relayorigin.cpp
+++ b/lacewing/relayorigin.cpp
@@ -3,6 +3,8 @@
 
 #include "relay.h"
 
+#include <utility>
+
 #include "eventlog.h"
 #include "gateway.h"
 #include "resumption.h"
@@ -67,14 +69,38 @@
     this->place();
 }
 
-void Relay::refuseVersionGone()
+void Relay::onVersionGone()
+{
+    if (this->gateway.confirmList && !std::exchange(this->versionGoneChecked, true)) {
+        this->gateway.confirmList([self = this->shared_from_this()](bool confirmed) {
+            self->run([&] { self->onListConfirmed(confirmed); });
+        });
+        return;
+    }
+    this->refuseVersionGone(Duration {0});
+}
+
+void Relay::onListConfirmed(bool confirmed)
+{
+    if (this->done) {
+        return;
+    }
+    if (confirmed) {
+        this->place();
+    } else { // another VM may know an endpoint of the version
+        this->refuseVersionGone(unknownOriginRetryAfter);
+    }
+}
+
+void Relay::refuseVersionGone(Duration retryAfter)
 {
     logEvent("version_gone",
              {{"id", this->info.id},
               {"service", this->service},
               {"software_version", this->softwareVersion.value_or(std::string())},
+              {"list_confirmed", retryAfter.count() == 0 ? "yes" : "no"},
               {"list_age_ms", inMilliseconds(this->gateway.now() - this->gateway.fleetState.list.current)}});
-    this->sendGatewayAnswer(ResultCode::VersionGone, Duration {0});
+    this->sendGatewayAnswer(ResultCode::VersionGone, retryAfter);
 }
 
 void Relay::recordOrigin(const FleetEndpoint &target)
--- a/lacewing/softwareversions.cpp
+++ b/lacewing/softwareversions.cpp
@@ -135,6 +135,13 @@
     }
 }
 
+void restartWatch(SoftwareVersions &versions, TimePoint now)
+{
+    for (auto &[name, service] : versions) {
+        service.watchedSince = now;
+    }
+}
+
 bool needsOrigins(const SoftwareVersions &versions, const ServiceName &service, TimePoint now)
 {
     const auto found = versions.find(service);
--- a/lacewing/softwareversions.h
+++ b/lacewing/softwareversions.h
@@ -96,6 +96,11 @@
 /// @param now current time
 void recordStoredMix(SoftwareVersions &versions, const ServiceName &service, Duration left, TimePoint now);
 
+/// Records that endpoints may have come and gone without being seen: the versions are watched anew from now on.
+/// @param versions changed
+/// @param now current time
+void restartWatch(SoftwareVersions &versions, TimePoint now);
+
 /// @return whether a stream that may be resumed now may have been sent to one of several versions
 bool needsOrigins(const SoftwareVersions &versions, const ServiceName &service, TimePoint now);
 
--- a/lacewing/testing/entrynodeoriginstest.cpp
+++ b/lacewing/testing/entrynodeoriginstest.cpp
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <optional>
 
+#include "clock.h"
 #include "entrynodefixture.h"
 
 // After Boost, whose headers use names that Criterion defines as macros.
@@ -43,7 +44,12 @@
         for (EntryNode *node : {&this->one, &this->two}) {
             cr_assert_not(node->start());
             node->setConfig(makeStreamConfig());
-            node->listRead({{unnamedEra, 0}});
+            node->onListCheck = [this, node] {
+                asio::post(this->context, [node, begun = RuntimeClock().now()] {
+                    node->listRead({{unnamedEra, 0}, begun});
+                });
+            };
+            node->listRead({{unnamedEra, 0}, RuntimeClock().now()});
         }
         cr_assert(this->runUntil([this] { return this->one.heard("vm2") && this->two.heard("vm1"); }));
     }
--- a/lacewing/testing/entrynodetest.cpp
+++ b/lacewing/testing/entrynodetest.cpp
@@ -8,6 +8,7 @@
 #include <memory>
 #include <vector>
 
+#include "clock.h"
 #include "entrynodefixture.h"
 #include "fakepeervm.h"
 
@@ -48,8 +49,8 @@
 void makeTwoRelyOnOne(VmPair &vms)
 {
     cr_assert(vms.runUntil([&] {
-        vms.one.listRead({{unnamedEra, 0}});
-        vms.two.listRead({{unnamedEra, 0}}); // as each VM does at its start
+        vms.one.listRead({{unnamedEra, 0}, RuntimeClock().now()});
+        vms.two.listRead({{unnamedEra, 0}, RuntimeClock().now()}); // as each VM does at its start
         return vms.two.listInterval() > vms.one.listInterval();
     }));
 }
@@ -78,14 +79,14 @@
     // No VM of the zone may send a new request to a leaving endpoint, whether or not it has read the list itself.
     makeTwoRelyOnOne(vms);
     vms.one.putEndpoint(makeEntry(false));
-    vms.one.listRead({{unnamedEra, 1}});
+    vms.one.listRead({{unnamedEra, 1}, RuntimeClock().now()});
     const auto known = [&] { return vms.two.gateway().fleet().endpoints.contains("i-1"); };
     cr_assert(vms.runUntil(known));
     vms.one.putEndpoint(makeEntry(true));
-    vms.one.listRead({{unnamedEra, 2}});
+    vms.one.listRead({{unnamedEra, 2}, RuntimeClock().now()});
     cr_assert(vms.runUntil([&] { return vms.two.gateway().fleet().endpoints.at("i-1").entry.leaving; }));
     vms.one.removeEndpoint("i-1");
-    vms.one.listRead({{unnamedEra, 3}});
+    vms.one.listRead({{unnamedEra, 3}, RuntimeClock().now()});
     cr_assert(vms.runUntil([&] { return !known(); }));
 }
 
@@ -110,10 +111,10 @@
 {
     VmPair vms;
     cr_assert(vms.runUntil([&] { return vms.one.heard("vm2"); }));
-    vms.two.listRead({{unnamedEra, 10}});
+    vms.two.listRead({{unnamedEra, 10}, RuntimeClock().now()});
     vms.one.putEndpoint(makeEntry(false));
-    vms.one.listRead({{unnamedEra, 5}}); // VM two has read that this entry is gone
-    vms.one.listRead({{unnamedEra, 11}});
+    vms.one.listRead({{unnamedEra, 5}, RuntimeClock().now()}); // VM two has read that this entry is gone
+    vms.one.listRead({{unnamedEra, 11}, RuntimeClock().now()});
     const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(600);
     vms.runUntil([&] { return std::chrono::steady_clock::now() > end; });
     cr_assert_not(vms.two.gateway().fleet().endpoints.contains("i-1"));
@@ -123,8 +124,8 @@
 {
     VmPair vms;
     cr_assert(vms.runUntil([&] {
-        vms.one.listRead({{unnamedEra, 1}});
-        vms.two.listRead({{unnamedEra, 1}});
+        vms.one.listRead({{unnamedEra, 1}, RuntimeClock().now()});
+        vms.two.listRead({{unnamedEra, 1}, RuntimeClock().now()});
         return vms.two.listInterval() > vms.one.listInterval();
     }));
     // Once the owner stops reading, the other VM reads the list itself again.
@@ -136,11 +137,11 @@
     VmPair vms;
     makeTwoRelyOnOne(vms);
     vms.one.putEndpoint(makeEntry(false));
-    vms.one.listRead({{unnamedEra, 1}});
+    vms.one.listRead({{unnamedEra, 1}, RuntimeClock().now()});
     cr_assert(vms.runUntil([&] { return isListedAt(vms.two); }));
     simulateOutage(vms, vms.one);
     vms.one.removeEndpoint("i-1"); // its entry may only have expired
-    vms.one.listRead({{unnamedEra, 2}});
+    vms.one.listRead({{unnamedEra, 2}, RuntimeClock().now()});
     cr_assert(isListedAt(vms.one));
     cr_assert(vms.runUntil([&] { return !isListedAt(vms.two); })); // VM two saw no outage
     cr_assert(isListedAt(vms.one));
@@ -152,14 +153,14 @@
     VmPair vms;
     makeTwoRelyOnOne(vms);
     vms.one.putEndpoint(makeEntry(false));
-    vms.one.listRead({{unnamedEra, 1}});
+    vms.one.listRead({{unnamedEra, 1}, RuntimeClock().now()});
     cr_assert(vms.runUntil([&] { return isListedAt(vms.two); }));
     simulateOutage(vms, vms.one);
     vms.one.removeEndpoint("i-1");
-    vms.one.listRead({{unnamedEra, 2}});
+    vms.one.listRead({{unnamedEra, 2}, RuntimeClock().now()});
     cr_assert(vms.runUntil([&] { return !isListedAt(vms.two); }));
     vms.one.putEndpoint(makeEntry(false)); // it is alive, and VM one still has it
-    vms.one.listRead({{unnamedEra, 3}});
+    vms.one.listRead({{unnamedEra, 3}, RuntimeClock().now()});
     cr_assert(vms.runUntil([&] { return isListedAt(vms.two); }));
 }
 
@@ -167,28 +168,29 @@
 {
     VmPair vms;
     cr_assert(vms.runUntil([&] {
-        vms.one.listRead({{unnamedEra, 1}});
-        vms.two.listRead({{unnamedEra, 1}});
+        vms.one.listRead({{unnamedEra, 1}, RuntimeClock().now()});
+        vms.two.listRead({{unnamedEra, 1}, RuntimeClock().now()});
         return vms.two.listInterval() > vms.one.listInterval();
     }));
     const Duration often = vms.one.listInterval();
     vms.one.putEndpoint(makeEntry(false));
-    vms.one.listRead({{unnamedEra, 5}});
+    vms.one.listRead({{unnamedEra, 5}, RuntimeClock().now()});
     const auto passed = std::chrono::steady_clock::now() + std::chrono::milliseconds(600); // with all repeats
     vms.runUntil([&] { return std::chrono::steady_clock::now() > passed; });
     EntryNode late(vms.context, settingsOf("vm3"), RequestFormat {}, vms.platform.port("vm3"));
     cr_assert_not(late.start());
-    late.listRead({{unnamedEra, 4}}); // the list before the change, which was sent before this VM started
+    late.listRead(
+        {{unnamedEra, 4}, RuntimeClock().now()}); // the list before the change, which was sent before this VM started
     const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(1500);
     vms.runUntil([&] {
-        vms.one.listRead({{unnamedEra, 5}});
+        vms.one.listRead({{unnamedEra, 5}, RuntimeClock().now()});
         return std::chrono::steady_clock::now() > end;
     });
     cr_assert(late.heard("vm1"));
     cr_assert_eq(late.listInterval(), often);
-    late.listRead({{unnamedEra, 5}});
+    late.listRead({{unnamedEra, 5}, RuntimeClock().now()});
     cr_assert(vms.runUntil([&] {
-        vms.one.listRead({{unnamedEra, 5}});
+        vms.one.listRead({{unnamedEra, 5}, RuntimeClock().now()});
         return late.listInterval() > often;
     }));
 }
@@ -320,14 +322,14 @@
     VmPair vms;
     cr_assert(vms.runUntil([&] { return vms.one.heard("vm2") && vms.two.heard("vm1"); }));
     cr_assert(vms.runUntil([&] { return vms.platform.claims.size() == 1; }));
-    vms.one.listRead({{unnamedEra, 0}}); // as each VM does at its start
-    vms.two.listRead({{unnamedEra, 0}});
+    vms.one.listRead({{unnamedEra, 0}, RuntimeClock().now()}); // as each VM does at its start
+    vms.two.listRead({{unnamedEra, 0}, RuntimeClock().now()});
     EntryNode &owner = vms.platform.claims.front() == "vm1" ? vms.one : vms.two;
     EntryNode &other = vms.platform.claims.front() == "vm1" ? vms.two : vms.one;
     EndpointEntry entry = makeEntry(true);
     entry.born = 1000;
     owner.putEndpoint(entry);
-    owner.listRead({{unnamedEra, 5}});
+    owner.listRead({{unnamedEra, 5}, RuntimeClock().now()});
     const auto bornAt = [](EntryNode &node) {
         const Fleet &fleet = node.gateway().fleet();
         const auto found = fleet.endpoints.find("i-1");
@@ -337,7 +339,7 @@
     EndpointEntry restarted = makeEntry(false);
     restarted.born = 2000;
     owner.putEndpoint(restarted);
-    owner.listRead({{unnamedEra, 6}});
+    owner.listRead({{unnamedEra, 6}, RuntimeClock().now()});
     cr_assert(vms.runUntil([&] { return bornAt(other) == 2000; }));
     cr_assert_not(other.gateway().fleet().endpoints.at("i-1").entry.leaving);
     other.putEndpoint(entry); // its own read of the list is slower
@@ -357,7 +359,7 @@
         cr_assert_not(this->node->start());
         this->node->setConfig(makeEngineConfig());
         this->node->putEndpoint(makeEntry(false));
-        this->node->listRead({{unnamedEra, 1}});
+        this->node->listRead({{unnamedEra, 1}, RuntimeClock().now()});
     }
 
     /// Reports demand for an adapter from the other VM.
--- a/lacewing/testing/handlerguardtest.cpp
+++ b/lacewing/testing/handlerguardtest.cpp
@@ -5,6 +5,7 @@
 
 #include <stdexcept>
 
+#include "clock.h"
 #include "entrynodefixture.h"
 #include "placementowner.h"
 
@@ -61,7 +62,7 @@
     cr_assert_not(node.start());
     node.setConfig(makeEngineConfig());
     node.putEndpoint(makeEntry(false));
-    node.listRead({{unnamedEra, 1}});
+    node.listRead({{unnamedEra, 1}, RuntimeClock().now()});
     const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(20);
     while (handlerFailures().total == 0 && std::chrono::steady_clock::now() < end) {
         context.run_one_for(std::chrono::milliseconds(20));
--- a/lacewing/testing/leavingtest.cpp
+++ b/lacewing/testing/leavingtest.cpp
@@ -12,6 +12,7 @@
 
 #include "entrynode.h"
 
+#include "clock.h"
 #include "entrynodefixture.h"
 #include "fakepeervm.h"
 
@@ -36,7 +37,7 @@
             = std::make_unique<EntryNode>(this->context, this->settings, RequestFormat {}, this->platform.port("vm1"));
         cr_assert_not(this->node->start());
         this->node->putEndpoint(makeEntry(false));
-        this->node->listRead({{unnamedEra, 10}});
+        this->node->listRead({{unnamedEra, 10}, RuntimeClock().now()});
     }
 
     /// Sends a datagram and lets the VM take it in, with all that was sent before.
@@ -113,16 +114,16 @@
     cr_assert_not(two.start());
     for (EntryNode *node : {&one, &two}) {
         node->putEndpoint(makeEntry(false));
-        node->listRead({{unnamedEra, 10}});
+        node->listRead({{unnamedEra, 10}, RuntimeClock().now()});
     }
     // While the zone has no owner, each reads for itself, and VM one happens to read last.
     one.putEndpoint(makeEntry(true));
-    one.listRead({{unnamedEra, 20}});
+    one.listRead({{unnamedEra, 20}, RuntimeClock().now()});
     int notices = 0;
     const auto end = std::chrono::steady_clock::now() + longestRun;
     while (notices < 2 && std::chrono::steady_clock::now() < end) {
         context.run_one_for(std::chrono::milliseconds(20));
-        one.listRead({{unnamedEra, 20}});
+        one.listRead({{unnamedEra, 20}, RuntimeClock().now()});
         observer.send(settings.datagramAddress, {}); // is alive, so it is told too
         for (const wire::VmDatagram &datagram : observer.received()) {
             notices += datagram.__isset.placement ? 1 : 0;
@@ -141,7 +142,7 @@
     vm.node->recordStoreResult(false); // one lost answer or refusal, while the store serves
     vm.node->recordStoreResult(true);
     vm.node->removeEndpoint("i-1");
-    vm.node->listRead({{unnamedEra, 20}});
+    vm.node->listRead({{unnamedEra, 20}, RuntimeClock().now()});
     cr_assert_not(vm.node->gateway().fleet().endpoints.contains("i-1"));
 }
 
@@ -186,7 +187,7 @@
     const Fleet &fleet = vm.node->gateway().fleet();
     cr_assert_not(fleet.endpoints.contains("i-1"));
     vm.node->putEndpoint(makeEntry(false), {unnamedEra, 15});
-    vm.node->listRead({{unnamedEra, 16}});
+    vm.node->listRead({{unnamedEra, 16}, RuntimeClock().now()});
     cr_assert_not(fleet.endpoints.contains("i-1"), "older than what the owner told");
     vm.node->putEndpoint(makeEntry(false), {unnamedEra, 20});
     cr_assert(fleet.endpoints.contains("i-1"), "listed again since");
--- a/lacewing/testing/originexchangetest.cpp
+++ b/lacewing/testing/originexchangetest.cpp
@@ -104,7 +104,7 @@
         }
         int ended = 0;
         OriginOutcome result;
-        vm.exchange->find(streamKey(org, "s", attempt), originBasis(vm.versions, "s", now),
+        vm.exchange->find(streamKey(org, "s", attempt), originBasis(vm.versions, "s", now), OriginScope::Holders,
                           [&](const OriginOutcome &outcome) {
                               result = outcome;
                               ended += 1;
--- a/lacewing/testing/vmupdatestest.cpp
+++ b/lacewing/testing/vmupdatestest.cpp
@@ -5,6 +5,7 @@
 
 #include <memory>
 
+#include "clock.h"
 #include "codec.h"
 #include "entrynodefixture.h"
 #include "fakepeervm.h"
@@ -27,7 +28,7 @@
             = std::make_unique<EntryNode>(this->context, this->settings, RequestFormat {}, this->platform.port("vm1"));
         cr_assert_not(this->node->start());
         this->node->putEndpoint(makeEntry(false));
-        this->node->listRead({{unnamedEra, 1}});
+        this->node->listRead({{unnamedEra, 1}, RuntimeClock().now()});
         this->neighbour.send(this->settings.datagramAddress, {});
         this->distant.send(this->settings.datagramAddress, {});
         cr_assert(this->runUntil([this] { return this->node->heard("vm2") && this->node->heard("vm3"); }));
--- a/lacewing/vmgossip.h
+++ b/lacewing/vmgossip.h
@@ -106,6 +106,8 @@
     /// @return the other VMs of the zone, as seen by this VM
     ZoneView zoneView() const;
 
+    void sendListAsk(const VmId &vm, const wire::ListAsk &ask);
+    void sendListAnswer(const VmId &vm, const wire::ListAnswer &answer);
     /// Forwards changes of the platform's list to the VMs of this zone.
     void sendListToZone(const wire::ListChange &change);
     /// @return zones of all VMs that may be running, including the zone of this VM
@@ -138,6 +140,8 @@
     std::function<void(const wire::OriginRecords &)> onOriginRecords;
     std::function<void(const VmId &, const wire::OriginAsk &)> onOriginAsk;
     std::function<void(const VmId &, const wire::OriginAnswer &)> onOriginAnswer;
+    std::function<void(const VmId &, const wire::ListAsk &)> onListAsk;
+    std::function<void(const VmId &, const wire::ListAnswer &)> onListAnswer;
     std::function<void(const wire::CrashNews &)> onCrashUpdate;
     std::function<void(const VmId &, const wire::LimitNews &)> onLimitUpdate;
     std::function<void(const wire::RejectionDigest &)> onRejectionDigest;
--- a/lacewing/vmgossiporigins.cpp
+++ b/lacewing/vmgossiporigins.cpp
@@ -1,4 +1,5 @@
-// Datagrams on the software versions that began streams: each goes to one VM.
+// Datagrams on the software versions that began streams, and on the list that says which versions there are: each goes
+// to one VM.
 
 #include "vmgossip.h"
 
@@ -15,6 +16,26 @@
     if (datagram.__isset.originAnswer && this->onOriginAnswer) {
         this->onOriginAnswer(datagram.vm, datagram.originAnswer);
     }
+    if (datagram.__isset.listAsk && this->onListAsk) {
+        this->onListAsk(datagram.vm, datagram.listAsk);
+    }
+    if (datagram.__isset.listAnswer && this->onListAnswer) {
+        this->onListAnswer(datagram.vm, datagram.listAnswer);
+    }
+}
+
+void VmGossip::sendListAsk(const VmId &vm, const wire::ListAsk &ask)
+{
+    wire::VmDatagram datagram = this->newDatagram();
+    datagram.__set_listAsk(ask);
+    this->sendToVm(vm, datagram);
+}
+
+void VmGossip::sendListAnswer(const VmId &vm, const wire::ListAnswer &answer)
+{
+    wire::VmDatagram datagram = this->newDatagram();
+    datagram.__set_listAnswer(answer);
+    this->sendToVm(vm, datagram);
 }
 
 void VmGossip::sendOriginRecords(const VmId &vm, const wire::OriginRecords &records)
