RECOVER: the owner of a zone is not waited for once its process has ended

Callers saw: after all VMs were killed, no request for an adapter that is not loaded is served for some four seconds, while plain services are served at once.

Cause: a VM that starts did not know the newest claim of its zone. It waited 1.3 s for an owner, learned from a refused claim that there is one, and waited 2 s more, then 0.6 s for its first order. The owner was a process that had ended. Class: a wait for something that is gone.

A claim names the process that makes it. A VM that starts reads the newest claim, and a VM that runs hears a restart of the owner: if the claim is of a process that has ended, the zone is claimed at once. Orders stay safe: numbers rise with each claim and one of several claims wins; where endpoints check no numbers, the first order waits for the lease as before. The new tests of entrynodetest fail without this: a VM does not claim its zone when it starts.

--- a/lacewing/entrynode.cpp
+++ b/lacewing/entrynode.cpp
@@ -135,7 +135,7 @@
     this->dataPath.onPromptUpdate = [this](const wire::PromptSent &prompt) { this->gossip.sendPromptToAll(prompt); };
     this->gossip.onRejectionDigest
         = [this](const wire::RejectionDigest &digest) { this->dataPath.applyRejectionDigest(digest); };
-    this->gossip.onVmStarted = [this](const VmId &vm) { this->tellRejections(vm); };
+    this->gossip.onVmStarted = [this](const VmId &vm) { this->onVmStarted(vm); };
     this->owner.onChanged = [this](const wire::PlacementNotice &notice) { this->broadcastPlacement(notice); };
     this->owner.mayOrder = [this] { return this->mayOrderNow(); };
     this->owner.onFenced = [this] {
@@ -180,6 +180,7 @@
     this->awaitSignal();
     this->announce();
     beginClaim(this->claim, this->clock.now());
+    this->readClaimHolder();
     this->every(claimInterval, [this] { this->checkClaim(); });
     this->every(reportInterval, [this] {
         this->reportDemand();
--- a/lacewing/entrynodeplacement.cpp
+++ b/lacewing/entrynodeplacement.cpp
@@ -18,6 +18,9 @@
 /// An unchanged report is repeated after this time: owners discard a VM's demand after three seconds.
 constexpr Duration sameDemandInterval = milliseconds(1000);
 
+/// A store that does not answer a VM that has just started is asked again after this time.
+constexpr Duration claimHolderRetry = milliseconds(500);
+
 /// @return whether a report adds nothing to the one before; the owner computes the age of a demand itself
 bool isSameDemand(const wire::DemandReport &sent, const wire::DemandReport &next)
 {
@@ -47,12 +50,56 @@
     }
 }
 
+void EntryNode::readClaimHolder()
+{
+    this->port.claimHolder([this](std::optional<ClaimHolder> holder) {
+        if (!holder && !this->owners.contains(this->settings.zone) && !this->stopping) {
+            this->after(claimHolderRetry, [this] { this->readClaimHolder(); });
+        } else if (holder) {
+            recordNewestClaim(this->claim, holder->number, this->clock.now());
+            this->claimHolder = std::move(holder);
+            this->checkClaim();
+        }
+    });
+}
+
+bool EntryNode::holderHasEnded() const
+{
+    if (!this->claimHolder || this->claimHolder->number != this->claim.newest || this->claim.held) {
+        return false;
+    }
+    if (this->claimHolder->vm == this->settings.vm) {
+        return true; // it was made by the process before this one
+    }
+    const auto known = this->gossip.vms().find(this->claimHolder->vm);
+    return this->claimHolder->process != 0 && known != this->gossip.vms().end() && known->second.everHeard
+        && known->second.incarnation != this->claimHolder->process;
+}
+
+void EntryNode::onVmStarted(const VmId &vm)
+{
+    this->tellRejections(vm);
+    for (const auto &[zone, zoneOwner] : std::map<ZoneName, ZoneOwner>(this->owners)) {
+        if (zoneOwner.vm == vm) { // its notices were those of the process before
+            this->onOwnerLeaving(vm, zone);
+        }
+    }
+}
+
 void EntryNode::checkClaim()
 {
     this->checkForStall();
     if (this->storeQueryPending || this->stopping) {
         return;
     }
+    if (!this->claim.ownerLeft && this->holderHasEnded()) {
+        logEvent("owner_ended", {{"zone", this->settings.zone}, {"vm", this->claimHolder->vm}});
+        if (this->claimHolder->vm == this->settings.vm) {
+            recordOwnClaimBefore(this->claim);
+        } else {
+            recordOwnerLeaving(this->claim);
+        }
+    }
     const TimePoint now = this->clock.now();
     const ZoneView view = this->gossip.zoneView();
     if (shouldRenew(this->claim, view, this->storeEra, now) || shouldClaim(this->claim, view, now)) {
@@ -84,7 +131,7 @@
               {"superseded", std::to_string(this->claim.newest)},
               {"owner_left", this->claim.ownerLeft ? "yes" : "no"},
               {"silence_ms", std::to_string(toMilliseconds(this->clock.now() - this->claim.newestHeard))}});
-    this->port.claim(this->claim.newest, [this](std::optional<ClaimReply> reply) {
+    this->port.claim(this->claim.newest, this->gossip.ownIncarnation(), [this](std::optional<ClaimReply> reply) {
         this->storeQueryPending = false;
         if (!reply) {
             recordClaimFailure(this->claim, this->clock.now());
--- a/lacewing/platformport.h
+++ b/lacewing/platformport.h
@@ -23,6 +23,13 @@
     std::int64_t newest = 0; ///< fencing number of the newest claim, of this VM or another one
 };
 
+/// Who has made the newest claim of a zone.
+struct ClaimHolder {
+    std::int64_t number = 0; ///< fencing number of the claim, or of the end of the log if its record has expired
+    VmId vm; ///< empty: not known
+    std::int64_t process = 0; ///< incarnation of the VM's process; 0: not stated
+};
+
 /// How an endpoint answered an order.
 enum class OrderReply {
     Accepted, ///< the order is in progress
@@ -55,8 +62,11 @@
 };
 
 struct PlatformPort {
-    /// Claims this VM's zone if the claim with this fencing number is still the newest.
-    std::function<void(std::int64_t superseded, std::function<void(std::optional<ClaimReply>)>)> claim;
+    /// Claims this VM's zone for a process of this VM if the claim with this fencing number is still the newest.
+    std::function<void(std::int64_t superseded, std::int64_t process, std::function<void(std::optional<ClaimReply>)>)>
+        claim;
+    /// Asks who has made the newest claim of this VM's zone.
+    std::function<void(std::function<void(std::optional<ClaimHolder>)>)> claimHolder;
     /// Asks for the fencing number of the zone's newest claim.
     /// `known` is the fencing number of a claim that the caller knows.
     std::function<void(std::int64_t known, std::function<void(std::optional<std::int64_t>)>)> newestClaim;
--- a/lacewing/testing/entrynodefixture.cpp
+++ b/lacewing/testing/entrynodefixture.cpp
@@ -23,7 +23,8 @@
 PlatformPort FakePlatform::port(const VmId &vm)
 {
     PlatformPort made;
-    made.claim = [this, vm](std::int64_t superseded, const std::function<void(std::optional<ClaimReply>)> &done) {
+    made.claim = [this, vm](std::int64_t superseded, std::int64_t process,
+                            const std::function<void(std::optional<ClaimReply>)> &done) {
         if (this->unreachableVms.contains(vm)) {
             done(std::nullopt);
             return;
@@ -31,9 +32,14 @@
         const auto end = static_cast<std::int64_t>(this->claims.size());
         if (superseded == end) {
             this->claims.push_back(vm);
+            this->claimProcess = process;
         }
         done(ClaimReply {superseded == end, static_cast<std::int64_t>(this->claims.size())});
     };
+    made.claimHolder = [this](const std::function<void(std::optional<ClaimHolder>)> &done) {
+        const VmId holder = this->claims.empty() ? VmId() : this->claims.back();
+        done(ClaimHolder {static_cast<std::int64_t>(this->claims.size()), holder, this->claimProcess});
+    };
     made.newestClaim = [this](std::int64_t, const std::function<void(std::optional<std::int64_t>)> &done) {
         done(static_cast<std::int64_t>(this->claims.size()));
     };
--- a/lacewing/testing/entrynodefixture.h
+++ b/lacewing/testing/entrynodefixture.h
@@ -17,6 +17,7 @@
 struct FakePlatform {
     std::vector<VmContact> contacts;
     std::vector<VmId> claims;
+    std::int64_t claimProcess = 0; ///< that made the newest one
     std::set<VmId> unreachableVms;
     std::vector<std::string> origins; ///< records of streams that VMs have begun
     asio::io_context *storedLater = nullptr; ///< if set, announcements are stored only in a later turn of this loop
--- a/lacewing/testing/entrynodetest.cpp
+++ b/lacewing/testing/entrynodetest.cpp
@@ -317,6 +317,33 @@
     cr_assert_eq(platform.claims.back(), "vm2");
 }
 
+// Guards against a zone without an owner for the time of a lease, after all its VMs were killed at once.
+Test(entrynode, aVmClaimsItsZoneAgainAsSoonAsItHasStarted)
+{
+    asio::io_context context;
+    FakePlatform platform;
+    platform.claims = {"vm1"};
+    platform.claimProcess = 5;
+    EntryNode owner(context, settingsOf("vm1"), RequestFormat {}, platform.port("vm1"));
+    cr_assert_not(owner.start());
+    cr_assert_eq(platform.claims.size(), 2U, "the claim is that of the process before");
+}
+
+Test(entrynode, aVmThatStartsLeavesTheZoneToAnOwnerThatMayRun)
+{
+    asio::io_context context;
+    FakePlatform platform;
+    platform.claims = {"vm2"};
+    platform.claimProcess = 5;
+    EntryNode other(context, settingsOf("vm1"), RequestFormat {}, platform.port("vm1"));
+    cr_assert_not(other.start());
+    cr_assert_eq(platform.claims.size(), 1U);
+    EntryNode owner(context, settingsOf("vm2"), RequestFormat {}, platform.port("vm2"));
+    cr_assert_not(owner.start());
+    cr_assert_eq(platform.claims.size(), 2U);
+    cr_assert_eq(platform.claims.back(), "vm2");
+}
+
 Test(entrynode, aRestartUnderTheSameIdReachesTheOtherVmsAndAnOldEntryDoesNot)
 {
     VmPair vms;
--- a/lacewing/testing/zoneclaimtest.cpp
+++ b/lacewing/testing/zoneclaimtest.cpp
@@ -193,6 +193,26 @@
     cr_assert(shouldClaim(claim, last, start + ownerTimeout + claimTurnInterval * maxClaimTurns));
 }
 
+// Guards against a wait for the lease of an owner that was killed together with all other VMs.
+Test(zoneclaim, aVmThatStartsWaitsForTheOwnerThatItReadsOfUnlessItsProcessHasEnded)
+{
+    const ZoneClaimSettings settings;
+    ZoneClaim claim;
+    beginClaim(claim, start);
+    const TimePoint read = start + milliseconds(20);
+    recordNewestClaim(claim, 7, read);
+    cr_assert_not(shouldClaim(claim, wholeZone, read + ownerTimeout - milliseconds(1)));
+    cr_assert(shouldClaim(claim, wholeZone, read + ownerTimeout));
+    recordOwnerLeaving(claim);
+    cr_assert(shouldClaim(claim, wholeZone, read));
+    const ZoneView alone {4, 0, 0};
+    cr_assert_not(shouldClaim(claim, alone, read));
+    recordOwnClaimBefore(claim);
+    cr_assert(shouldClaim(claim, alone, read), "no other VM has claimed the zone");
+    cr_assert(applyClaimReply(claim, settings, true, 8, read));
+    cr_assert(mayOrder(claim, settings, read));
+}
+
 Test(zoneclaim, aLeavingOwnerIsReplacedAtOnceAndOrdersAreNotDelayed)
 {
     ZoneClaim claim;
--- a/lacewing/zoneclaim.cpp
+++ b/lacewing/zoneclaim.cpp
@@ -22,6 +22,9 @@
 
 Duration claimDelay(const ZoneClaim &claim, const ZoneView &view)
 {
+    if (claim.ownBefore) {
+        return Duration {0};
+    }
     const Duration silence = claim.ownerLeft ? Duration {0} : ownerTimeout;
     const auto turns = static_cast<std::int64_t>(std::min(view.ahead, maxClaimTurns));
     const bool asLast = isIsolated(view) || othersReachMore(view);
@@ -38,6 +41,7 @@
     claim.newest = std::max(claim.newest, fencing);
     claim.newestHeard = now;
     claim.ownerLeft = false;
+    claim.ownBefore = false;
     const bool lost = claim.held && fencing > claim.fencing;
     claim.held = claim.held && !lost;
     return lost;
@@ -55,11 +59,24 @@
     return fencing >= claim.newest && recordNewerClaim(claim, fencing, now);
 }
 
+void recordNewestClaim(ZoneClaim &claim, std::int64_t newest, TimePoint now)
+{
+    if (newest > claim.newest) {
+        recordNewerClaim(claim, newest, now);
+    }
+}
+
 void recordOwnerLeaving(ZoneClaim &claim)
 {
     claim.ownerLeft = !claim.held;
 }
 
+void recordOwnClaimBefore(ZoneClaim &claim)
+{
+    recordOwnerLeaving(claim);
+    claim.ownBefore = claim.ownerLeft;
+}
+
 void recordFenced(ZoneClaim &claim, TimePoint now)
 {
     claim.held = false;
@@ -107,6 +124,7 @@
     claim.newest = newest;
     claim.newestHeard = now;
     claim.ownerLeft = false;
+    claim.ownBefore = false;
     claim.confirmed = now;
     claim.gained = now;
     claim.suspectSince = TimePoint {};
--- a/lacewing/zoneclaim.h
+++ b/lacewing/zoneclaim.h
@@ -13,7 +13,9 @@
 // Load pattern: an owner is killed, frozen, slow, or cut off from the store, from the other VMs or from both, several
 // times a minute, while hundreds of VMs watch. A VM claims the zone once the owner was silent for ownerTimeout. VMs
 // claim in turn, those with the most processor time first. A VM that hears less than half of its zone waits longer,
-// because it is more likely to be the one that is cut off. An owner that hears less than half of its zone, or that has
+// because it is more likely to be the one that is cut off. An owner whose process has ended needs not be waited for:
+// its VM has been heard as another process, or this VM is the one that runs in its place. So when all VMs were killed
+// at once, the first of them that is back claims the zone. An owner that hears less than half of its zone, or that has
 // stalled, asks the store whether its claim is still the newest before it continues.
 // If endpoints reject lower fencing numbers, an owner that can't reach the store continues: the endpoints would reject
 // its orders if there were another owner. If they don't, it stops after ZoneClaimSettings::lifetime, and a new owner
@@ -87,7 +89,8 @@
     std::int64_t fencing = 0; ///< number of the claim, if it is held
     std::int64_t newest = 0; ///< fencing number of the newest known claim; the next claim supersedes it
     TimePoint newestHeard; ///< when the holder of the newest claim was last heard, or its claim became known
-    bool ownerLeft = false; ///< the owner has announced that it stops
+    bool ownerLeft = false; ///< the owner has announced that it stops, or its process has ended
+    bool ownBefore = false; ///< the newest claim is that of the process before this one
     TimePoint retryFrom; ///< the store is not called before this time
     TimePoint usableFrom; ///< no orders are issued before this time
     TimePoint confirmed; ///< send time of the last call after which the store reported no newer claim
@@ -106,10 +109,21 @@
 /// @return whether this VM loses the ownership
 bool recordOwner(ZoneClaim &claim, std::int64_t fencing, TimePoint now);
 
-/// Records that the owner announces its stop.
+/// Records the newest claim as a VM that has just started reads it from the store. Its holder is waited for.
+/// @param claim changed
+/// @param newest its fencing number; 0: there is none
+/// @param now time
+void recordNewestClaim(ZoneClaim &claim, std::int64_t newest, TimePoint now);
+
+/// Records that the owner announces its stop, or that its process has ended.
 /// @param claim changed
 void recordOwnerLeaving(ZoneClaim &claim);
 
+/// Records that the newest claim is that of the process before this one. Whether this VM is cut off makes no
+/// difference: no other VM has claimed the zone.
+/// @param claim changed
+void recordOwnClaimBefore(ZoneClaim &claim);
+
 /// Records that an endpoint has rejected the fencing number of this VM.
 /// @param claim changed; no longer held
 /// @param now time
