BUDGET: a server gets the time that its caller has left

Cause: a request counted from when it was read, and not from when its bytes came; the time that is left was written into the request before a connection was made (400 ms at most); and the deadline of a forwarded request started anew at the second VM. Class: time that is counted from the moment of noticing.

For a second after 400 ms without a turn of the event loop, the system is asked how long ago the bytes came. The request is formatted when it is written, and one whose time is over is refused before it is sent.

--- a/lacewing/callerconnection.cpp
+++ b/lacewing/callerconnection.cpp
@@ -296,6 +296,11 @@
     return this->output.size() + this->writingBytes.size();
 }
 
+Duration CallerConnection::inputAge()
+{
+    return timeSinceInput(this->socket);
+}
+
 bool CallerConnection::isReceivingLargeBody() const
 {
     constexpr std::size_t largePart = 16 * kibibyte;
--- a/lacewing/callerconnection.h
+++ b/lacewing/callerconnection.h
@@ -67,6 +67,8 @@
     /// @param callback called once when the unsent output is below a threshold
     void whenDrained(std::function<void()> callback);
 
+    /// @return time since the last bytes came, also if they were read later; 0: not known
+    Duration inputAge();
     /// @return number of output bytes that are not written yet
     std::size_t pendingOutput() const;
 
--- a/lacewing/endpointlink.cpp
+++ b/lacewing/endpointlink.cpp
@@ -40,9 +40,8 @@
 {
 }
 
-void EndpointLink::send(std::string bytes, bool isHead, Handlers callbacks)
+void EndpointLink::send(bool isHead, Handlers callbacks)
 {
-    this->request = std::move(bytes);
     this->headRequest = isHead;
     this->handlers = std::move(callbacks);
     this->reader = std::make_unique<ResponseReader>(isHead);
@@ -114,7 +113,7 @@
 void EndpointLink::write()
 {
     const std::weak_ptr<EndpointLink> weak = this->weak_from_this();
-    const auto bytes = std::make_shared<std::string>(std::move(this->request));
+    const auto bytes = std::make_shared<std::string>(this->handlers.makeRequest());
     asio::async_write(this->socket, asio::buffer(*bytes), [weak, bytes](const NetError &error, std::size_t) {
         const auto self = weak.lock();
         if (self && !self->closed && !error) {
--- a/lacewing/endpointlink.h
+++ b/lacewing/endpointlink.h
@@ -42,6 +42,7 @@
         std::function<void()> onConnected; ///< a new connection is established
         std::function<bool()> mayWrite; ///< called just before the request is written, on a new or kept connection; if
                                         ///< it returns false, nothing is written and it has called close()
+        std::function<std::string()> makeRequest; ///< called then, so that the request states the time that is left now
         std::function<void()> onProgress; ///< the head or body bytes have arrived, or the answer is complete
         std::function<void(LinkFailure)> onFailure; ///< the exchange has failed; no other handler is called afterwards
     };
@@ -52,10 +53,10 @@
     EndpointLink(asio::io_context &context, EndpointName endpointId, std::string endpointAddress);
 
     /// Sends a request. Only one exchange may be in progress.
-    /// @param bytes complete request
     /// @param isHead whether this is a HEAD request, whose answer has no body
-    /// @param callbacks called as the answer arrives; released when the exchange ends or close() is called
-    void send(std::string bytes, bool isHead, Handlers callbacks);
+    /// @param callbacks make the request and are called as the answer arrives; released when the exchange ends or
+    /// close() is called
+    void send(bool isHead, Handlers callbacks);
 
     /// Continues to read; to be called once after each onProgress while the answer is incomplete.
     void readMore();
@@ -103,7 +104,6 @@
     Tcp::socket socket;
     asio::steady_timer connectTimer;
     Handlers handlers;
-    std::string request;
     std::string input;
     std::array<char, 4096> readBuffer {};
     std::unique_ptr<ResponseReader> reader;
--- a/lacewing/entrynode.cpp
+++ b/lacewing/entrynode.cpp
@@ -181,7 +181,10 @@
     this->announce();
     beginClaim(this->claim, this->clock.now());
     this->readClaimHolder();
-    this->every(claimInterval, [this] { this->checkClaim(); });
+    this->every(claimInterval, [this] {
+        this->dataPath.tick();
+        this->checkClaim();
+    });
     this->every(reportInterval, [this] {
         this->reportDemand();
         this->dataPath.reachWatch().check();
--- a/lacewing/gateway.cpp
+++ b/lacewing/gateway.cpp
@@ -18,6 +18,16 @@
 
 namespace lacewing {
 
+namespace {
+
+/// Without a tick for this time, this VM stands still or has just stood still. A server is to be handed at most 500 ms
+/// more than its caller has left.
+constexpr Duration tickTimeout = milliseconds(400);
+/// What came meanwhile is read within this time after a late tick.
+constexpr Duration backlogTime = milliseconds(1000);
+
+} // namespace
+
 Gateway::Gateway(asio::io_context &ioContext, RuntimeClock &runtimeClock, GatewaySettings gatewaySettings,
                  RequestFormat requestFormat)
     : context(ioContext),
@@ -27,6 +37,7 @@
       acceptor(ioContext),
       vmAcceptor(ioContext),
       startedAt(runtimeClock.now()),
+      lastTick(this->startedAt),
       stallTimer(ioContext),
       pool(ioContext),
       peerPool(ioContext),
@@ -234,6 +245,21 @@
     this->inUse.erase(id); // requests still in progress at the endpoint end on their own
 }
 
+void Gateway::tick()
+{
+    const TimePoint now = this->now();
+    if (now - this->lastTick >= tickTimeout) {
+        this->lateTick = now;
+    }
+    this->lastTick = now;
+}
+
+bool Gateway::hasStalledLately() const
+{
+    const TimePoint now = this->now();
+    return now - this->lastTick >= tickTimeout || (this->lateTick && now - *this->lateTick < backlogTime);
+}
+
 void Gateway::beginStop()
 {
     this->stopping = true;
--- a/lacewing/gateway.h
+++ b/lacewing/gateway.h
@@ -137,6 +137,11 @@
     /// @param id endpoint
     void dropEndpoint(const EndpointName &id);
 
+    /// Called several times a second by a timer, to notice that this VM has stood still.
+    void tick();
+    /// @return whether requests may have waited to be read, since this VM stood still until a moment ago
+    bool hasStalledLately() const;
+
     /// From now on, answers announce that the connection closes. Connections stay open.
     void beginStop();
     /// From now on, new requests are refused and their connections are closed.
@@ -345,6 +350,8 @@
     Fleet fleetState;
     std::unordered_map<ServiceName, RejectionLimit> rejectionLimits;
     TimePoint startedAt;
+    TimePoint lastTick;
+    std::optional<TimePoint> lateTick; ///< the last one that came late
     StallDetector stallDetector;
     asio::steady_timer stallTimer;
     bool watchesStalls = false; ///< while a limit is in force
--- a/lacewing/netaddress.cpp
+++ b/lacewing/netaddress.cpp
@@ -123,6 +123,16 @@
     return size <= 0 && !noDataYet;
 }
 
+Duration timeSinceInput(Tcp::socket &socket)
+{
+    tcp_info info {};
+    socklen_t size = sizeof info;
+    if (::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0) {
+        return Duration {0};
+    }
+    return milliseconds(info.tcpi_last_data_recv);
+}
+
 bool hasUnreadData(Tcp::socket &socket)
 {
     return peek(socket) > 0;
--- a/lacewing/netaddress.h
+++ b/lacewing/netaddress.h
@@ -18,6 +18,8 @@
 #include <string_view>
 #include <vector>
 
+#include "types.h"
+
 namespace lacewing {
 
 namespace asio = boost::asio;
@@ -66,6 +68,10 @@
 /// @return whether the peer has closed the connection or it is broken
 bool closedByPeer(Tcp::socket &socket);
 
+/// @param socket a connected socket
+/// @return time since the system received the last bytes, whether they have been read or not; 0: not known
+Duration timeSinceInput(Tcp::socket &socket);
+
 /// Checks a connection without consuming data.
 /// @param socket a connected socket, in non-blocking mode or not
 /// @return whether received bytes have not been read yet
--- a/lacewing/relay.cpp
+++ b/lacewing/relay.cpp
@@ -42,6 +42,9 @@
       waitTimer(owner.context),
       paceTimer(owner.context)
 {
+    if (this->gateway.hasStalledLately()) {
+        this->arrived -= this->caller->inputAge();
+    }
     if (this->forwarded) {
         this->arrived -= Duration {std::max<std::int64_t>(0, this->forwarded->ageMicroseconds)};
     }
@@ -285,17 +288,12 @@
     this->awaitsAnswer = true;
     this->written = false;
     this->gateway.inUse[this->endpoint][this->weights] += 1;
-    HttpRequestHead sent = this->head;
-    dropConnectionHeaders(sent.headers);
     SendInfo send;
-    const Duration callerTimeout = this->info.callerTimeout.value_or(this->route->timeout);
-    send.callerTimeout = std::min(callerTimeout, this->route->timeout) - (now - this->arrived);
     send.endpoint = choice.endpoint;
     send.version = this->info.adapter.empty() ? 0 : choice.version;
     send.urgency = urgencyLevel(*this->config, this->rank(), urgencyLevels);
     send.dropsKey = this->config->requiresKeys;
     send.organisation = this->organisationName();
-    this->gateway.format.writeRequest(sent, send);
     this->sentAt = now;
     this->history.sends += 1;
     this->link = this->gateway.pool.take(choice.endpoint, target.entry.address, now, !mayRepeat(this->history));
@@ -318,13 +316,25 @@
               {"config", std::to_string(this->config->version)},
               {"age_ms", inMilliseconds(this->age())}});
     this->recordOrigin(target);
-    this->link->send(formatRequest(sent, this->body), sent.method == "HEAD", this->linkHandlers());
+    this->link->send(this->head.method == "HEAD", this->linkHandlers([send](const Relay &relay) {
+        SendInfo timed = send;
+        const Duration callerTimeout = relay.info.callerTimeout.value_or(relay.route->timeout);
+        timed.callerTimeout = std::min(callerTimeout, relay.route->timeout) - relay.age();
+        HttpRequestHead sent = relay.head;
+        dropConnectionHeaders(sent.headers);
+        relay.gateway.format.writeRequest(sent, timed);
+        return formatRequest(sent, relay.body);
+    }));
 }
 
-EndpointLink::Handlers Relay::linkHandlers()
+EndpointLink::Handlers Relay::linkHandlers(const std::function<std::string(const Relay &)> &makeRequest)
 {
     const std::weak_ptr<Relay> weak = this->weak_from_this();
     EndpointLink::Handlers handlers;
+    handlers.makeRequest = [weak, makeRequest] {
+        const auto self = weak.lock();
+        return self ? makeRequest(*self) : std::string();
+    };
     handlers.onConnected = [weak] {
         if (const auto self = weak.lock()) {
             self->run([&self] { self->onConnected(); });
--- a/lacewing/relay.h
+++ b/lacewing/relay.h
@@ -128,7 +128,7 @@
     void announcePrompt(bool ended, Duration took);
     QueuedPrompt queuedPrompt() const;
     void sendTo(const EndpointChoice &choice);
-    EndpointLink::Handlers linkHandlers();
+    EndpointLink::Handlers linkHandlers(const std::function<std::string(const Relay &)> &makeRequest);
     bool forward();
     void forwardTo(const ForwardingPeer &chosen);
     std::int32_t attemptsLeft() const;
--- a/lacewing/relayadmission.cpp
+++ b/lacewing/relayadmission.cpp
@@ -71,12 +71,17 @@
     const Duration silenceLimit = this->route->silenceTimeout;
     const Duration maxTimeToFirstByte = silenceLimit.count() > 0 ? silenceLimit : this->deadline - this->arrived;
     this->versionGrace = oldVersionGrace(this->gateway.settings.versionBound, maxTimeToFirstByte);
-    this->setTimer(this->deadlineTimer, this->deadline - this->arrived, &Relay::onDeadline);
+    const Duration left = this->deadline - this->gateway.now();
+    if (left.count() <= 0) { // it has waited to be read
+        this->sendGatewayAnswer(ResultCode::DeadlineWouldPass, otherVmRetryAfter);
+        return;
+    }
+    this->setTimer(this->deadlineTimer, left, &Relay::onDeadline);
     if (this->forwarded) { // counted and charged by the VM that the caller has sent it to
         this->findOrigin();
         return;
     }
-    noteFirstAttempt(this->gateway.budgetOf(this->service), this->gateway.budgetSettings, this->arrived);
+    noteFirstAttempt(this->gateway.budgetOf(this->service), this->gateway.budgetSettings, this->gateway.now());
     this->chargeQuota();
 }
 
--- a/lacewing/relayforward.cpp
+++ b/lacewing/relayforward.cpp
@@ -45,15 +45,11 @@
     request.token = chosen.token;
     request.vm = this->gateway.settings.vm;
     request.configVersion = this->config->version;
-    request.ageMicroseconds = (now - this->arrived).count();
     request.attemptsLeft = this->attemptsLeft();
     request.serviceName = this->service;
     if (this->softwareVersion) {
         request.__set_softwareVersion(*this->softwareVersion);
     }
-    HttpRequestHead sent = this->head;
-    dropConnectionHeaders(sent.headers);
-    writeForwarding(sent.headers, request);
     logEvent("request_forwarded",
              {{"id", this->info.id},
               {"vm", this->peer},
@@ -61,7 +57,14 @@
               {"send", std::to_string(this->history.sends)},
               {"age_ms", inMilliseconds(this->age())}});
     this->link = this->gateway.peerPool.take(chosen.vm, chosen.address, now, !mayRepeat(this->history));
-    this->link->send(formatRequest(sent, this->body), sent.method == "HEAD", this->linkHandlers());
+    this->link->send(this->head.method == "HEAD", this->linkHandlers([request](const Relay &relay) {
+        wire::ForwardedRequest timed = request;
+        timed.ageMicroseconds = relay.age().count();
+        HttpRequestHead sent = relay.head;
+        dropConnectionHeaders(sent.headers);
+        writeForwarding(sent.headers, timed);
+        return formatRequest(sent, relay.body);
+    }));
 }
 
 std::int32_t Relay::attemptsLeft() const
