--- a/lacewing/entrynode.cpp
+++ b/lacewing/entrynode.cpp
@@ -267,11 +267,6 @@
     this->renewClaim();
 }
 
-void EntryNode::countUnreadableRecord()
-{
-    this->unreadableRecords += 1;
-}
-
 void EntryNode::recordStoreResult(bool answered)
 {
     const TimePoint now = this->clock.now();
--- a/lacewing/entrynodemetrics.cpp
+++ b/lacewing/entrynodemetrics.cpp
@@ -110,4 +110,9 @@
               {"reach_rounds", std::to_string(this->dataPath.reachWatch().roundsStarted)}});
 }
 
+void EntryNode::countUnreadableRecord()
+{
+    this->unreadableRecords += 1;
+}
+
 } // namespace lacewing
--- a/lacewing/gateway.cpp
+++ b/lacewing/gateway.cpp
@@ -18,16 +18,6 @@
 
 namespace lacewing {
 
-namespace {
-
-/// Without a tick for this time, this VM stands still or has just stood still. A server is to be handed at most 500 ms
-/// more than its caller has left.
-constexpr Duration tickTimeout = milliseconds(400);
-/// What came meanwhile is read within this time after a late tick.
-constexpr Duration backlogTime = milliseconds(1000);
-
-} // namespace
-
 Gateway::Gateway(asio::io_context &ioContext, RuntimeClock &runtimeClock, GatewaySettings gatewaySettings,
                  RequestFormat requestFormat)
     : context(ioContext),
@@ -245,21 +235,6 @@
     this->inUse.erase(id); // requests still in progress at the endpoint end on their own
 }
 
-void Gateway::tick()
-{
-    const TimePoint now = this->now();
-    if (now - this->lastTick >= tickTimeout) {
-        this->lateTick = now;
-    }
-    this->lastTick = now;
-}
-
-bool Gateway::hasStalledLately() const
-{
-    const TimePoint now = this->now();
-    return now - this->lastTick >= tickTimeout || (this->lateTick && now - *this->lateTick < backlogTime);
-}
-
 void Gateway::beginStop()
 {
     this->stopping = true;
--- a/lacewing/gatewayrejections.cpp
+++ b/lacewing/gatewayrejections.cpp
@@ -19,6 +19,11 @@
 constexpr std::size_t maxDigestEndpoints = 256;
 /// Of the event loop while a limit is in force; without it, a VM that gets no requests would look as if it stood still.
 constexpr Duration stallCheckInterval = milliseconds(100);
+/// Without a tick for this time, this VM stands still or has just stood still. A server is to be handed at most 500 ms
+/// more than its caller has left.
+constexpr Duration tickTimeout = milliseconds(400);
+/// What came meanwhile is read within this time after a late tick.
+constexpr Duration backlogTime = milliseconds(1000);
 
 } // namespace
 
@@ -75,6 +80,21 @@
     this->checkStall();
 }
 
+void Gateway::tick()
+{
+    const TimePoint now = this->now();
+    if (now - this->lastTick >= tickTimeout) {
+        this->lateTick = now;
+    }
+    this->lastTick = now;
+}
+
+bool Gateway::hasStalledLately() const
+{
+    const TimePoint now = this->now();
+    return now - this->lastTick >= tickTimeout || (this->lateTick && now - *this->lateTick < backlogTime);
+}
+
 void Gateway::checkStall()
 {
     if (!this->watchesStalls) {
