BUDGET: what time earns leaves room for what all VMs have saved

Found in the review: where the VMs are more than half of the slack, each may save one retry up, and the quarter of the slack that time earns came on top. And a VM that has not read the list of VMs yet takes itself for the only one.

With more VMs than slack, which no deployment has, what is saved alone can exceed it.

--- a/lacewing/entrynodequota.cpp
+++ b/lacewing/entrynodequota.cpp
@@ -48,7 +48,9 @@
 {
     const std::size_t vms = this->gossip.vmsInUse();
     this->dataPath.setRetryLimits(this->settings.retryShare, burstShare(this->settings.retryBurst, vms),
-                                  floorShare(this->settings.retryBurst, this->settings.retryWindow, vms));
+                                  this->mixesRead
+                                      ? floorShare(this->settings.retryBurst, this->settings.retryWindow, vms)
+                                      : 0); // until it knows how many VMs there are
 }
 
 } // namespace lacewing
--- a/lacewing/retrybudget.cpp
+++ b/lacewing/retrybudget.cpp
@@ -43,8 +43,10 @@
 double floorShare(double burstOfAll, Duration window, std::size_t vms)
 {
     constexpr double part = 0.25;
+    const auto sharing = static_cast<double>(std::max<std::size_t>(1, vms));
+    const double notSaved = burstOfAll - sharing * burstShare(burstOfAll, vms);
     const double seconds = std::chrono::duration<double>(std::max(window, Duration(milliseconds(1000)))).count();
-    return part * burstOfAll / seconds / static_cast<double>(std::max<std::size_t>(1, vms));
+    return std::clamp(notSaved, 0.0, part * burstOfAll) / seconds / sharing;
 }
 
 void noteFirstAttempt(RetryBudget &budget, const CoreSettings &settings, TimePoint now)
--- a/lacewing/retrybudget.h
+++ b/lacewing/retrybudget.h
@@ -31,7 +31,8 @@
 /// @return retries of one VM
 double burstShare(double burstOfAll, std::size_t vms);
 
-/// What one VM earns by time of a burst that all VMs share: a quarter of its part in each window.
+/// What one VM earns by time of a burst that all VMs share: a quarter of its part in each window, or what is left
+/// beside all that the VMs may have saved up.
 /// @param burstOfAll as above
 /// @param window in which they are counted
 /// @param vms that share it
--- a/lacewing/testing/retrybudgettest.cpp
+++ b/lacewing/testing/retrybudgettest.cpp
@@ -40,6 +40,7 @@
     std::int64_t killInterval = 0; ///< milliseconds between two kills; 0: none
     bool oneByOne = false; ///< each kill ends one VM, else all
     std::int64_t cutFrom = 0; ///< milliseconds; from then on each half knows itself alone
+    std::int64_t failsFrom = 0; ///< milliseconds; before, no send fails
 };
 
 TimePoint at(std::int64_t milliseconds)
@@ -100,7 +101,7 @@
         this->settings.retryFloor = this->way == Way::ByRequestsAndTime ? perSecond : 0;
         RetryBudget &budget = this->budgets.at(this->random() % this->scenario.vms);
         noteFirstAttempt(budget, this->settings, at(now));
-        std::bernoulli_distribution fails(failing);
+        std::bernoulli_distribution fails(now < this->scenario.failsFrom ? 0 : failing);
         for (int retry = 0; retry < mostRetries && fails(this->random); ++retry) {
             if (!takeRetry(budget, this->settings, at(now))) {
                 return;
@@ -157,6 +158,9 @@
         {"all killed every 2.6 s, 58 VMs", 58, 50, 2600},
         {"all killed every 0.7 s, 30 VMs", 30, 50, 700},
         {"one by one, 0.4 s apart", 12, 50, 400, true},
+        {"calm, then most fail", 6, 50, 0, false, 0, 20000},
+        {"calm, then most fail, 48 VMs", 48, 50, 0, false, 0, 20000},
+        {"calm, then most fail, 58 VMs", 58, 156, 0, false, 0, 20000},
         {"cut into halves", 12, 50, 0, false, 15000},
         {"cut into halves, killed one by one", 12, 50, 400, true, 15000},
     };
