--- a/lacewing/listconfirmation.cpp
+++ b/lacewing/listconfirmation.cpp
@@ -39,6 +39,14 @@
     }
 }
 
+void ListConfirmation::wakeAt(TimePoint time)
+{
+    if (!this->nextWake || time < *this->nextWake) {
+        this->nextWake = time;
+        this->ports.wakeAfter(time - this->clock.now());
+    }
+}
+
 void ListConfirmation::startRound()
 {
     const TimePoint now = this->clock.now();
@@ -55,7 +63,7 @@
     wire::ListAsk ask;
     ask.ticket = this->round->ticket;
     this->ports.ask(*this->round->asked, ask);
-    this->ports.wakeAfter(askTimeout);
+    this->wakeAt(this->round->due);
 }
 
 void ListConfirmation::readOwn()
@@ -67,7 +75,7 @@
         return;
     }
     this->ports.read();
-    this->ports.wakeAfter(readRetryInterval);
+    this->wakeAt(this->clock.now() + readRetryInterval);
 }
 
 void ListConfirmation::finish(bool confirmed)
@@ -112,7 +120,7 @@
     this->waiting.push_back({vm, ask.ticket, now});
     if (!this->readDue) {
         this->readDue = now + batchTime;
-        this->ports.wakeAfter(batchTime);
+        this->wakeAt(*this->readDue);
     }
 }
 
@@ -160,25 +168,40 @@
 void ListConfirmation::expire()
 {
     const TimePoint now = this->clock.now();
+    if (this->nextWake && *this->nextWake <= now) {
+        this->nextWake.reset();
+    }
     if (this->readDue && *this->readDue <= now) {
         this->readDue.reset();
         this->readForWaiting();
+    } else if (this->readDue) {
+        this->wakeAt(*this->readDue);
     }
-    if (!this->round) {
-        return;
+    if (this->round && this->round->asked) {
+        this->expireAsk();
+    } else if (this->round) {
+        this->expireRead();
     }
-    if (this->round->asked) {
-        if (this->round->due <= now) {
-            this->readOwn();
-        }
-        return;
+}
+
+void ListConfirmation::expireAsk()
+{
+    if (this->round->due <= this->clock.now()) {
+        this->readOwn();
+    } else {
+        this->wakeAt(this->round->due);
     }
+}
+
+void ListConfirmation::expireRead()
+{
+    const TimePoint now = this->clock.now();
     if (this->round->due <= now || !this->ports.mayRead()) {
         this->finish(false);
-    } else {
-        this->ports.read();
-        this->ports.wakeAfter(readRetryInterval);
+        return;
     }
+    this->ports.read();
+    this->wakeAt(now + readRetryInterval);
 }
 
 } // namespace lacewing
--- a/lacewing/listconfirmation.h
+++ b/lacewing/listconfirmation.h
@@ -87,8 +87,11 @@
         TimePoint askedAt;
     };
 
+    void wakeAt(TimePoint time);
     void startRound();
     void readOwn();
+    void expireAsk();
+    void expireRead();
     void finish(bool confirmed);
     void answerWaiting(TimePoint begun);
     void readForWaiting();
@@ -100,6 +103,7 @@
     std::vector<Done> next; ///< questions of the next round
     std::vector<WaitingVm> waiting;
     std::optional<TimePoint> readDue; ///< for the VMs that wait
+    std::optional<TimePoint> nextWake; ///< when expire() is called
 };
 
 } // namespace lacewing
