BUDGET: a request whose time ends while a connection is made is not written

Found in the review: the deadline was looked at when the request was read, and not when it is written. After a standstill during a connect, the handler of the connection may run before the timer of the deadline, and an endpoint would run a request that nobody waits for. It is refused now, since it has not been sent.

--- a/lacewing/relayend.cpp
+++ b/lacewing/relayend.cpp
@@ -106,6 +106,13 @@
     if (!this->peer.empty()) {
         return true; // the other VM decides
     }
+    if (this->deadline <= this->gateway.now()) { // while the connection was made
+        this->link->close();
+        this->link.reset();
+        this->releaseEndpoint();
+        this->sendGatewayAnswer(ResultCode::DeadlineWouldPass, refusedRetryAfter);
+        return false;
+    }
     const SendHold hold
         = this->gateway.checkSend({this->endpoint, this->incarnationStart}, this->softwareVersion, this->info.id);
     if (hold == SendHold::None) {
