RECOVER: only a claim of this VM's own earlier process is not waited for

Found in the review: that another VM is heard as another process than the one that has claimed the zone does not say which of the two came first. A VM that had heard the process before could take the claim of a living owner for one that has ended, and order beside it; a late datagram had the same effect on a VM that runs, and the guard against late datagrams could make a living VM unheard.

A claim of this very process no longer counts, and an answer that comes after an owner was heard is ignored.

--- a/lacewing/entrynode.cpp
+++ b/lacewing/entrynode.cpp
@@ -135,7 +135,7 @@
     this->dataPath.onPromptUpdate = [this](const wire::PromptSent &prompt) { this->gossip.sendPromptToAll(prompt); };
     this->gossip.onRejectionDigest
         = [this](const wire::RejectionDigest &digest) { this->dataPath.applyRejectionDigest(digest); };
-    this->gossip.onVmStarted = [this](const VmId &vm) { this->onVmStarted(vm); };
+    this->gossip.onVmStarted = [this](const VmId &vm) { this->tellRejections(vm); };
     this->owner.onChanged = [this](const wire::PlacementNotice &notice) { this->broadcastPlacement(notice); };
     this->owner.mayOrder = [this] { return this->mayOrderNow(); };
     this->owner.onFenced = [this] {
--- a/lacewing/entrynode.h
+++ b/lacewing/entrynode.h
@@ -195,8 +195,6 @@
     };
 
     void readClaimHolder();
-    bool holderHasEnded() const;
-    void onVmStarted(const VmId &vm);
     void checkClaim();
     void claimZone();
     void renewClaim();
@@ -312,7 +310,6 @@
     StatusServer readyServer;
     StatusServer metricsServer;
     ZoneClaim claim;
-    std::optional<ClaimHolder> claimHolder; ///< when this VM started
     std::map<VmId, VmContact> contacts; ///< of all VMs, as announced through the platform
     TimePoint contactsRead; ///< when the contacts were last asked for
     std::map<ZoneName, ZoneOwner> owners;
--- a/lacewing/entrynodeplacement.cpp
+++ b/lacewing/entrynodeplacement.cpp
@@ -53,37 +53,20 @@
 void EntryNode::readClaimHolder()
 {
     this->port.claimHolder([this](std::optional<ClaimHolder> holder) {
-        if (!holder && !this->owners.contains(this->settings.zone) && !this->stopping) {
+        if (this->claim.newest != 0 || this->stopping) {
+            return; // this VM has heard an owner or claimed the zone meanwhile, and knows better
+        }
+        if (!holder) {
             this->after(claimHolderRetry, [this] { this->readClaimHolder(); });
-        } else if (holder) {
-            recordNewestClaim(this->claim, holder->number, this->clock.now());
-            this->claimHolder = std::move(holder);
-            this->checkClaim();
+            return;
         }
-    });
-}
-
-bool EntryNode::holderHasEnded() const
-{
-    if (!this->claimHolder || this->claimHolder->number != this->claim.newest || this->claim.held) {
-        return false;
-    }
-    if (this->claimHolder->vm == this->settings.vm) {
-        return true; // it was made by the process before this one
-    }
-    const auto known = this->gossip.vms().find(this->claimHolder->vm);
-    return this->claimHolder->process != 0 && known != this->gossip.vms().end() && known->second.everHeard
-        && known->second.incarnation != this->claimHolder->process;
-}
-
-void EntryNode::onVmStarted(const VmId &vm)
-{
-    this->tellRejections(vm);
-    for (const auto &[zone, zoneOwner] : std::map<ZoneName, ZoneOwner>(this->owners)) {
-        if (zoneOwner.vm == vm) { // its notices were those of the process before
-            this->onOwnerLeaving(vm, zone);
+        recordNewestClaim(this->claim, holder->number, this->clock.now());
+        if (holder->vm == this->settings.vm && holder->process != this->gossip.ownIncarnation()) {
+            logEvent("owner_ended", {{"zone", this->settings.zone}, {"process", std::to_string(holder->process)}});
+            recordOwnClaimBefore(this->claim);
         }
-    }
+        this->checkClaim();
+    });
 }
 
 void EntryNode::checkClaim()
@@ -92,14 +75,6 @@
     if (this->storeQueryPending || this->stopping) {
         return;
     }
-    if (!this->claim.ownerLeft && this->holderHasEnded()) {
-        logEvent("owner_ended", {{"zone", this->settings.zone}, {"vm", this->claimHolder->vm}});
-        if (this->claimHolder->vm == this->settings.vm) {
-            recordOwnClaimBefore(this->claim);
-        } else {
-            recordOwnerLeaving(this->claim);
-        }
-    }
     const TimePoint now = this->clock.now();
     const ZoneView view = this->gossip.zoneView();
     if (shouldRenew(this->claim, view, this->storeEra, now) || shouldClaim(this->claim, view, now)) {
--- a/lacewing/knownvm.h
+++ b/lacewing/knownvm.h
@@ -27,7 +27,6 @@
     asio::ip::udp::endpoint address;
     ZoneName zone;
     std::int64_t incarnation = 0;
-    std::int64_t endedIncarnation = 0; ///< of the process before; its datagrams may still arrive
     std::int64_t number = 0; ///< sequence number of its last datagram
     TimePoint heard; ///< when a datagram was last received directly from it
     TimePoint knownSince; ///< when it was first heard or announced
--- a/lacewing/vmgossip.cpp
+++ b/lacewing/vmgossip.cpp
@@ -111,8 +111,7 @@
 {
     KnownVm &vm = this->knownVm(datagram.vm);
     const bool sameProcess = vm.everHeard && vm.incarnation == datagram.incarnation;
-    const bool endedProcess = vm.everHeard && datagram.incarnation == vm.endedIncarnation;
-    if (endedProcess || (sameProcess && datagram.number <= vm.number)) {
+    if (sameProcess && datagram.number <= vm.number) {
         return;
     }
     const TimePoint now = this->clock.now();
@@ -122,7 +121,6 @@
     }
     if (!sameProcess) {
         vm.delay = {};
-        vm.endedIncarnation = vm.incarnation;
     }
     vm.address = this->sender;
     vm.zone = datagram.zone;
--- a/lacewing/zoneclaim.h
+++ b/lacewing/zoneclaim.h
@@ -13,9 +13,9 @@
 // Load pattern: an owner is killed, frozen, slow, or cut off from the store, from the other VMs or from both, several
 // times a minute, while hundreds of VMs watch. A VM claims the zone once the owner was silent for ownerTimeout. VMs
 // claim in turn, those with the most processor time first. A VM that hears less than half of its zone waits longer,
-// because it is more likely to be the one that is cut off. An owner whose process has ended needs not be waited for:
-// its VM has been heard as another process, or this VM is the one that runs in its place. So when all VMs were killed
-// at once, the first of them that is back claims the zone. An owner that hears less than half of its zone, or that has
+// because it is more likely to be the one that is cut off. A VM
+// that starts and finds that the process before it has made the newest claim claims the zone again at once: that owner
+// is gone, and no other VM has claimed the zone since. An owner that hears less than half of its zone, or that has
 // stalled, asks the store whether its claim is still the newest before it continues.
 // If endpoints reject lower fencing numbers, an owner that can't reach the store continues: the endpoints would reject
 // its orders if there were another owner. If they don't, it stops after ZoneClaimSettings::lifetime, and a new owner
@@ -89,7 +89,7 @@
     std::int64_t fencing = 0; ///< number of the claim, if it is held
     std::int64_t newest = 0; ///< fencing number of the newest known claim; the next claim supersedes it
     TimePoint newestHeard; ///< when the holder of the newest claim was last heard, or its claim became known
-    bool ownerLeft = false; ///< the owner has announced that it stops, or its process has ended
+    bool ownerLeft = false; ///< the owner has announced that it stops, or was this VM in its process before
     bool ownBefore = false; ///< the newest claim is that of the process before this one
     TimePoint retryFrom; ///< the store is not called before this time
     TimePoint usableFrom; ///< no orders are issued before this time
@@ -115,7 +115,7 @@
 /// @param now time
 void recordNewestClaim(ZoneClaim &claim, std::int64_t newest, TimePoint now);
 
-/// Records that the owner announces its stop, or that its process has ended.
+/// Records that the owner announces its stop.
 /// @param claim changed
 void recordOwnerLeaving(ZoneClaim &claim);
 
