Lint: a round of confirmations is assigned

clang-tidy 14 does not find a default constructor of the nested type for emplace() inside the class, GCC does. Assigned, which both accept; nothing else changes.

--- a/lacewing/listconfirmation.cpp
+++ b/lacewing/listconfirmation.cpp
@@ -50,7 +50,7 @@
 void ListConfirmation::startRound()
 {
     const TimePoint now = this->clock.now();
-    this->round.emplace();
+    this->round = Round {};
     this->round->ticket = ++this->lastTicket;
     this->round->begun = now;
     this->round->questions = std::exchange(this->next, {});
