--- a/lacewing/entrynode.h
+++ b/lacewing/entrynode.h
@@ -329,7 +329,7 @@
     std::int64_t storeEra = unnamedEra; ///< newest that the platform's store has named
     std::int64_t unreadableRecords = 0; ///< records of the platform that could not be read
     bool operatorChangesRead = false; ///< all operators' changes from before the start have been read
-    bool mixesRead = false; ///< what was stored of the software versions is known
+    bool mixesRead = false; ///< the VMs are listed, and what was stored of the software versions is known
     OriginRestore originRestore = OriginRestore::NotBegun;
     TimePoint originRestoreBegun; ///< first time
     std::int64_t originsRestored = 0; ///< streams
--- a/lacewing/gatewayrejections.cpp
+++ b/lacewing/gatewayrejections.cpp
@@ -1,6 +1,7 @@
 // Rejections by endpoints that fall over if they reject too many requests: what this VM's requests meet, and what other
 // VMs announce. While a limit is in force, the event loop is watched: after a time in which it did not run, knowledge
-// from before that time is not taken for knowledge of now.
+// from before that time is not taken for knowledge of now. Regular ticks show the same for requests that waited to be
+// read.
 
 #include "gateway.h"
 
--- a/lacewing/softwareversions.h
+++ b/lacewing/softwareversions.h
@@ -4,8 +4,8 @@
 //   if (needsOrigins(versions, service, now)) ... else soleVersion(versions, service, now) ...
 //
 // Load pattern: one version serves for days, then each endpoint is replaced within minutes, perhaps back again, with
-// streams in progress at both versions. While one version serves, nothing has to be remembered of any stream. Asked for
-// each stream; takes a comparison for each version seen recently, which are two at most times.
+// streams in progress at both versions. While one version serves, only the VM that sends a stream remembers it. Asked
+// for each stream; takes a comparison for each version seen recently, which are two at most times.
 //
 // All VMs may be killed at the same time, and those that start in their place see the versions of that moment only. So
 // while several versions matter, the platform's store says until when.
--- a/lacewing/zoneclaim.h
+++ b/lacewing/zoneclaim.h
@@ -13,10 +13,10 @@
 // Load pattern: an owner is killed, frozen, slow, or cut off from the store, from the other VMs or from both, several
 // times a minute, while hundreds of VMs watch. A VM claims the zone once the owner was silent for ownerTimeout. VMs
 // claim in turn, those with the most processor time first. A VM that hears less than half of its zone waits longer,
-// because it is more likely to be the one that is cut off. A VM
-// that starts and finds that the process before it has made the newest claim claims the zone again at once: that owner
-// is gone, and no other VM has claimed the zone since. An owner that hears less than half of its zone, or that has
-// stalled, asks the store whether its claim is still the newest before it continues.
+// because it is more likely to be the one that is cut off. A VM that starts and finds that the process before it has
+// made the newest claim claims the zone again at once: that owner is gone, and no other VM has claimed the zone since.
+// An owner that hears less than half of its zone, or that has stalled, asks the store whether its claim is still the
+// newest before it continues.
 // If endpoints reject lower fencing numbers, an owner that can't reach the store continues: the endpoints would reject
 // its orders if there were another owner. If they don't, it stops after ZoneClaimSettings::lifetime, and a new owner
 // waits for ZoneClaimSettings::ownerChangeDelay before its first order.
