--- a/review/1/play.py
+++ b/review/1/play.py
@@ -14,6 +14,8 @@
 QUEUE = 2
 WORK = 0.03
 THERE_AND_BACK = 0.0018  # twice the 0.9 ms between zones
+WINDOW = 5.0  # the longest time of the disruption; then it pauses
+PAUSE = 2.0
 EXTRA_SHARE = 0.03  # the largest dose of the site: 3 in 100 answers of the servers that are spoiled
 
 
@@ -39,7 +41,7 @@
                 writer.write(extra)
             rejection = self.rejection(head)
             writer.write(rejection)
-            if self.faulty and self.extras + 1 <= EXTRA_SHARE * self.answers:
+            if self.faulty and self.case.spoiling and self.extras + 1 <= EXTRA_SHARE * self.answers:
                 self.extras += 1
                 self.late[writer] = rejection
             return
@@ -56,7 +58,16 @@
             self.taken -= 1
 
 
+async def spoil(case):
+    while True:
+        case.spoiling = True
+        await asyncio.sleep(WINDOW)
+        case.spoiling = False
+        await asyncio.sleep(PAUSE)
+
+
 async def play(case):
+    case.spoiling = False
     await case.open_store()
     servers = [await FullServer(case, 'i-a', TROUBLE).open(), await FullServer(case, 'i-b', False).open()]
     case.store.put('keyed.op', 'config', configuration(3, [route('confirm', 'unsafe', 'order-app')],
@@ -70,6 +81,7 @@
         answer = await case.ask(case.vms[0], 'POST', '/confirm/x', attempt, 2.5, body=attempt.encode(), note=False)
         answers[attempt] = answer.status
 
+    spoiling = asyncio.create_task(spoil(case))
     tasks = []
     end = time.monotonic() + SECONDS
     next_at = time.monotonic()
@@ -78,6 +90,7 @@
         next_at += 1 / PER_SECOND
         await asyncio.sleep(max(0, next_at - time.monotonic()))
     await asyncio.gather(*tasks)
+    spoiling.cancel()
     await asyncio.sleep(0.5)
     for attempt, names in sorted(case.runs.items()):
         if len(names) > 1:
