--- a/review/standins.py
+++ b/review/standins.py
@@ -346,6 +346,8 @@
         if note:
             self.note(f'client gets for {attempt}: {answer.status or "nothing"} {"whole" if answer.whole else "cut"} '
                       f'{answer.body[:60]!r} {answer.error}')
+        else:
+            self.note(f'client sent {attempt} to {vm.name} and gets {answer.status or answer.error}')
         return answer
 
     @staticmethod
