--- a/review/1/play.py
+++ b/review/1/play.py
@@ -34,8 +34,8 @@
 
     async def answer(self, head, body, writer):
         await asyncio.sleep(THERE_AND_BACK)
-        self.answers += 1
-        extra = self.late.pop(writer, None)
+        self.answers += self.case.spoiling  # the share counts while the disruption lasts
+        extra = self.late.pop(writer, None) if self.case.spoiling else None
         if self.taken >= SLOTS + QUEUE:
             if extra:
                 writer.write(extra)
@@ -58,11 +58,13 @@
             self.taken -= 1
 
 
-async def spoil(case):
+async def spoil(case, servers):
     while True:
         case.spoiling = True
         await asyncio.sleep(WINDOW)
         case.spoiling = False
+        for server in servers:
+            server.late.clear()
         await asyncio.sleep(PAUSE)
 
 
@@ -81,7 +83,7 @@
         answer = await case.ask(case.vms[0], 'POST', '/confirm/x', attempt, 2.5, body=attempt.encode(), note=False)
         answers[attempt] = answer.status
 
-    spoiling = asyncio.create_task(spoil(case))
+    spoiling = asyncio.create_task(spoil(case, servers))
     tasks = []
     end = time.monotonic() + SECONDS
     next_at = time.monotonic()
--- a/review/standins.py
+++ b/review/standins.py
@@ -60,6 +60,13 @@
         return one.getsockname()[1]
 
 
+def free_internal_port():
+    """@return first of the internal ports; the range behind it fits"""
+    while (port := free_port(kind=socket.SOCK_DGRAM)) > 65000:
+        pass
+    return port
+
+
 class Listener:
     """Accepts connections on the loopback until it is closed."""
 
@@ -317,9 +324,7 @@
         self.store = await Store(self).open()
 
     async def start_vms(self, zones):
-        self.internal_port = free_port(kind=socket.SOCK_DGRAM)
-        if self.internal_port > 65000:
-            self.internal_port -= 1000
+        self.internal_port = free_internal_port()
         self.vms = [Vm(self, number, zone) for number, zone in enumerate(zones)]
         for vm in self.vms:
             vm.write_settings()
