BUDGET: two tests that fail, and the state of the budget with each retry

silentvmstest: VMs that are not heard for 120 s no longer share the retry budget: six of them may make 234 retries beyond their share, 52 are allowed.

request_retried shows whether the retry is charged, the tokens that are left and how many may be saved up, so that a log tells the hypotheses apart: too large a share, a bucket that was filled, retries that are not charged.

--- a/lacewing/relayend.cpp
+++ b/lacewing/relayend.cpp
@@ -154,7 +154,10 @@
              {{"id", this->info.id},
               {"digest", describe(this->content.digest)},
               {"endpoint", this->endpoint},
-              {"reason", std::string(reason)}});
+              {"reason", std::string(reason)},
+              {"charged", reachesServiceAgain ? "yes" : "no"},
+              {"tokens", std::to_string(this->gateway.budgetOf(this->service).tokens)},
+              {"burst", std::to_string(this->gateway.budgetSettings.retryBurst)}});
     if (!this->endpoint.empty()) {
         this->triedEndpoints.push_back(this->endpoint);
     }
