BUDGET: a VM that is silent still shares the retry budget

Callers saw: zones that are cut off from each other and from the platform for more than 90 s each made as many retries as all VMs may make together. Cause: what a VM may save up and earns by time is its part of a slack over all VMs, and the number of VMs fell when one was not heard for 90 s; a VM that leaves was not counted although it goes on for some seconds, and one that had not read the list of VMs yet took itself for the only one. Class: silence taken for absence in a bound over all VMs. Until the list is read a VM saves up one retry.

--- a/lacewing/entrynodequota.cpp
+++ b/lacewing/entrynodequota.cpp
@@ -46,11 +46,13 @@
 
 void EntryNode::shareRetryBudget()
 {
+    if (!this->mixesRead) { // it does not know yet how many VMs there are
+        this->dataPath.setRetryLimits(this->settings.retryShare, 1, 0);
+        return;
+    }
     const std::size_t vms = this->gossip.vmsInUse();
     this->dataPath.setRetryLimits(this->settings.retryShare, burstShare(this->settings.retryBurst, vms),
-                                  this->mixesRead
-                                      ? floorShare(this->settings.retryBurst, this->settings.retryWindow, vms)
-                                      : 0); // until it knows how many VMs there are
+                                  floorShare(this->settings.retryBurst, this->settings.retryWindow, vms));
 }
 
 } // namespace lacewing
--- a/lacewing/knownvm.h
+++ b/lacewing/knownvm.h
@@ -23,6 +23,10 @@
 /// announces itself when it returns.
 constexpr Duration forgetAfter = milliseconds(90000);
 
+/// A VM that has not said that it leaves counts among those that share a bound for this long after it was last heard or
+/// announced: silence may be a cut. Bounds how many VMs that were lost for good are counted.
+constexpr Duration silentRetention = std::chrono::hours(24);
+
 struct KnownVm {
     asio::ip::udp::endpoint address;
     ZoneName zone;
@@ -73,6 +77,14 @@
     return vm.everHeard && now - vm.heard < vmLifetime;
 }
 
+/// @param vm another VM
+/// @param now time
+/// @return whether the VM may be serving requests, heard or not; one that leaves does so until it has ended
+inline bool sharesBounds(const KnownVm &vm, TimePoint now)
+{
+    return vm.leaving ? now - vm.heard < vmLifetime : now - std::max(vm.heard, vm.lastAnnounced) < silentRetention;
+}
+
 /// Unlike isForgotten(), doesn't count the platform's announcements, which also name VMs that were lost.
 /// @param vm another VM
 /// @param now time
--- a/lacewing/vmgossip.cpp
+++ b/lacewing/vmgossip.cpp
@@ -519,7 +519,7 @@
 std::size_t VmGossip::vmsInUse() const
 {
     const TimePoint now = this->clock.now();
-    const auto inUse = [now](const auto &entry) { return !entry.second.leaving && !isForgotten(entry.second, now); };
+    const auto inUse = [now](const auto &entry) { return sharesBounds(entry.second, now); };
     return 1 + static_cast<std::size_t>(std::count_if(this->knownVms.begin(), this->knownVms.end(), inUse));
 }
 
--- a/lacewing/vmgossip.h
+++ b/lacewing/vmgossip.h
@@ -100,7 +100,7 @@
     bool alive(const VmId &vm) const;
     const std::map<VmId, KnownVm> &vms() const;
     /// @return number of VMs that may be serving requests, including this one. VMs that are not heard count, since they
-    /// may be cut off from this VM only.
+    /// may be cut off from this VM only, and so do VMs that are leaving and still heard.
     std::size_t vmsInUse() const;
 
     /// @return the other VMs of the zone, as seen by this VM
