BUDGET: a retry that arrives late counts when it arrives

Callers saw: while servers, or the links to them, stood still for seconds and others rejected requests, the service got more repeats in 10 s than are allowed, as soon as the servers read again. Cause: a retry was charged when it was sent, and counts for the service when it arrives. What waits in the kernel of a server arrives in one moment together with what is sent then, also on connections that were reset: a reset does not withdraw what was received. Class: a bound that is counted where things arrive and charged where they leave. Change: retries prefer endpoints that have answered within 0.5 s; when an endpoint answers again, retries that were sent to it more than 1 s before are charged once more (retryarrivals).

--- a/lacewing/endpointchoice.cpp
+++ b/lacewing/endpointchoice.cpp
@@ -263,7 +263,8 @@
         draw = finalizeHash(draw + 1);
         candidate.endpoint = &endpoint;
         candidate.reserved = id == need.reserved;
-        candidate.trusted = isTrusted(endpoint.trust, now) && !shunned;
+        candidate.trusted
+            = isTrusted(endpoint.trust, now) && !shunned && !(need.isRetry && isSilent(endpoint.arrivals, now));
         candidate.load = need.suspected ? requestsAtRisk(endpoint) : loadOf(endpoint, need.zone);
         candidate.draw = draw;
         if (need.limitsRejections) {
--- a/lacewing/endpointchoice.h
+++ b/lacewing/endpointchoice.h
@@ -34,6 +34,7 @@
     ZoneName zone; ///< zone of this VM
     std::span<const EndpointName> avoid; ///< endpoints that must not be selected: already tried
     std::uint64_t draw = 0; ///< random number that breaks ties
+    bool isRetry = false; ///< the request may have reached an endpoint: those that have answered lately are preferred
     bool limitsRejections = false; ///< the service has a rejection limit (rejectionlimit.h)
     bool suspected = false; ///< the request may crash its endpoint: select the one with the fewest requests in progress
     EndpointName reserved; ///< where prompt pacing reserved a turn: preferred among trusted endpoints; may be empty
--- a/lacewing/entrynodemetrics.cpp
+++ b/lacewing/entrynodemetrics.cpp
@@ -18,6 +18,7 @@
     line("requests_total", counters.requests);
     line("requests_answered_total", counters.answered);
     line("requests_repeated_total", counters.repeats);
+    line("requests_repeated_late_total", counters.lateRepeats);
     line("callers_gone_total", counters.callersGone);
     line("requests_discarded_total", counters.discarded);
     line("answers_broken_total", counters.brokenAnswers);
--- a/lacewing/fleet.h
+++ b/lacewing/fleet.h
@@ -21,6 +21,7 @@
 #include "promptpacing.h"
 #include "rejectionlimit.h"
 #include "rememberedadapters.h"
+#include "retryarrivals.h"
 #include "sharedfailures.h"
 #include "types.h"
 
@@ -48,6 +49,7 @@
     EndpointTrust trust;
     SharedFailures failures;
     InstanceStatements stated;
+    RetryArrivals arrivals;
     EndpointRejections rejections; ///< while the service has a rejection limit
     RememberedAdapters rememberedAdapters; ///< adapters unloaded since, by the placement owner's updates
     PromptQueue prompts; ///< of all VMs, as far as they announced them
--- a/lacewing/gateway.cpp
+++ b/lacewing/gateway.cpp
@@ -212,23 +212,11 @@
     }
 }
 
-void Gateway::setRetryLimits(double share, double burst, double perSecond)
-{
-    this->budgetSettings.retryShare = share;
-    this->budgetSettings.retryBurst = burst;
-    this->budgetSettings.retryFloor = perSecond;
-}
-
 void Gateway::setRevocationBound(std::optional<Duration> bound)
 {
     this->settings.revocationBound = bound;
 }
 
-double Gateway::retryBurst() const
-{
-    return this->budgetSettings.retryBurst;
-}
-
 void Gateway::dropEndpoint(const EndpointName &id)
 {
     this->pool.drop(id);
@@ -390,9 +378,4 @@
     return this->clock.now();
 }
 
-RetryBudget &Gateway::budgetOf(const ServiceName &service)
-{
-    return this->budgets[service];
-}
-
 } // namespace lacewing
--- a/lacewing/gateway.h
+++ b/lacewing/gateway.h
@@ -67,6 +67,7 @@
     std::int64_t requests = 0;
     std::int64_t answered = 0; ///< with an endpoint's answer
     std::int64_t repeats = 0;
+    std::int64_t lateRepeats = 0; ///< that arrived at an endpoint late, and were charged again
     std::int64_t callersGone = 0;
     std::int64_t discarded = 0; ///< requests that arrived on a connection that this VM had closed
     std::int64_t brokenAnswers = 0; ///< truncated after they had started
@@ -337,6 +338,8 @@
     void wakePaced(const EndpointName &id);
     TimePoint now() const;
     RetryBudget &budgetOf(const ServiceName &service);
+    void recordWritten(const EndpointInstance &instance, TimePoint sentAt, bool isRetry);
+    void recordAnswer(const EndpointInstance &instance, const ServiceName &service, TimePoint sentAt);
 
     asio::io_context &context;
     RuntimeClock &clock;
--- a/lacewing/relay.cpp
+++ b/lacewing/relay.cpp
@@ -97,6 +97,7 @@
     if (need.limitsRejections && !this->awaitedWeights.empty() && now < this->nextDrawAt) {
         return; // each try draws the endpoints anew: more tries would undo their shares
     }
+    need.isRetry = this->isRetry;
     need.suspected = this->suspicion() == Suspicion::Suspected;
     EndpointChoice choice = chooseEndpoint(this->gateway.fleetState, need, now);
     const bool noneAvailable = choice.result == ChoiceResult::NoEndpoint || choice.result == ChoiceResult::Limited
--- a/lacewing/relay.h
+++ b/lacewing/relay.h
@@ -186,6 +186,7 @@
     Duration maxGapAt {0}; ///< age of the request at the end of the longest gap
     std::vector<EndpointName> triedEndpoints;
     AttemptHistory history;
+    bool isRetry = false; ///< an earlier attempt may have reached an endpoint
     std::shared_ptr<EndpointLink> link;
     EndpointName endpoint; ///< that currently runs the request; empty if none does
     std::optional<wire::ForwardedRequest> forwarded; ///< set if another VM has forwarded the request
--- a/lacewing/relayend.cpp
+++ b/lacewing/relayend.cpp
@@ -117,6 +117,7 @@
         = this->gateway.checkSend({this->endpoint, this->incarnationStart}, this->softwareVersion, this->info.id);
     if (hold == SendHold::None) {
         this->written = true;
+        this->gateway.recordWritten({this->endpoint, this->incarnationStart}, this->sentAt, this->isRetry);
         this->mayStillRun = true;
         return true;
     }
@@ -149,7 +150,13 @@
 
 void Relay::sendAgain(std::string_view reason, bool reachesServiceAgain)
 {
-    this->gateway.counts.repeats += reachesServiceAgain ? 1 : 0;
+    if (reachesServiceAgain) {
+        this->gateway.counts.repeats += 1;
+        if (this->written && this->awaitsAnswer && !this->isRetry) { // it may arrive after the next attempt
+            this->gateway.recordWritten({this->endpoint, this->incarnationStart}, this->sentAt, true);
+        }
+        this->isRetry = true;
+    }
     logEvent("request_retried",
              {{"id", this->info.id},
               {"digest", describe(this->content.digest)},
--- a/lacewing/relaysend.cpp
+++ b/lacewing/relaysend.cpp
@@ -136,6 +136,9 @@
     if (!std::exchange(this->awaitsAnswer, false)) {
         return;
     }
+    if (answered) {
+        this->gateway.recordAnswer({this->endpoint, this->incarnationStart}, this->service, this->sentAt);
+    }
     this->gateway.changeUnanswered({this->endpoint, this->incarnationStart}, [&](UnansweredRequests &unanswered) {
         if (answered) {
             return recordAnswered(unanswered, this->sentAt, this->gateway.now());
--- a/lacewing/retrybudget.cpp
+++ b/lacewing/retrybudget.cpp
@@ -65,6 +65,12 @@
     return true;
 }
 
+void chargeLateRetries(RetryBudget &budget, const CoreSettings &settings, std::int32_t retries, TimePoint now)
+{
+    refill(budget, settings, now);
+    budget.tokens -= retries;
+}
+
 Duration retryDelay(const CoreSettings &settings, const RequestId &request, std::int32_t failures)
 {
     constexpr std::int32_t mostDoublings = 20;
--- a/lacewing/retrybudget.h
+++ b/lacewing/retrybudget.h
@@ -51,6 +51,13 @@
 /// @return whether the retry may be made now
 bool takeRetry(RetryBudget &budget, const CoreSettings &settings, TimePoint now);
 
+/// Charges retries again that have arrived at the service later than in the window in which they were sent.
+/// @param budget changed; may fall below zero
+/// @param settings share, floor and burst
+/// @param retries that have arrived late
+/// @param now current time
+void chargeLateRetries(RetryBudget &budget, const CoreSettings &settings, std::int32_t retries, TimePoint now);
+
 /// Exponential backoff with jitter of half either way, the same on every run for the same request.
 /// @param settings base and limit
 /// @param request whose retry it is
