LOST: a VM that stops sends no request that would outlast it

Callers saw: in a planned stop, requests that came late in the time until new ones are refused were passed on and cut at the end of the process with no answer, among them requests that may run once. Cause: until 3 s after the signal all was taken, and what waited then was sent at any time later; nothing asked how long an answer takes, nor how long the grace is, and the time counted from when the signal was handled. Class: work that is begun although it can't end before its process does. Change: each send of a VM that stops asks how long the latest 64 requests of the route took: where a request may run once, none may have taken longer than is left, elsewhere one in ten; streams that can be resumed are sent. New requests are refused after half of a grace of less than 6 s. A VM that stood still counts from when it last ran. 'stopping' says so.

--- a/lacewing/entrynode.cpp
+++ b/lacewing/entrynode.cpp
@@ -36,13 +36,9 @@
 constexpr Duration announcementSpread = milliseconds(2000);
 /// Interval between log lines on the traffic to other VMs and the calls to the platform's store.
 constexpr Duration trafficInterval = milliseconds(10000);
-/// The load balancer asks every second and removes a VM after two failures; a third second is for its last connections.
-constexpr Duration balancerDrainTime = milliseconds(3000);
 /// The announcement that this VM stops is repeated after this delay, in case a datagram is lost.
 constexpr Duration leaveRepeatDelay = milliseconds(100);
 constexpr Duration stopCheckInterval = milliseconds(50);
-/// Time reserved for writing the last answers before the process is killed.
-constexpr Duration stopMargin = milliseconds(400);
 
 std::int64_t randomIncarnation()
 {
@@ -354,9 +350,11 @@
 
 void EntryNode::beginStop()
 {
-    logEvent("stopping", {{"open_requests", std::to_string(this->dataPath.openRequests())}});
     this->stopping = true;
-    this->stopAsked = this->clock.now();
+    this->stopAsked = this->clock.now() - this->dataPath.signalDelay();
+    logEvent("stopping",
+             {{"open_requests", std::to_string(this->dataPath.openRequests())},
+              {"asked_ms", inMilliseconds(this->clock.now() - this->stopAsked)}});
     this->gossip.leaving = true;
     this->stopOwning("stopping");
     this->quota.beginStop();
@@ -365,9 +363,12 @@
     this->heartbeat(); // so that another VM takes over the zone at once
     this->after(leaveRepeatDelay, [this] { this->heartbeat(); }); // in case a datagram is lost
     this->port.withdraw(this->settings.vm);
-    this->dataPath.beginStop();
-    this->after(balancerDrainTime, [this] { this->dataPath.refuseNew(); });
-    this->after(balancerDrainTime, [this] { this->checkStop(); });
+    const StopBounds bounds = stopBounds(this->settings.shutdownBound);
+    this->dataPath.beginStop(this->stopAsked + bounds.maxStopTime);
+    this->after(this->stopAsked + bounds.minListening - this->clock.now(), [this] {
+        this->dataPath.refuseNew();
+        this->checkStop();
+    });
 }
 
 void EntryNode::checkStop()
@@ -377,7 +378,7 @@
     progress.idle = this->dataPath.openRequests() == 0;
     progress.connections = this->dataPath.connections();
     progress.waited = this->clock.now() - this->stopAsked;
-    const StopStep step = nextStopStep(progress, {balancerDrainTime, this->settings.shutdownBound - stopMargin});
+    const StopStep step = nextStopStep(progress, stopBounds(this->settings.shutdownBound));
     if (step == StopStep::End) {
         logEvent("stopped",
                  {{"open_requests", std::to_string(this->dataPath.openRequests())},
--- a/lacewing/gateway.h
+++ b/lacewing/gateway.h
@@ -43,6 +43,7 @@
 #include "routeconfig.h"
 #include "sendgate.h"
 #include "stalldetector.h"
+#include "stopadmission.h"
 
 namespace lacewing {
 
@@ -143,8 +144,13 @@
     /// @return whether requests may have waited to be read, since this VM stood still until a moment ago
     bool hasStalledLately() const;
 
-    /// From now on, answers announce that the connection closes. Connections stay open.
-    void beginStop();
+    /// @return how long ago a signal that is handled now may have come: since the VM last ran, if it stood still
+    Duration signalDelay() const;
+
+    /// From now on, answers announce that the connection closes. Connections stay open. Requests that would probably
+    /// outlast the process are refused.
+    /// @param end of the process
+    void beginStop(TimePoint end);
     /// From now on, new requests are refused and their connections are closed.
     void refuseNew();
     /// Stops accepting connections and closes each open connection once it is idle.
@@ -337,6 +343,8 @@
     std::size_t countShunned(const ServiceName &service) const;
     void wakePaced(const EndpointName &id);
     TimePoint now() const;
+    void recordDuration(const std::string &route, Duration duration);
+    bool maySendWhileStopping(const ServiceRoute &route);
     RetryBudget &budgetOf(const ServiceName &service);
     void recordWritten(const EndpointInstance &instance, TimePoint sentAt, bool isRetry);
     void recordAnswer(const EndpointInstance &instance, const ServiceName &service, TimePoint sentAt);
@@ -355,6 +363,7 @@
     TimePoint startedAt;
     TimePoint lastTick;
     std::optional<TimePoint> lateTick; ///< the last one that came late
+    Duration lateTickGap {0}; ///< between that one and the one before
     StallDetector stallDetector;
     asio::steady_timer stallTimer;
     bool watchesStalls = false; ///< while a limit is in force
@@ -377,6 +386,8 @@
     GatewayCounters counts;
     std::unique_ptr<OrganisationMetrics> metricsByOrganisation;
     std::mt19937_64 random;
+    std::unordered_map<std::string, RecentDurations> recentDurations; ///< by route
+    TimePoint stopEnd; ///< end of the process, while it is stopping
     bool stopping = false;
     bool refusing = false;
     bool ending = false; ///< the process ends, and all connections with it
--- a/lacewing/gatewayrejections.cpp
+++ b/lacewing/gatewayrejections.cpp
@@ -86,6 +86,7 @@
     const TimePoint now = this->now();
     if (now - this->lastTick >= tickTimeout) {
         this->lateTick = now;
+        this->lateTickGap = now - this->lastTick;
     }
     this->lastTick = now;
 }
@@ -96,6 +97,16 @@
     return now - this->lastTick >= tickTimeout || (this->lateTick && now - *this->lateTick < backlogTime);
 }
 
+Duration Gateway::signalDelay() const
+{
+    const TimePoint now = this->now();
+    if (now - this->lastTick >= tickTimeout) {
+        return now - this->lastTick;
+    }
+    const bool late = this->lateTick && now - *this->lateTick < tickTimeout;
+    return late ? now - *this->lateTick + this->lateTickGap : Duration {0};
+}
+
 void Gateway::checkStall()
 {
     if (!this->watchesStalls) {
--- a/lacewing/relay.cpp
+++ b/lacewing/relay.cpp
@@ -75,7 +75,7 @@
 
 void Relay::place()
 {
-    if (this->refuseIfProvenCrashing() || this->forward()) {
+    if (this->refuseIfProvenCrashing() || this->refuseIfStopTooSoon() || this->forward()) {
         return;
     }
     if (this->forwarded && this->gateway.reach.isUnreachable(this->service)) {
--- a/lacewing/relay.h
+++ b/lacewing/relay.h
@@ -116,6 +116,7 @@
     void waitFor(const EndpointChoice &choice);
     Suspicion suspicion() const;
     bool refuseIfProvenCrashing();
+    bool refuseIfStopTooSoon();
     void recordBrokenConnection(const std::string &address);
     bool awaitCopyLease();
     void onCopyLease();
--- a/lacewing/relayadmission.cpp
+++ b/lacewing/relayadmission.cpp
@@ -85,6 +85,15 @@
     this->chargeQuota();
 }
 
+bool Relay::refuseIfStopTooSoon()
+{
+    if (this->gateway.maySendWhileStopping(*this->route)) {
+        return false;
+    }
+    this->sendGatewayAnswer(ResultCode::ShuttingDown, otherVmRetryAfter);
+    return true;
+}
+
 bool Relay::identify()
 {
     if (!this->config->requiresKeys || this->route->isPublic) {
--- a/lacewing/relayanswer.cpp
+++ b/lacewing/relayanswer.cpp
@@ -211,6 +211,7 @@
     this->mayStillRun = false;
     const int status = this->link->answer().head.status;
     this->gateway.counts.answered += 1;
+    this->gateway.recordDuration(this->route->name, this->gateway.now() - this->sentAt);
     if (this->organisation != nullptr) {
         this->gateway.organisationMetrics().recordAnswer(this->organisation->name, this->timeToFirstByte);
     }
--- a/lacewing/stopprogress.cpp
+++ b/lacewing/stopprogress.cpp
@@ -2,8 +2,15 @@
 
 #include "stopprogress.h"
 
+#include <algorithm>
+
 namespace lacewing {
 
+StopBounds stopBounds(Duration grace)
+{
+    return {std::min(balancerDrainTime, grace / 2), std::max(Duration {0}, grace - stopMargin)};
+}
+
 StopStep nextStopStep(const StopProgress &progress, const StopBounds &bounds)
 {
     if (progress.waited >= bounds.maxStopTime) {
--- a/lacewing/stopprogress.h
+++ b/lacewing/stopprogress.h
@@ -31,6 +31,15 @@
     End,
 };
 
+/// The load balancer asks every second and removes a VM after two failures; a third second is for its last connections.
+constexpr Duration balancerDrainTime = milliseconds(3000);
+/// Time reserved for writing the last answers before the process is killed.
+constexpr Duration stopMargin = milliseconds(400);
+
+/// @param grace time from the stop signal until the platform kills the process
+/// @return times of the stop: at least half of the grace is left for requests that were taken
+StopBounds stopBounds(Duration grace);
+
 /// @param progress of a planned stop
 /// @param bounds of it
 /// @return what to do now
--- a/lacewing/testing/stopprogresstest.cpp
+++ b/lacewing/testing/stopprogresstest.cpp
@@ -33,6 +33,15 @@
     cr_assert(stepAt(false, true, 0, milliseconds(4000)) == StopStep::End);
 }
 
+// With times of its own, a stop with a short grace refused nothing and cut off all that came.
+Test(stopprogress, aShortGraceLeavesTimeForTheRequestsThatWereTaken)
+{
+    cr_assert(stopBounds(milliseconds(8000)).minListening == milliseconds(3000));
+    cr_assert(stopBounds(milliseconds(8000)).maxStopTime == milliseconds(7600));
+    cr_assert(stopBounds(milliseconds(3000)).minListening == milliseconds(1500));
+    cr_assert(stopBounds(milliseconds(3000)).maxStopTime == milliseconds(2600));
+}
+
 Test(stopprogress, theTimeLimitTakesPrecedence)
 {
     cr_assert(stepAt(true, false, 3, milliseconds(7600)) == StopStep::End);
