LOST: a server that breaks its answers behind their heads is ejected

Callers saw: beside a server that begins each answer properly and goes on with bytes without end that are none, a share of the requests got no whole answer for as long as it did so. Cause: the head of an answer counted as a success and reset the failures, so that the broken body before it never counted to the three that eject. Class: a success that is concluded from the beginning of an answer. Change: after an answer that broke behind its head, only a complete answer resets the failures.

--- a/lacewing/endpointtrust.cpp
+++ b/lacewing/endpointtrust.cpp
@@ -7,13 +7,23 @@
 
 namespace lacewing {
 
-void recordSuccess(EndpointTrust &trust)
+bool recordSuccess(EndpointTrust &trust)
+{
+    if (trust.breaksAnswers) {
+        return false;
+    }
+    trust = EndpointTrust {};
+    return true;
+}
+
+void recordCompletion(EndpointTrust &trust)
 {
     trust = EndpointTrust {};
 }
 
 bool recordFailure(EndpointTrust &trust, EndpointFailure failure, TimePoint now)
 {
+    trust.breaksAnswers = trust.breaksAnswers || failure == EndpointFailure::BrokenAnswer;
     trust.failures += failure == EndpointFailure::Connect ? failuresToEject : 1;
     if (trust.failures < failuresToEject || now < trust.ejectedUntil) {
         return false;
--- a/lacewing/endpointtrust.h
+++ b/lacewing/endpointtrust.h
@@ -2,7 +2,8 @@
 //
 // Load pattern: a server stops, fails or hangs while the platform still lists it as ready. After failuresToEject
 // consecutive failures, or one failed connection, the endpoint is ejected for ejectionBase. Each further failure after
-// its return doubles that time, up to maxEjection. One success resets it.
+// its return doubles that time, up to maxEjection. One success resets it. A server that begins each answer properly and
+// goes on with bytes that are none succeeds only with a complete answer.
 
 #pragma once
 
@@ -20,20 +21,27 @@
 
 enum class EndpointFailure {
     Connect, ///< no connection could be made
-    Broken, ///< the connection broke, or the answer was malformed, while a request was in progress
+    Broken, ///< the connection broke, or the answer was malformed, before the end of its head
+    BrokenAnswer, ///< the same behind the head
     TimedOut, ///< the answer timed out
     Error, ///< the endpoint answered with an error of its own
 };
 
 struct EndpointTrust {
     int failures = 0; ///< consecutive
+    bool breaksAnswers = false; ///< an answer broke behind its head, and none was complete since
     Duration ejection {0}; ///< length of the latest ejection; 0: none since the last success
     TimePoint ejectedUntil;
 };
 
-/// Resets failures and ejection.
+/// Records the head of an answer. It resets failures and ejection, unless answers break behind their heads.
 /// @param trust updated
-void recordSuccess(EndpointTrust &trust);
+/// @return whether it counts as a success
+bool recordSuccess(EndpointTrust &trust);
+
+/// Records a complete answer: resets failures and ejection.
+/// @param trust updated
+void recordCompletion(EndpointTrust &trust);
 
 /// @param trust updated
 /// @param failure kind of failure
--- a/lacewing/gateway.h
+++ b/lacewing/gateway.h
@@ -317,6 +317,7 @@
     void announceEndpointStatus(const EndpointName &id, bool works);
     void recordEndpointFailure(const EndpointName &id, EndpointFailure failure, const std::string &request);
     void recordEndpointSuccess(const EndpointName &id);
+    void recordEndpointCompletion(const EndpointName &id, int status);
     bool recordLeaving(const EndpointInstance &instance, const std::string &request);
     bool recordRest(const EndpointInstance &instance, double seconds, const std::string &request);
     void boundRequests(const ServiceName &service);
--- a/lacewing/gatewayupdates.cpp
+++ b/lacewing/gatewayupdates.cpp
@@ -30,7 +30,8 @@
         logEvent("endpoint_ejected",
                  {{"endpoint", id}, {"id", request}, {"ejection_ms", inMilliseconds(endpoint.trust.ejection)}});
     }
-    const bool unreachable = failure == EndpointFailure::Connect || failure == EndpointFailure::Broken;
+    const bool unreachable = failure == EndpointFailure::Connect || failure == EndpointFailure::Broken
+        || failure == EndpointFailure::BrokenAnswer;
     if (unreachable && shouldReport(endpoint.failures, now)) {
         this->announceEndpointStatus(id, false);
     }
@@ -42,12 +43,21 @@
     if (found == this->fleetState.endpoints.end()) {
         return;
     }
-    recordSuccess(found->second.trust);
-    if (shouldAnnounceSuccess(found->second.failures, this->now())) {
+    if (recordSuccess(found->second.trust) && shouldAnnounceSuccess(found->second.failures, this->now())) {
         this->announceEndpointStatus(id, true);
     }
 }
 
+void Gateway::recordEndpointCompletion(const EndpointName &id, int status)
+{
+    constexpr int firstServerError = 500;
+    const auto found = this->fleetState.endpoints.find(id);
+    if (status < firstServerError && found != this->fleetState.endpoints.end()
+        && found->second.trust.breaksAnswers) { // else the head has reset it
+        recordCompletion(found->second.trust);
+    }
+}
+
 void Gateway::announceEndpointStatus(const EndpointName &id, bool works)
 {
     wire::EndpointNews update;
--- a/lacewing/relayanswer.cpp
+++ b/lacewing/relayanswer.cpp
@@ -215,6 +215,9 @@
     if (this->organisation != nullptr) {
         this->gateway.organisationMetrics().recordAnswer(this->organisation->name, this->timeToFirstByte);
     }
+    if (this->peer.empty()) {
+        this->gateway.recordEndpointCompletion(this->endpoint, status);
+    }
     if (status < 300 && this->peer.empty()) {
         this->gateway.crashes.recordCompletion(this->content);
     }
--- a/lacewing/relayend.cpp
+++ b/lacewing/relayend.cpp
@@ -34,7 +34,8 @@
     } else if (unanswered) {
         this->gateway.recordBrokenOff(this->service, this->endpoint);
     }
-    const auto kind = failure == LinkFailure::NotConnected ? EndpointFailure::Connect : EndpointFailure::Broken;
+    const EndpointFailure broken = this->answerBegun ? EndpointFailure::BrokenAnswer : EndpointFailure::Broken;
+    const EndpointFailure kind = failure == LinkFailure::NotConnected ? EndpointFailure::Connect : broken;
     this->gateway.recordEndpointFailure(this->endpoint, kind, this->info.id);
     if (this->answerBegun) {
         this->abortAnswer(failure == LinkFailure::Truncated ? "stream_truncated" : "endpoint_broke_off");
