LOST: an engine whose answers can't be read is asked more and more seldom

What was seen: an engine that answers reports and orders with bytes without end was asked again up to some 30 times a second for good, and each answer was read up to 1 MB. Cause: a load is checked every 25 ms and a report read again after 300 ms, whatever the answer before was; one bound on the size of an answer served all calls. Class: a bound on one call where the peer decides how many calls follow.

--- a/lacewing/adapterplan.h
+++ b/lacewing/adapterplan.h
@@ -20,6 +20,7 @@
 #include <string>
 #include <vector>
 
+#include "askpause.h"
 #include "adapterversions.h"
 #include "rememberedadapters.h"
 #include "routeconfig.h"
@@ -78,6 +79,8 @@
     RememberedAdapters
         rememberedAdapters; ///< unloaded adapters that are still in host memory, from where loads are fast
     TimePoint notBefore; ///< time before which no order is sent
+    AskPause reportPause; ///< because its answers to reports can't be read
+    AskPause orderPause; ///< the same of orders
     std::int32_t running = 0;
 };
 
--- a/lacewing/httpclient.cpp
+++ b/lacewing/httpclient.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr std::size_t maxExtensionBytes = 64 * kibibyte; ///< of all chunks of a reply
+constexpr std::size_t maxHeadBytes = 64 * kibibyte; ///< of a reply, with its trailers
 
 using RequestMessage = http::request<http::string_body>;
 using ReplyParser = http::response_parser<http::string_body>;
@@ -24,8 +25,13 @@
     NetError error;
     connection.stream.expires_after(call.timeout);
     co_await http::async_write(connection.stream, request, awaitInto(error));
-    if (!error) {
-        co_await http::async_read(connection.stream, connection.buffer, parser, awaitInto(error));
+    const std::size_t maxBytes = maxHeadBytes + 2 * call.maxBodyBytes;
+    std::size_t received = 0;
+    while (!error && !parser.is_done()) {
+        received += co_await http::async_read_some(connection.stream, connection.buffer, parser, awaitInto(error));
+        if (!error && received > maxBytes) {
+            error = http::error::body_limit;
+        }
     }
     co_return error;
 }
@@ -196,6 +202,7 @@
             readReply(parser.get(), reply);
             break;
         }
+        reply.unreadable = reply.error && parser.got_some();
         if (!reply.error) {
             const bool keep = parser.get().keep_alive();
             readReply(parser.get(), reply);
--- a/lacewing/httpclient.h
+++ b/lacewing/httpclient.h
@@ -90,7 +90,7 @@
     /// Between two parts of the request or of the reply; 0: `timeout` bounds the whole exchange. A bound on the whole
     /// would end a large transfer on a slow link each time.
     Duration stallTimeout {0};
-    std::size_t maxBodyBytes = maxReplyBytes; ///< of the reply
+    std::size_t maxBodyBytes = maxReplyBytes; ///< of the reply; bytes that are not part of it may be as many again
     std::function<bool()> mayWrite; ///< called just before the request is written; absent: it may be
     /// Called with the size of a reply's body before the body is received; nothing: not stated. If it returns false,
     /// the reply is not received and the connection is closed. Absent: it is received. Needs a stallTimeout.
@@ -105,6 +105,7 @@
     bool held = false; ///< nothing was sent, because mayWrite did not allow it
     bool declined = false; ///< the body was not received, because mayReceive did not allow it
     std::size_t bodyBytes = 0; ///< received of the body, also if the exchange failed
+    bool unreadable = false; ///< bytes came that are no complete reply within the limits
     NetError error; ///< that ended the exchange; none if it was completed or no connection could be made
     bool keptConnectionSilent = false; ///< a kept connection timed out, and the request was sent on a new one
 };
--- a/lacewing/placementowner.cpp
+++ b/lacewing/placementowner.cpp
@@ -298,6 +298,7 @@
     }
     PlacedEndpoint &endpoint = *known;
     endpoint.orderPending = false;
+    this->recordOrderAnswer(endpoint, reply);
     const std::string weights = weightsOf(order);
     const TimePoint time = this->now();
     if (reply == OrderReply::Accepted && order.action == PlacementAction::Load) {
@@ -326,13 +327,14 @@
         this->schedulePoll(order.endpoint, failureRetryDelay);
     } else {
         const bool unexpected = reply == OrderReply::Conflict || reply == OrderReply::NoAnswer
-            || reply == OrderReply::OtherEndpoint || reply == OrderReply::Refused;
+            || reply == OrderReply::Unreadable || reply == OrderReply::OtherEndpoint || reply == OrderReply::Refused;
         if (unexpected) {
             logEvent("order_failed",
                      {{"endpoint", order.endpoint},
                       {"weights", weights},
                       {"reply", std::to_string(static_cast<int>(reply))}});
-            endpoint.notBefore = time + (reply == OrderReply::Conflict ? Duration {0} : failureRetryDelay);
+            const Duration delay = std::max(failureRetryDelay, pauseLeft(endpoint.orderPause, time));
+            endpoint.notBefore = time + (reply == OrderReply::Conflict ? Duration {0} : delay);
         }
         endpoint.ready = false; // until its report is read
         this->readReport(order.endpoint);
--- a/lacewing/placementowner.h
+++ b/lacewing/placementowner.h
@@ -108,8 +108,8 @@
     void scheduleCheck(const PlacementOrder &order, std::int64_t incarnationStart, Duration delay);
     void checkLoad(PlacementOrder order, std::int64_t incarnationStart);
     void onLoadChecked(const PlacementOrder &order, std::int64_t incarnationStart, OrderReply reply);
-    void onReportAnswer(const EndpointName &id, std::int64_t incarnationStart,
-                        const std::optional<EndpointReport> &report);
+    void onReportAnswer(const EndpointName &id, std::int64_t incarnationStart, const ReportAnswer &answer);
+    void recordOrderAnswer(PlacedEndpoint &endpoint, OrderReply reply) const;
     void recordLoadTime(Duration took);
     void readReport(const EndpointName &id);
     void onReport(const EndpointName &id, PlacedEndpoint &endpoint, const EndpointReport &report);
--- a/lacewing/placementownerreports.cpp
+++ b/lacewing/placementownerreports.cpp
@@ -53,8 +53,9 @@
         this->readReport(order.endpoint);
         return;
     }
-    if (endpoint.orderPending || !endpoint.ready || !mayOrderNow) {
-        this->scheduleCheck(order, incarnationStart, loadCheckInterval / 4);
+    const Duration paused = pauseLeft(endpoint.orderPause, this->now());
+    if (endpoint.orderPending || !endpoint.ready || !mayOrderNow || paused.count() > 0) {
+        this->scheduleCheck(order, incarnationStart, std::max(loadCheckInterval / 4, paused));
         return;
     }
     endpoint.orderPending = true;
@@ -78,8 +79,10 @@
               {"weights", weightsOf(order)},
               {"reply", std::to_string(static_cast<int>(reply))}});
     const bool retry = reply == OrderReply::Accepted || reply == OrderReply::Conflict;
-    if (retry || reply == OrderReply::NoAnswer) { // a repeated order that is executed late finds the adapter resident
+    const bool unknown = reply == OrderReply::NoAnswer || reply == OrderReply::Unreadable;
+    if (retry || unknown) { // a repeated order that is executed late finds the adapter resident
         checked->orderPending = false;
+        this->recordOrderAnswer(*checked, reply);
         this->scheduleCheck(order, incarnationStart, loadCheckInterval);
         this->requestPlan();
         return;
@@ -95,7 +98,8 @@
 void PlacementOwner::readReport(const EndpointName &id)
 {
     const auto found = this->state.endpoints.find(id);
-    if (found == this->state.endpoints.end() || this->reportPending[id]) {
+    if (found == this->state.endpoints.end() || this->reportPending[id]
+        || pauseLeft(found->second.reportPause, this->now()).count() > 0) { // it is read when the pause ends
         return;
     }
     this->reportPending[id] = true;
@@ -103,14 +107,23 @@
     const std::int64_t askedIn = this->term;
     const std::int64_t incarnationStart = found->second.incarnationStart;
     const std::string address = found->second.address; // the endpoint may be removed within the call
-    this->port.report(id, address, [this, id, askedIn, incarnationStart](std::optional<EndpointReport> report) {
-        this->runIfCurrent(askedIn, [&] { this->onReportAnswer(id, incarnationStart, report); });
+    this->port.report(id, address, [this, id, askedIn, incarnationStart](const ReportAnswer &answer) {
+        this->runIfCurrent(askedIn, [&] { this->onReportAnswer(id, incarnationStart, answer); });
     });
 }
 
-void PlacementOwner::onReportAnswer(const EndpointName &id, std::int64_t incarnationStart,
-                                    const std::optional<EndpointReport> &report)
+void PlacementOwner::recordOrderAnswer(PlacedEndpoint &endpoint, OrderReply reply) const
 {
+    if (reply == OrderReply::Unreadable) {
+        recordUnreadable(endpoint.orderPause, this->now());
+    } else if (reply != OrderReply::NoAnswer && reply != OrderReply::Held) {
+        endpoint.orderPause = {};
+    }
+}
+
+void PlacementOwner::onReportAnswer(const EndpointName &id, std::int64_t incarnationStart, const ReportAnswer &answer)
+{
+    const std::optional<EndpointReport> &report = answer.report;
     PlacedEndpoint *endpoint = this->findIncarnation(id, incarnationStart);
     if (endpoint == nullptr) {
         return;
@@ -120,9 +133,13 @@
         = report && report->born != 0 && report->born != incarnationStart; // the fleet will list the other incarnation
     if (!report || fromOtherIncarnation) {
         endpoint->ready = false;
-        this->schedulePoll(id, failureRetryDelay);
+        if (answer.unreadable) {
+            recordUnreadable(endpoint->reportPause, this->now());
+        }
+        this->schedulePoll(id, std::max(failureRetryDelay, pauseLeft(endpoint->reportPause, this->now())));
         return;
     }
+    endpoint->reportPause = {};
     this->onReport(id, *endpoint, *report);
 }
 
--- a/lacewing/platformport.h
+++ b/lacewing/platformport.h
@@ -40,6 +40,7 @@
     Refused, ///< the endpoint can't execute the order
     Held, ///< not sent: the endpoint wants nothing now
     NoAnswer, ///< the order may be executed now, later or never
+    Unreadable, ///< the same; what was answered can't be read
 };
 
 /// The state that an endpoint reports.
@@ -53,6 +54,12 @@
     std::int32_t queued = 0;
 };
 
+/// Answer of an endpoint that was asked for its report.
+struct ReportAnswer {
+    std::optional<EndpointReport> report;
+    bool unreadable = false; ///< it has answered, and that can't be read
+};
+
 /// Contact data of an entry VM, as announced.
 struct VmContact {
     VmId vm;
@@ -73,8 +80,7 @@
     std::function<void(const PlacementOrder &, const std::string &address, std::int64_t fencing,
                        std::function<void(OrderReply)>)>
         order;
-    std::function<void(const EndpointName &, const std::string &address,
-                       std::function<void(std::optional<EndpointReport>)>)>
+    std::function<void(const EndpointName &, const std::string &address, std::function<void(const ReportAnswer &)>)>
         report;
     /// Announces this VM to the others.
     std::function<void(const VmContact &, std::function<void(bool)>)> announce;
--- a/lacewing/testing/entrynodefixture.cpp
+++ b/lacewing/testing/entrynodefixture.cpp
@@ -52,16 +52,16 @@
             done(OrderReply::NoAnswer);
         }
     };
-    made.report = [this](const EndpointName &, const std::string &,
-                         const std::function<void(std::optional<EndpointReport>)> &done) {
-        EndpointReport report;
-        if (this->loadsNeverEnd == nullptr) {
-            done(report);
-            return;
-        }
-        report.held["m"] = 1;
-        asio::post(*this->loadsNeverEnd, [done, report] { done(report); });
-    };
+    made.report
+        = [this](const EndpointName &, const std::string &, const std::function<void(const ReportAnswer &)> &done) {
+              EndpointReport report;
+              if (this->loadsNeverEnd == nullptr) {
+                  done({report});
+                  return;
+              }
+              report.held["m"] = 1;
+              asio::post(*this->loadsNeverEnd, [done, report] { done({report}); });
+          };
     made.announce = [this](const VmContact &contact, const std::function<void(bool)> &done) {
         const auto store = [this, contact, done] {
             this->contacts.push_back(contact);
--- a/lacewing/testing/handlerguardtest.cpp
+++ b/lacewing/testing/handlerguardtest.cpp
@@ -49,12 +49,12 @@
     FakePlatform platform;
     EntryNodeSettings settings = settingsOf("vm1");
     PlatformPort port = platform.port("vm1");
-    port.report = [&context](const EndpointName &, const std::string &,
-                             const std::function<void(std::optional<EndpointReport>)> &done) {
-        asio::post(context, [done] {
-            done(EndpointReport {});
-        }); // without weights, so that the owner orders it to load the model
-    };
+    port.report
+        = [&context](const EndpointName &, const std::string &, const std::function<void(const ReportAnswer &)> &done) {
+              asio::post(context, [done] {
+                  done({EndpointReport {}});
+              }); // without weights, so that the owner orders it to load the model
+          };
     port.order = [](const PlacementOrder &, const std::string &, std::int64_t, const auto &) {
         throw std::runtime_error("broken");
     };
--- a/lacewing/testing/placementownertest.cpp
+++ b/lacewing/testing/placementownertest.cpp
@@ -25,19 +25,26 @@
         this->port.order = [this](const PlacementOrder &order, const std::string &, std::int64_t,
                                   const std::function<void(OrderReply)> &done) {
             this->orders.push_back(order);
-            if (this->answers) {
+            if (this->unreadable) {
+                asio::post(this->context, [done] { done(OrderReply::Unreadable); });
+            } else if (this->answers) {
                 asio::post(this->context, [done] { done(OrderReply::Accepted); });
             } else {
                 this->unanswered.push_back(done);
             }
         };
-        this->port.report = [this](const EndpointName &, const std::string &,
-                                   const std::function<void(std::optional<EndpointReport>)> &done) {
-            EndpointReport report;
-            report.held["m"] = 1;
-            report.born = this->reportBorn;
-            asio::post(this->context, [done, report] { done(report); });
-        };
+        this->port.report
+            = [this](const EndpointName &, const std::string &, const std::function<void(const ReportAnswer &)> &done) {
+                  this->reportsAsked += 1;
+                  ReportAnswer answer;
+                  answer.unreadable = this->unreadable;
+                  if (!answer.unreadable) {
+                      answer.report.emplace();
+                      answer.report->held["m"] = 1;
+                      answer.report->born = this->reportBorn;
+                  }
+                  asio::post(this->context, [done, answer] { done(answer); });
+              };
         EngineSpec engine;
         engine.slots = 32;
         engine.adapterSlots = adapterPlacesPerEndpoint;
@@ -72,6 +79,8 @@
     std::vector<PlacementOrder> orders;
     std::vector<std::function<void(OrderReply)>> unanswered;
     bool answers = true;
+    bool unreadable = false; ///< answers come, and can't be read
+    int reportsAsked = 0;
     std::int64_t reportBorn = 0;
     Fleet fleet;
     RouteConfig config;
@@ -166,3 +175,23 @@
         cr_assert_eq(zone.owner.active(), calls < lastCall);
     }
 }
+
+Test(placementowner, anEndpointWhoseAnswersCantBeReadIsAskedMoreAndMoreSeldom)
+{
+    // Guards against a faulty engine that is read to the limit of an answer several times a second.
+    Zone zone;
+    zone.reportsAsked = 0;
+    zone.orders.clear();
+    zone.unreadable = true;
+    zone.owner.recordDemand("vm", "z", makeDemand(1, endpointCount));
+    zone.run(milliseconds(4000));
+    const auto asked = zone.reportsAsked + static_cast<int>(zone.orders.size());
+    cr_expect_leq(asked, 6 * endpointCount, "%d calls to %d endpoints in 4 s", asked, endpointCount);
+    cr_expect_geq(asked, 2 * endpointCount);
+    zone.unreadable = false;
+    zone.run(milliseconds(4000));
+    zone.owner.recordDemand("vm", "z", makeDemand(100, endpointCount));
+    zone.orders.clear();
+    zone.run(milliseconds(200));
+    cr_expect_geq(zone.orders.size(), 1U, "orders are given again");
+}
