TWICE: a rejected request goes out on a connection that has not carried it

Callers saw: a request that may run once ran twice, or was refused with a promise though it had run, while a faulty server sent late extra copies of its rejections. Cause: the id of an answer tells whose it is, and a request that is sent again on the connection on which it was rejected has the same id as the copy. Class: an answer matched by an id that two sends share. Change: a connection is not used again for requests that were rejected on it; it stays in use for all others.

--- a/lacewing/adapterplan.h
+++ b/lacewing/adapterplan.h
@@ -20,8 +20,8 @@
 #include <string>
 #include <vector>
 
-#include "askpause.h"
 #include "adapterversions.h"
+#include "askpause.h"
 #include "rememberedadapters.h"
 #include "routeconfig.h"
 #include "types.h"
--- a/lacewing/endpointlink.cpp
+++ b/lacewing/endpointlink.cpp
@@ -3,6 +3,9 @@
 //
 // The pool takes the most recently used connection first, so that unneeded connections reach their idle timeout and are
 // closed.
+//
+// The id of an answer tells whose it is, unless the same request is sent again on the connection. A rejected request
+// may be, so it goes out on another one.
 
 #include "endpointlink.h"
 
@@ -26,6 +29,9 @@
 /// Bytes of interim answers, and of answers to other requests, that are discarded before the awaited answer.
 constexpr std::size_t maxDiscardedBytes = 64 * kibibyte;
 
+/// Requests that were rejected on one connection, and may be sent again within their deadlines.
+constexpr std::size_t maxRejectedIds = 256;
+
 Duration usableIdleTime(const EndpointLink &link, bool nonRepeatable)
 {
     const Duration stated = link.keepAlive.count() > 0 ? link.keepAlive : defaultKeepAlive;
@@ -263,7 +269,17 @@
 bool EndpointLink::reusable() const
 {
     return !this->closed && !this->remoteClosed && !this->unexpectedInput && this->written && this->reader != nullptr
-        && this->reader->complete() && this->reader->head.keepAlive;
+        && this->reader->complete() && this->reader->head.keepAlive && this->rejectedIds.size() < maxRejectedIds;
+}
+
+void EndpointLink::recordRejection(std::string_view request)
+{
+    this->rejectedIds.emplace_back(request);
+}
+
+bool EndpointLink::hasRejected(std::string_view request) const
+{
+    return std::find(this->rejectedIds.begin(), this->rejectedIds.end(), request) != this->rejectedIds.end();
 }
 
 bool EndpointLink::reused() const
@@ -295,16 +311,20 @@
 }
 
 std::shared_ptr<EndpointLink> EndpointPool::take(const EndpointName &id, const std::string &address, TimePoint now,
-                                                 bool nonRepeatable)
+                                                 bool nonRepeatable, std::string_view request)
 {
     auto &idleLinks = this->idle[id];
-    while (!idleLinks.empty()) {
-        std::shared_ptr<EndpointLink> link = idleLinks.back();
+    for (std::size_t index = idleLinks.size(); index > 0;) {
+        index -= 1;
+        std::shared_ptr<EndpointLink> link = idleLinks.at(index);
+        if (link->hasRejected(request)) {
+            continue; // a late copy of the rejection could not be told from the answer
+        }
         const bool fresh = now - link->idleSince < usableIdleTime(*link, nonRepeatable);
         if (!fresh && nonRepeatable && now - link->idleSince < usableIdleTime(*link, false)) {
             break; // still usable for a request that may be retried
         }
-        idleLinks.pop_back();
+        idleLinks.erase(idleLinks.begin() + static_cast<std::ptrdiff_t>(index));
         if (fresh && link->reusable() && !closedByPeer(link->socket)) {
             return link;
         }
--- a/lacewing/endpointlink.h
+++ b/lacewing/endpointlink.h
@@ -1,6 +1,6 @@
 // Persistent HTTP connections to endpoints and a pool of idle connections.
 //
-//   auto link = pool.take(id, address, now, nonRepeatable);
+//   auto link = pool.take(id, address, now, nonRepeatable, request);
 //   link->send(bytes, isHead, handlers);   // connects first if necessary
 //   link->readMore();                      // after each onProgress, to receive the next bytes
 //   pool.returnLink(link, now);            // after a complete answer
@@ -16,6 +16,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -74,6 +75,13 @@
 
     /// @return whether another request may be sent on the connection
     bool reusable() const;
+    /// Records that the current answer rejects its request. A copy of the answer may arrive at any time later, and has
+    /// the id of the request.
+    /// @param request id of the request
+    void recordRejection(std::string_view request);
+    /// @param request id of a request
+    /// @return whether it was rejected on this connection
+    bool hasRejected(std::string_view request) const;
     /// @return whether the connection was used before the current request
     bool reused() const;
     /// @return whether the connection could not be established because there was no reply
@@ -108,6 +116,7 @@
     std::array<char, 4096> readBuffer {};
     std::unique_ptr<ResponseReader> reader;
     std::function<void()> onIdleClosed;
+    std::vector<std::string> rejectedIds; ///< of requests that were rejected on the connection
     std::size_t answerBytes = 0; ///< used by the current reader
     std::size_t discardedBytes = 0; ///< of the exchange: interim answers, and answers to other requests
     bool skipping = false; ///< the current answer belongs to another request
@@ -133,9 +142,10 @@
     /// @param now current time
     /// @param nonRepeatable whether the request can't be retried; an idle connection is then used only well within its
     ///        keep-alive time, since the request is lost if the endpoint closes the connection at the same time
+    /// @param request id of the request; a connection on which it was rejected is not used for it again
     /// @return an idle connection or a new one
     std::shared_ptr<EndpointLink> take(const EndpointName &id, const std::string &address, TimePoint now,
-                                       bool nonRepeatable);
+                                       bool nonRepeatable, std::string_view request);
 
     /// Returns a connection to the pool, or closes it if it can't be reused.
     /// @param link connection whose answer is complete
--- a/lacewing/relayanswer.cpp
+++ b/lacewing/relayanswer.cpp
@@ -79,6 +79,7 @@
         const auto used = this->link;
         this->link.reset();
         if (answer.complete()) {
+            used->recordRejection(this->info.id);
             this->gateway.pool.returnLink(used, this->gateway.now());
         } else {
             used->close();
--- a/lacewing/relayforward.cpp
+++ b/lacewing/relayforward.cpp
@@ -56,7 +56,7 @@
               {"service", this->service},
               {"send", std::to_string(this->history.sends)},
               {"age_ms", inMilliseconds(this->age())}});
-    this->link = this->gateway.peerPool.take(chosen.vm, chosen.address, now, !mayRepeat(this->history));
+    this->link = this->gateway.peerPool.take(chosen.vm, chosen.address, now, !mayRepeat(this->history), this->info.id);
     this->link->send(this->head.method == "HEAD", this->linkHandlers([request](const Relay &relay) {
         wire::ForwardedRequest timed = request;
         timed.ageMicroseconds = relay.age().count();
--- a/lacewing/relaysend.cpp
+++ b/lacewing/relaysend.cpp
@@ -41,7 +41,8 @@
     send.organisation = this->organisationName();
     this->sentAt = now;
     this->history.sends += 1;
-    this->link = this->gateway.pool.take(choice.endpoint, target.entry.address, now, !mayRepeat(this->history));
+    this->link
+        = this->gateway.pool.take(choice.endpoint, target.entry.address, now, !mayRepeat(this->history), this->info.id);
     logEvent("request_sent",
              {{"id", this->info.id},
               {"digest", describe(this->content.digest)},
