--- a/lacewing/gateway.cpp
+++ b/lacewing/gateway.cpp
@@ -18,13 +18,6 @@
 
 namespace lacewing {
 
-namespace {
-
-/// Routes whose latest requests are remembered; a configuration has fewer.
-constexpr std::size_t maxRecentRoutes = 2000;
-
-} // namespace
-
 Gateway::Gateway(asio::io_context &ioContext, RuntimeClock &runtimeClock, GatewaySettings gatewaySettings,
                  RequestFormat requestFormat)
     : context(ioContext),
@@ -230,36 +223,6 @@
     this->inUse.erase(id); // requests still in progress at the endpoint end on their own
 }
 
-void Gateway::beginStop(TimePoint end)
-{
-    this->stopping = true;
-    this->stopEnd = end;
-    for (const auto &[caller, request] : this->callers) {
-        caller->closing = true;
-    }
-}
-
-void Gateway::recordDuration(const std::string &route, Duration duration)
-{
-    if (this->recentDurations.size() >= maxRecentRoutes && !this->recentDurations.contains(route)) {
-        this->recentDurations.clear(); // of routes that earlier configurations had
-    }
-    lacewing::recordDuration(this->recentDurations[route], duration);
-}
-
-bool Gateway::maySendWhileStopping(const ServiceRoute &route)
-{
-    return !this->stopping
-        || lacewing::maySendWhileStopping({this->stopEnd - this->now(), route.kind, route.resumable},
-                                          this->recentDurations[route.name]);
-}
-
-void Gateway::refuseNew()
-{
-    // Idle connections stay open: a request in flight when the connection closes would be lost, a refused one is not.
-    this->refusing = true;
-}
-
 std::size_t Gateway::closeListener()
 {
     std::vector<Tcp::socket> backlog = lacewing::closeListener(this->acceptor);
