TWICE: only an answer that names the request, once, shows that it has not run

Cause: a promise was taken from any head that has the statement, also from one that names no request, and from one that is pieced together from a rejection that was cut and the answer behind it. Limits, rest and counts of rejections were taken before it was known whose answer it is. Class: a conclusion from an answer that is not shown to be this request's. Change: one decision, matchAnswer: the id, stated once, ties an answer to the request; with none or two the request may have run and the connection is closed. A status line within a field or the reason is malformed, for all readers of answers.

--- a/lacewing/entrynodemetrics.cpp
+++ b/lacewing/entrynodemetrics.cpp
@@ -22,6 +22,7 @@
     line("callers_gone_total", counters.callersGone);
     line("requests_discarded_total", counters.discarded);
     line("answers_broken_total", counters.brokenAnswers);
+    line("answers_unproven_total", counters.answersUnproven);
     for (const auto &[code, count] : counters.ownAnswers) {
         line("own_answers_total{type=\"" + std::string(resultCodeInfo(code).type) + "\"}", count);
     }
--- a/lacewing/gateway.h
+++ b/lacewing/gateway.h
@@ -72,6 +72,7 @@
     std::int64_t callersGone = 0;
     std::int64_t discarded = 0; ///< requests that arrived on a connection that this VM had closed
     std::int64_t brokenAnswers = 0; ///< truncated after they had started
+    std::int64_t answersUnproven = 0; ///< heads from endpoints that were not shown to answer the request
     std::int64_t forwarded = 0; ///< requests sent to another VM
     std::int64_t takenOver = 0; ///< requests that other VMs have forwarded
     std::int64_t connectionsMade = 0; ///< new ones, to endpoints
--- a/lacewing/httpreader.cpp
+++ b/lacewing/httpreader.cpp
@@ -53,6 +53,24 @@
     return used;
 }
 
+/// An answer that is cut inside its head and followed by another one is parsed as one head. The status line of the
+/// second one is then within a field or the reason.
+bool containsStatusLine(boost::beast::string_view text)
+{
+    constexpr std::string_view protocol = "HTTP/1.";
+    constexpr std::size_t length = protocol.size() + 5; // "HTTP/1.1 200"
+    const auto isDigit = [](char letter) { return letter >= '0' && letter <= '9'; };
+    const std::string_view rest(text.data(), text.size());
+    for (std::size_t at = rest.find(protocol); at != std::string_view::npos; at = rest.find(protocol, at + 1)) {
+        const std::string_view line = rest.substr(at, length);
+        if (line.size() == length && isDigit(line[7]) && line[8] == ' ' && isDigit(line[9]) && isDigit(line[10])
+            && isDigit(line[11])) {
+            return true;
+        }
+    }
+    return false;
+}
+
 void countExtensions(boost::beast::string_view extensions, std::size_t &total, ReadError &error)
 {
     total += extensions.size();
@@ -189,14 +207,20 @@
 {
 }
 
-void ResponseReader::on_response_impl(int status, string_view reason, int, ReadError &)
+void ResponseReader::on_response_impl(int status, string_view reason, int, ReadError &error)
 {
+    if (containsStatusLine(reason)) {
+        error = http::error::bad_reason;
+    }
     this->head.status = status;
     this->head.reason = toString(reason);
 }
 
-void ResponseReader::on_field_impl(http::field, string_view name, string_view value, ReadError &)
+void ResponseReader::on_field_impl(http::field, string_view name, string_view value, ReadError &error)
 {
+    if (containsStatusLine(value)) {
+        error = http::error::bad_value;
+    }
     this->head.headers.push_back({toString(name), toString(value)});
 }
 
--- a/lacewing/relay.h
+++ b/lacewing/relay.h
@@ -142,6 +142,9 @@
     bool mayWrite();
     void onProgress();
     void onHead();
+    void recordHead(const AnswerInfo &answerInfo);
+    void takeRejection();
+    void dropUnprovenHead(const AnswerInfo &answerInfo);
     void dropUnprovenAnswer();
     void beginAnswer();
     void relayBody();
--- a/lacewing/relayanswer.cpp
+++ b/lacewing/relayanswer.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "answermatch.h"
 #include "callerconnection.h"
 #include "eventlog.h"
 #include "gateway.h"
@@ -19,6 +20,9 @@
 /// Unsent output in bytes at which reading from the endpoint pauses until the caller has caught up.
 constexpr std::size_t maxPendingOutput = 64 * kibibyte;
 
+/// An endpoint that is not the one that was asked for answers with this status.
+constexpr int misdirected = 421;
+
 } // namespace
 
 void Relay::onProgress()
@@ -46,50 +50,18 @@
     if (answerInfo.stated.keepAlive) {
         this->link->keepAlive = *answerInfo.stated.keepAlive;
     }
-    if (!answerInfo.id.empty() && answerInfo.id != this->info.id) { // a late answer to an earlier request
+    const AnswerMatch match = matchAnswer(answerInfo, answer.head.status, this->info.id);
+    if (match == AnswerMatch::OtherRequest) {
         this->link->skipAnswer();
         return;
     }
-    constexpr int misdirected = 421;
-    constexpr int unavailable = 503;
-    this->recordUnansweredEnd(answer.head.status != misdirected, false); // another endpoint shows nothing of this one
-    if (answer.head.status != misdirected) { // which may come from another endpoint at the same address
-        this->gateway.recordStatement({this->endpoint, this->incarnationStart}, answerInfo.stated, answerInfo.id);
-    }
-    if (isIncarnation(this->gateway.fleetState, this->endpoint, this->incarnationStart)) {
-        this->gateway.recordLimit(this->endpoint, answerInfo, answerInfo.fromEndpoint && answer.head.status < 300,
-                                  this->sentAt);
-    }
-    if (answerInfo.fromEndpoint || answerInfo.notRun) {
-        this->gateway.recordRejectionLimit(this->service, answerInfo,
-                                           answerInfo.fromEndpoint && answer.head.status < 300);
-    }
-    FleetEndpoint *target = nullptr;
-    if (const auto found = this->gateway.fleetState.endpoints.find(this->endpoint);
-        found != this->gateway.fleetState.endpoints.end()) {
-        target = &found->second;
-    }
-    if (answerInfo.notRun || answer.head.status == misdirected) {
-        if (answer.head.status == unavailable) {
-            this->gateway.recordRejection(this->endpoint);
-        }
-        if (target != nullptr && answer.head.status == misdirected && !this->weights.empty()) {
-            target->entry.held.erase(this->weights); // until the next endpoint update lists them again
-        }
-        const auto used = this->link;
-        this->link.reset();
-        if (answer.complete()) {
-            used->recordRejection(this->info.id);
-            this->gateway.pool.returnLink(used, this->gateway.now());
-        } else {
-            used->close();
-        }
-        this->attemptEnded(AttemptEnding::NotRun, "status_" + std::to_string(answer.head.status));
+    if (match == AnswerMatch::Unproven) {
+        this->dropUnprovenHead(answerInfo);
         return;
     }
-    if (!answerInfo.fromEndpoint || answerInfo.id != this->info.id) {
-        this->link->close();
-        this->onFailure(LinkFailure::Broken);
+    this->recordHead(answerInfo);
+    if (match == AnswerMatch::Rejection) {
+        this->takeRejection();
         return;
     }
     this->recordReturn(true);
@@ -110,6 +82,59 @@
     this->beginAnswer();
 }
 
+void Relay::recordHead(const AnswerInfo &answerInfo)
+{
+    const int status = this->link->answer().head.status;
+    const bool served = answerInfo.fromEndpoint && status < 300;
+    this->recordUnansweredEnd(status != misdirected, false); // another endpoint shows nothing of this one
+    if (status != misdirected) { // which may come from another endpoint at the same address
+        this->gateway.recordStatement({this->endpoint, this->incarnationStart}, answerInfo.stated, answerInfo.id);
+    }
+    if (isIncarnation(this->gateway.fleetState, this->endpoint, this->incarnationStart)) {
+        this->gateway.recordLimit(this->endpoint, answerInfo, served, this->sentAt);
+    }
+    if (answerInfo.fromEndpoint || answerInfo.notRun) {
+        this->gateway.recordRejectionLimit(this->service, answerInfo, served);
+    }
+}
+
+void Relay::takeRejection()
+{
+    constexpr int unavailable = 503;
+    const int status = this->link->answer().head.status;
+    if (status == unavailable) {
+        this->gateway.recordRejection(this->endpoint);
+    }
+    const auto target = this->gateway.fleetState.endpoints.find(this->endpoint);
+    if (target != this->gateway.fleetState.endpoints.end() && status == misdirected && !this->weights.empty()) {
+        target->second.entry.held.erase(this->weights); // until the next endpoint update lists them again
+    }
+    const auto used = this->link;
+    this->link.reset();
+    if (used->answer().complete()) {
+        used->recordRejection(this->info.id);
+        this->gateway.pool.returnLink(used, this->gateway.now());
+    } else {
+        used->close();
+    }
+    this->attemptEnded(AttemptEnding::NotRun, "status_" + std::to_string(status));
+}
+
+void Relay::dropUnprovenHead(const AnswerInfo &answerInfo)
+{
+    this->gateway.counts.answersUnproven += 1;
+    logEvent("answer_unproven",
+             {{"id", this->info.id},
+              {"endpoint", this->endpoint},
+              {"status", std::to_string(this->link->answer().head.status)},
+              {"answered_id", answerInfo.id},
+              {"ambiguous", answerInfo.ambiguous ? "yes" : "no"},
+              {"not_run", answerInfo.notRun ? "yes" : "no"},
+              {"from_endpoint", answerInfo.fromEndpoint ? "yes" : "no"}});
+    this->link->close();
+    this->onFailure(LinkFailure::Broken);
+}
+
 void Relay::dropUnprovenAnswer()
 {
     const std::string status = std::to_string(this->link->answer().head.status);
--- a/lacewing/relayforward.cpp
+++ b/lacewing/relayforward.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 
+#include "answermatch.h"
 #include "callerconnection.h"
 #include "eventlog.h"
 #include "gateway.h"
@@ -80,7 +81,7 @@
         return;
     }
     const AnswerInfo answerInfo = this->gateway.format.readAnswer(answer.head);
-    if (!answerInfo.fromEndpoint || answerInfo.id != this->info.id) {
+    if (matchAnswer(answerInfo, answer.head.status, this->info.id) != AnswerMatch::Answer) {
         this->link->close();
         this->onFailure(LinkFailure::Broken);
         return;
--- a/lacewing/requestformat.h
+++ b/lacewing/requestformat.h
@@ -54,6 +54,7 @@
 /// Metadata of an endpoint's answer.
 struct AnswerInfo {
     std::string id; ///< of the request that is answered; empty: not stated
+    bool ambiguous = false; ///< states more than once which request it answers, or that it has run or not
     bool fromEndpoint = false; ///< carries the marker that only an endpoint sets in its own answers
     bool notRun = false; ///< the endpoint states that the request has not run
     EndpointStatement stated; ///< what the endpoint states about itself
