--- a/lacewing/crashledger.cpp
+++ b/lacewing/crashledger.cpp
@@ -325,6 +325,24 @@
     return keys;
 }
 
+CrashSpan spanOf(const CrashLedger &ledger, RequestDigest digest)
+{
+    CrashSpan span;
+    const auto found = ledger.suspects.find(digest);
+    if (found == ledger.suspects.end()) {
+        return span;
+    }
+    std::optional<TimePoint> first;
+    for (const ChargedCrash &crash : found->second.crashes) {
+        if (!crash.cleared) {
+            first = std::min(first.value_or(crash.firstReported), crash.firstReported);
+            span.crashes += 1;
+            span.length = std::max(span.length, crash.firstReported - *first);
+        }
+    }
+    return span;
+}
+
 Suspicion suspicionOf(const CrashLedger &ledger, RequestDigest digest)
 {
     const auto found = ledger.suspects.find(digest);
--- a/lacewing/crashledger.h
+++ b/lacewing/crashledger.h
@@ -166,6 +166,16 @@
 /// @return its crashes that are not cleared
 std::vector<CrashKey> crashesOf(const CrashLedger &ledger, RequestDigest digest);
 
+/// The crashes that count against a request.
+struct CrashSpan {
+    std::size_t crashes = 0;
+    Duration length {0}; ///< from the first to the last
+};
+
+/// @param ledger of this VM
+/// @param digest of a request
+CrashSpan spanOf(const CrashLedger &ledger, RequestDigest digest);
+
 /// @param ledger of this VM
 /// @param digest of a request
 /// @return whether the request is suspected or proven to crash endpoints
--- a/lacewing/crashwatch.cpp
+++ b/lacewing/crashwatch.cpp
@@ -326,7 +326,11 @@
     const std::vector<RequestDigest> requests = reviewLedger(this->ledger, now);
     for (const RequestDigest digest : requests) {
         this->counts.proven += 1;
-        logEvent("request_proven_to_crash", {{"digest", describe(digest)}});
+        const CrashSpan span = spanOf(this->ledger, digest);
+        logEvent("request_proven_to_crash",
+                 {{"digest", describe(digest)},
+                  {"crashes", std::to_string(span.crashes)},
+                  {"span_ms", std::to_string(toMilliseconds(span.length))}});
         clearExplainedCrashes(this->parts, crashesOf(this->ledger, digest));
     }
     const std::vector<RequestDigest> provenParts = reviewParts(this->parts, now);
