--- a/lacewing/crashledger.cpp
+++ b/lacewing/crashledger.cpp
@@ -8,6 +8,8 @@
 
 #include <xxhash.h>
 
+#include "crashevidence.h"
+
 namespace lacewing {
 
 namespace {
@@ -22,9 +24,7 @@
     return found == suspect.crashes.end() ? nullptr : &*found;
 }
 
-/// A template, as it serves const and non-const ledgers.
-template<typename Ledger>
-auto findCrash(Ledger &ledger, CrashKey key) -> decltype(ledger.crashes.data())
+EndpointCrash *findRecorded(CrashLedger &ledger, CrashKey key)
 {
     const auto found = std::find_if(ledger.crashes.begin(), ledger.crashes.end(),
                                     [key](const EndpointCrash &crash) { return crash.key == key; });
@@ -69,6 +69,9 @@
     if (ChargedCrash *known = findCharge(suspect, crash.key)) {
         known->cleared = known->cleared || crash.cleared;
         known->late = known->late && crash.late;
+        if (known->sentAt && crash.sentAt) {
+            known->sentAt = std::max(*known->sentAt, *crash.sentAt);
+        }
         return;
     }
     if (suspect.crashes.size() >= maxChargedCrashes) {
@@ -78,43 +81,6 @@
     suspect.lastSeen = crash.firstReported;
 }
 
-bool contains(const EndpointCrash &crash, RequestDigest digest)
-{
-    return std::find(crash.inProgress.begin(), crash.inProgress.end(), digest) != crash.inProgress.end();
-}
-
-/// @return whether another endpoint of the service crashed at about the same time while the request was not in progress
-/// there
-bool hasCommonCause(const CrashLedger &ledger, const EndpointCrash &crash, RequestDigest digest)
-{
-    return std::any_of(ledger.crashes.begin(), ledger.crashes.end(), [&](const EndpointCrash &other) {
-        const Duration apart = std::chrono::abs(other.firstReported - crash.firstReported);
-        return other.service == crash.service && apart < commonCauseWindow && !contains(other, digest);
-    });
-}
-
-/// @return the crashes that count, one for each group of crashes that may have a common cause
-std::vector<CrashKey> countedCrashes(const CrashLedger &ledger, RequestDigest digest, const Suspect &suspect,
-                                     TimePoint now, bool includeLate = false)
-{
-    std::vector<CrashKey> counted;
-    TimePoint groupSince;
-    bool inGroup = false;
-    for (const ChargedCrash &charged : suspect.crashes) {
-        if (charged.cleared || (charged.late && !includeLate) || now - charged.firstReported < settlingTime) {
-            continue;
-        }
-        if (inGroup && charged.firstReported - groupSince < commonCauseWindow) {
-            continue;
-        }
-        const EndpointCrash *crash = findCrash(ledger, charged.key);
-        inGroup = crash != nullptr && hasCommonCause(ledger, *crash, digest);
-        groupSince = charged.firstReported;
-        counted.push_back(charged.key);
-    }
-    return counted;
-}
-
 /// @return whether another request of one of these crashes has at least as many crashes
 bool hasRival(const CrashLedger &ledger, RequestDigest digest, const std::vector<CrashKey> &counted, TimePoint now)
 {
@@ -128,7 +94,7 @@
             if (other == digest || suspect == ledger.suspects.end() || suspect->second.proven) {
                 continue;
             }
-            if (countedCrashes(ledger, other, suspect->second, now).size() >= counted.size()) {
+            if (independentCrashes(ledger, other, suspect->second, now).size() >= counted.size()) {
                 return true;
             }
         }
@@ -148,12 +114,18 @@
     return all;
 }
 
+void prove(Suspect &suspect, TimePoint now)
+{
+    suspect.proven = true;
+    suspect.provenAt = now;
+}
+
 SuspectStatement statementOf(const CrashLedger &ledger, RequestDigest digest, TimePoint now)
 {
     const Suspect &suspect = ledger.suspects.at(digest);
     SuspectStatement statement;
     statement.digest = digest;
-    statement.charged = countedCrashes(ledger, digest, suspect, now);
+    statement.charged = independentCrashes(ledger, digest, suspect, now);
     for (const ChargedCrash &crash : suspect.crashes) {
         if (crash.cleared) {
             statement.cleared.push_back(crash.key);
@@ -180,12 +152,32 @@
 void removeExpired(CrashLedger &ledger, TimePoint now)
 {
     std::erase_if(ledger.suspects, [now](const auto &entry) {
-        return now - entry.second.lastSeen >= (entry.second.proven ? proofRetention : suspicionRetention);
+        return !entry.second.proven && now - entry.second.lastSeen >= suspicionRetention;
     });
     std::erase_if(ledger.crashes,
                   [now](const EndpointCrash &crash) { return now - crash.firstReported >= suspicionRetention; });
 }
 
+Duration proofTime(std::size_t proofsEnded)
+{
+    constexpr std::size_t maxDoublings = 8;
+    return std::min(firstProofTime * (1 << std::min(proofsEnded, maxDoublings)), proofRetention);
+}
+
+std::vector<RequestDigest> endProofs(CrashLedger &ledger, TimePoint now)
+{
+    std::vector<RequestDigest> ended;
+    for (auto &[digest, suspect] : ledger.suspects) {
+        if (suspect.proven && now - suspect.provenAt >= proofTime(suspect.proofsEnded)) {
+            suspect.proven = false;
+            suspect.proofsEnded += 1;
+            suspect.lastSeen = now;
+            ended.push_back(digest);
+        }
+    }
+    return ended;
+}
+
 CrashKey crashKeyOf(std::string_view endpoint, std::int64_t born)
 {
     return XXH3_64bits_withSeed(endpoint.data(), endpoint.size(), static_cast<std::uint64_t>(born));
@@ -194,14 +186,14 @@
 void recordCrash(CrashLedger &ledger, CrashKey key, const ServiceName &service, const InProgress &inProgress,
                  TimePoint now)
 {
-    EndpointCrash *crash = findCrash(ledger, key);
+    EndpointCrash *crash = findRecorded(ledger, key);
     if (crash == nullptr) {
         if (ledger.crashes.size() >= maxCrashes) {
             ledger.crashes.erase(ledger.crashes.begin());
         }
         crash = &ledger.crashes.emplace_back(EndpointCrash {key, service, now, {}});
     }
-    const auto add = [&ledger, crash](RequestDigest digest, bool late) {
+    const auto add = [&ledger, crash, &inProgress, now](RequestDigest digest, bool late) {
         const bool known = contains(*crash, digest);
         if (!known && crash->inProgress.size() >= maxInProgressPerCrash) {
             return;
@@ -209,7 +201,9 @@
         if (!known) {
             crash->inProgress.push_back(digest);
         }
-        charge(ledger, digest, {crash->key, crash->firstReported, late, false});
+        const auto age = inProgress.ages.find(digest);
+        const TimePoint sentAt = age == inProgress.ages.end() ? now : now - age->second;
+        charge(ledger, digest, {crash->key, crash->firstReported, late, false, sentAt});
     };
     for (const RequestDigest digest : inProgress.early) {
         add(digest, false);
@@ -255,30 +249,32 @@
         crash.cleared = true;
     }
     found->second.proven = false;
+    found->second.proofsEnded = 0;
     return counted;
 }
 
 void applyStatement(CrashLedger &ledger, const SuspectStatement &statement, TimePoint now)
 {
     for (const CrashKey key : statement.cleared) {
-        charge(ledger, statement.digest, {key, now, false, true});
+        charge(ledger, statement.digest, {key, now, false, true, std::nullopt});
     }
     for (const CrashKey key : statement.charged) {
-        charge(ledger, statement.digest, {key, now, false, false});
+        charge(ledger, statement.digest, {key, now, false, false, std::nullopt});
     }
 }
 
 std::vector<RequestDigest> reviewLedger(CrashLedger &ledger, TimePoint now)
 {
+    endProofs(ledger, now);
     removeExpired(ledger, now);
     std::vector<std::pair<std::size_t, RequestDigest>> candidates;
     for (const auto &[digest, suspect] : ledger.suspects) {
         if (suspect.proven || suspect.crashes.size() < crashesToProve) {
             continue;
         }
-        const std::size_t counted = countedCrashes(ledger, digest, suspect, now).size();
-        const std::size_t all = countedCrashes(ledger, digest, suspect, now, true).size();
-        if (counted >= crashesToProve || all >= crashesToProveAlone) {
+        const std::size_t counted = independentCrashes(ledger, digest, suspect, now).size();
+        const std::size_t all = independentCrashes(ledger, digest, suspect, now, CrashKinds::EarlyAndLate).size();
+        if (counted >= crashesToProve + suspect.proofsEnded || all >= crashesToProveAlone + suspect.proofsEnded) {
             candidates.emplace_back(all, digest);
         }
     }
@@ -286,8 +282,9 @@
               candidates.rend()); // a request with more crashes explains those of the requests after it
     std::vector<RequestDigest> proven;
     for (const auto &[crashes, digest] : candidates) {
-        if (crashes >= crashesToProveAlone) {
-            ledger.suspects.at(digest).proven = true;
+        Suspect &suspect = ledger.suspects.at(digest);
+        if (crashes >= crashesToProveAlone + suspect.proofsEnded) {
+            prove(suspect, now);
             proven.push_back(digest);
         }
     }
@@ -295,9 +292,10 @@
                   [&ledger](RequestDigest digest) { clearExplainedCharges(ledger, digest); });
     for (const auto &[unused, digest] : candidates) {
         Suspect &suspect = ledger.suspects.at(digest);
-        const std::vector<CrashKey> counted = countedCrashes(ledger, digest, suspect, now);
-        if (!suspect.proven && counted.size() >= crashesToProve && !hasRival(ledger, digest, counted, now)) {
-            suspect.proven = true;
+        const std::vector<CrashKey> counted = independentCrashes(ledger, digest, suspect, now);
+        const bool enough = counted.size() >= crashesToProve + suspect.proofsEnded;
+        if (!suspect.proven && enough && !hasRival(ledger, digest, counted, now)) {
+            prove(suspect, now);
             clearExplainedCharges(ledger, digest);
             proven.push_back(digest);
         }
@@ -357,14 +355,6 @@
     return any ? Suspicion::Suspected : Suspicion::None;
 }
 
-void recordRefusal(CrashLedger &ledger, RequestDigest digest, TimePoint now)
-{
-    const auto found = ledger.suspects.find(digest);
-    if (found != ledger.suspects.end()) {
-        found->second.lastSeen = now;
-    }
-}
-
 std::vector<SuspectStatement> selectStatements(const CrashLedger &ledger, std::uint64_t round, std::size_t limit,
                                                TimePoint now)
 {
--- a/lacewing/crashledger.h
+++ b/lacewing/crashledger.h
@@ -14,9 +14,12 @@
 // - If another request of the same crash has at least as many crashes, neither is proven until one of them has more,
 //   or has crashesToProveAlone.
 // - Crashes of a proven request are explained by it and no longer count against other requests.
-// - Endpoints that crash at the same moment for a common cause, such as a rack that loses power, count as one crash
-//   for a request that was not in progress at all of them.
+// - Crashes of one moment may have a common cause, such as a rack that loses power, though many copies of the request
+//   were in progress there. Only crashes under copies that were sent after the crash before are independent
+//   (crashevidence.h).
 // - A crash counts only after settlingTime, when all VMs have reported their requests in progress there.
+// - A proof ends by itself, whatever is refused meanwhile. The next copy is a trial: one more crash proves the request
+//   again, for twice as long; a complete answer clears it.
 //
 // Memory is bounded by maxSuspects and maxCrashes. Suspects without recent activity and the oldest crashes are evicted
 // first.
@@ -50,7 +53,9 @@
 constexpr Duration commonCauseWindow = milliseconds(500);
 /// A suspect without a further crash is removed after this time.
 constexpr Duration suspicionRetention = std::chrono::minutes(2);
-/// A proven request that no caller sends is removed after this time.
+/// How long the first proof of a request holds. Each further one holds for twice as long.
+constexpr Duration firstProofTime = std::chrono::minutes(1);
+/// Longest time that a proof holds.
 constexpr Duration proofRetention = std::chrono::minutes(10);
 constexpr std::size_t maxSuspects = 4096;
 constexpr std::size_t maxCrashes = 256;
@@ -70,19 +75,26 @@
     TimePoint firstReported;
     bool late = false; ///< the request had been answered for longer than earlyCrashWindow
     bool cleared = false; ///< no longer counts; kept so that a delayed update does not add the crash again
+    /// When the last copy was sent that was in progress there; nothing: another VM has found that the crash is
+    /// independent.
+    std::optional<TimePoint> sentAt;
 };
 
 /// Requests that were in progress at an endpoint.
 struct InProgress {
     std::vector<RequestDigest> early; ///< had not been answered yet, or for at most earlyCrashWindow
     std::vector<RequestDigest> late; ///< had been answered for longer than earlyCrashWindow
+    /// Time since the last copy was sent that was in progress there, of early requests; none: just sent.
+    std::unordered_map<RequestDigest, Duration> ages {};
 };
 
 /// A request that was in progress at endpoints that crashed.
 struct Suspect {
     std::vector<ChargedCrash> crashes;
-    TimePoint lastSeen; ///< last crash or, if the request is proven, last refusal
+    TimePoint lastSeen; ///< last crash or end of a proof
+    TimePoint provenAt; ///< if the request is proven
     bool proven = false;
+    std::size_t proofsEnded = 0; ///< each of them requires one more crash for the next proof
 };
 
 struct CrashLedger {
@@ -150,7 +162,13 @@
 /// @param now current time
 void removeExpired(CrashLedger &ledger, TimePoint now);
 
-/// Removes expired entries, then evaluates the crashes that have settled.
+/// Ends the proofs whose time has passed.
+/// @param ledger changed
+/// @param now current time
+/// @return requests that are suspected again
+std::vector<RequestDigest> endProofs(CrashLedger &ledger, TimePoint now);
+
+/// Ends proofs and removes expired entries, then evaluates the crashes that have settled.
 /// @param ledger changed
 /// @param now current time
 /// @return requests that are newly proven
@@ -181,11 +199,9 @@
 /// @return whether the request is suspected or proven to crash endpoints
 Suspicion suspicionOf(const CrashLedger &ledger, RequestDigest digest);
 
-/// Extends the retention of a proven request that was refused.
-/// @param ledger changed
-/// @param digest of the request
-/// @param now current time
-void recordRefusal(CrashLedger &ledger, RequestDigest digest, TimePoint now);
+/// @param proofsEnded proofs of a request that have ended
+/// @return how long its next proof holds
+Duration proofTime(std::size_t proofsEnded);
 
 /// @param ledger of this VM
 /// @param round a number that increases with each call
--- a/lacewing/crashwatch.cpp
+++ b/lacewing/crashwatch.cpp
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "clock.h"
+#include "crashevidence.h"
 #include "eventlog.h"
 #include "fleet.h"
 #include "handlerguard.h"
@@ -35,7 +36,8 @@
 /// was established before the crash.
 constexpr Duration maxReportDelay = milliseconds(1000);
 
-void addTo(ContentInProgress &inProgress, const RequestContent &content, std::optional<Duration> answeredFor)
+void addTo(ContentInProgress &inProgress, const RequestContent &content, Duration age,
+           std::optional<Duration> answeredFor)
 {
     const auto add = [](std::vector<RequestDigest> &digests, RequestDigest digest) {
         const bool known = std::find(digests.begin(), digests.end(), digest) != digests.end();
@@ -45,6 +47,8 @@
     };
     const bool late = answeredFor && *answeredFor >= earlyCrashWindow;
     add(late ? inProgress.requests.late : inProgress.requests.early, content.digest);
+    const auto [known, isNew] = inProgress.requests.ages.try_emplace(content.digest, age);
+    known->second = std::min(known->second, age);
     const bool justBegun = answeredFor && *answeredFor < partCrashWindow;
     std::vector<RequestDigest> &parts = justBegun ? inProgress.parts.early : inProgress.parts.late;
     for (const RequestDigest part : content.parts) {
@@ -61,6 +65,13 @@
     return incarnation.address == entry.address && entry.born >= incarnation.born;
 }
 
+void addAge(ContentInProgress &inProgress, Duration passed)
+{
+    for (auto &[digest, age] : inProgress.requests.ages) {
+        age += passed;
+    }
+}
+
 std::size_t countRequests(const ContentInProgress &inProgress)
 {
     return inProgress.requests.early.size() + inProgress.requests.late.size();
@@ -88,12 +99,13 @@
 };
 
 void CrashWatch::recordBrokenConnection(const EndpointIncarnation &incarnation, const RequestContent &content,
-                                        std::optional<Duration> answeredFor, bool replaced)
+                                        TimePoint sentAt, std::optional<Duration> answeredFor, bool replaced)
 {
     const CrashKey key = crashKeyOf(incarnation.endpoint, incarnation.born);
+    const TimePoint now = this->clock.now();
     if (firstReportTime(this->ledger, key)) {
         ContentInProgress one;
-        addTo(one, content, answeredFor);
+        addTo(one, content, now - sentAt, answeredFor);
         this->reportCrash(incarnation, one);
         return;
     }
@@ -101,13 +113,13 @@
     if (this->unconfirmed.size() >= maxUnconfirmed && !this->unconfirmed.contains(key)) {
         return;
     }
-    const TimePoint now = this->clock.now();
     const auto [found, isNew] = this->unconfirmed.try_emplace(key);
     UnconfirmedCrash &crash = found->second;
     crash.incarnation = incarnation;
     crash.first = isNew ? now : crash.first;
+    addAge(crash.inProgress, isNew ? Duration {0} : now - crash.latest);
     crash.latest = now;
-    addTo(crash.inProgress, content, answeredFor);
+    addTo(crash.inProgress, content, now - sentAt, answeredFor);
     if (replaced) {
         this->confirm(key, "replaced");
     } else if (!crash.probing) {
@@ -198,8 +210,9 @@
     if (found == this->unconfirmed.end()) {
         return;
     }
-    const UnconfirmedCrash crash = std::move(found->second);
+    UnconfirmedCrash crash = std::move(found->second);
     this->unconfirmed.erase(found);
+    addAge(crash.inProgress, this->clock.now() - crash.latest);
     logEvent("endpoint_crashed",
              {{"endpoint", crash.incarnation.endpoint},
               {"born", std::to_string(crash.incarnation.born)},
@@ -232,7 +245,7 @@
 
 void CrashWatch::recordCompletion(const RequestContent &content)
 {
-    if (lacewing::recordCompletion(this->ledger, content.digest)) {
+    if (this->clearRequest(content.digest)) {
         this->queueCompletion(this->unsentCompletions, content.digest);
     }
     for (const RequestDigest part : content.parts) {
@@ -242,6 +255,15 @@
     }
 }
 
+bool CrashWatch::clearRequest(RequestDigest digest)
+{
+    if (lacewing::suspicionOf(this->ledger, digest) == Suspicion::Proven) {
+        this->counts.proofsCleared += 1;
+        logEvent("request_proof_cleared", {{"digest", describe(digest)}});
+    }
+    return lacewing::recordCompletion(this->ledger, digest);
+}
+
 void CrashWatch::recordAnswer(const EndpointName &endpoint, std::int64_t born, TimePoint connectedAt, TimePoint sentAt)
 {
     if (this->ledger.crashes.empty() && this->unconfirmed.empty()) {
@@ -284,11 +306,6 @@
     }
 }
 
-void CrashWatch::recordRefusal(const RequestContent &content)
-{
-    lacewing::recordRefusal(this->ledger, content.digest, this->clock.now());
-}
-
 Suspicion CrashWatch::suspicionOf(const RequestContent &content) const
 {
     const Suspicion ofRequest = lacewing::suspicionOf(this->ledger, content.digest);
@@ -323,14 +340,11 @@
 void CrashWatch::review()
 {
     const TimePoint now = this->clock.now();
+    this->endProofs();
     const std::vector<RequestDigest> requests = reviewLedger(this->ledger, now);
     for (const RequestDigest digest : requests) {
         this->counts.proven += 1;
-        const CrashSpan span = spanOf(this->ledger, digest);
-        logEvent("request_proven_to_crash",
-                 {{"digest", describe(digest)},
-                  {"crashes", std::to_string(span.crashes)},
-                  {"span_ms", std::to_string(toMilliseconds(span.length))}});
+        this->logProof(digest);
         clearExplainedCrashes(this->parts, crashesOf(this->ledger, digest));
     }
     const std::vector<RequestDigest> provenParts = reviewParts(this->parts, now);
@@ -348,6 +362,28 @@
     }
 }
 
+void CrashWatch::endProofs()
+{
+    for (const RequestDigest digest : lacewing::endProofs(this->ledger, this->clock.now())) {
+        this->counts.proofsEnded += 1;
+        logEvent("request_proof_ended", {{"digest", describe(digest)}});
+    }
+}
+
+void CrashWatch::logProof(RequestDigest digest) const
+{
+    const Suspect &suspect = this->ledger.suspects.at(digest);
+    const CrashSpan span = spanOf(this->ledger, digest);
+    const std::size_t independent = independentCrashes(this->ledger, digest, suspect, this->clock.now()).size();
+    logEvent("request_proven_to_crash",
+             {{"digest", describe(digest)},
+              {"crashes", std::to_string(span.crashes)},
+              {"independent", std::to_string(independent)},
+              {"span_ms", std::to_string(toMilliseconds(span.length))},
+              {"proofs_ended", std::to_string(suspect.proofsEnded)},
+              {"holds_ms", std::to_string(toMilliseconds(proofTime(suspect.proofsEnded)))}});
+}
+
 void CrashWatch::removeExpired()
 {
     const TimePoint now = this->clock.now();
--- a/lacewing/crashwatch.h
+++ b/lacewing/crashwatch.h
@@ -22,6 +22,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "crashledger.h"
@@ -46,6 +47,8 @@
     std::int64_t crashes = 0; ///< of endpoints, seen by any VM
     std::int64_t refuted = 0; ///< of these crashes
     std::int64_t proven = 0; ///< requests that crash endpoints
+    std::int64_t proofsEnded = 0; ///< of requests whose next copy is a trial
+    std::int64_t proofsCleared = 0; ///< of requests that an endpoint has answered completely all the same
     std::int64_t partsProven = 0; ///< parts of prompts that crash endpoints
     std::int64_t untold = 0; ///< digests omitted from updates because too many were pending
 };
@@ -60,9 +63,10 @@
     /// Records a connection that broke while a request was in progress.
     /// @param incarnation to which the request was sent
     /// @param content of the request
+    /// @param sentAt when the request was sent
     /// @param answeredFor time since the first bytes of the answer; nothing: there were none
     /// @param replaced whether the platform's list already shows a newer process in its place
-    void recordBrokenConnection(const EndpointIncarnation &incarnation, const RequestContent &content,
+    void recordBrokenConnection(const EndpointIncarnation &incarnation, const RequestContent &content, TimePoint sentAt,
                                 std::optional<Duration> answeredFor, bool replaced);
     /// Records that an endpoint answered a request completely.
     /// @param content of the request
@@ -76,10 +80,6 @@
     /// Records an entry of the platform's list, which may show a newer incarnation.
     /// @param entry as listed
     void recordListedEntry(const EndpointEntry &entry);
-    /// Records that a request was refused because it is proven to crash endpoints.
-    /// @param content of the request
-    void recordRefusal(const RequestContent &content);
-
     /// @param content of a request
     /// @return whether the request or a part of its prompt is suspected or proven to crash endpoints
     Suspicion suspicionOf(const RequestContent &content) const;
@@ -115,7 +115,7 @@
     /// An incarnation with broken requests that may have crashed.
     struct UnconfirmedCrash {
         EndpointIncarnation incarnation;
-        ContentInProgress inProgress;
+        ContentInProgress inProgress; ///< ages are those at the time of the latest break
         TimePoint first; ///< when the first connection broke
         TimePoint latest; ///< when the latest connection broke
         int probes = 0;
@@ -132,13 +132,16 @@
     void reportCrash(const EndpointIncarnation &incarnation, const ContentInProgress &inProgress);
     void broadcast(const wire::CrashNews &update) const;
     void queueReports(const EndpointIncarnation &incarnation, const ContentInProgress &inProgress);
-    void queueReport(const EndpointIncarnation &incarnation, const std::vector<RequestDigest> &digests,
-                     DigestKind kind);
+    void queueReport(const EndpointIncarnation &incarnation, const std::vector<RequestDigest> &digests, DigestKind kind,
+                     const std::unordered_map<RequestDigest, Duration> &ages);
     void queueCompletion(std::vector<std::int64_t> &queue, RequestDigest digest);
     void flushReports();
     void flushCompletions();
     void scheduleReview();
     void review();
+    void endProofs();
+    void logProof(RequestDigest digest) const;
+    bool clearRequest(RequestDigest digest);
     void refute(CrashKey key);
     void removeExpired();
 
--- a/lacewing/crashwatchupdates.cpp
+++ b/lacewing/crashwatchupdates.cpp
@@ -3,6 +3,7 @@
 #include "crashwatch.h"
 
 #include <algorithm>
+#include <span>
 #include <utility>
 
 #include "clock.h"
@@ -53,6 +54,28 @@
     return suspect;
 }
 
+InProgress requestsOf(const wire::CrashReport &report)
+{
+    InProgress requests {fromWire(report.digests), fromWire(report.lateDigests)};
+    for (std::size_t index = 0; index < std::min(report.ages.size(), report.digests.size()); ++index) {
+        requests.ages.emplace(fromWire(report.digests[index]), milliseconds(std::max(0, report.ages[index])));
+    }
+    return requests;
+}
+
+std::vector<std::int32_t> agesOf(std::span<const std::int64_t> digests,
+                                 const std::unordered_map<RequestDigest, Duration> &known)
+{
+    constexpr std::int64_t longestAge = toMilliseconds(suspicionRetention);
+    std::vector<std::int32_t> ages;
+    for (const std::int64_t digest : digests) {
+        const auto found = known.find(fromWire(digest));
+        const std::int64_t age = found == known.end() ? 0 : toMilliseconds(found->second);
+        ages.push_back(static_cast<std::int32_t>(std::min(age, longestAge)));
+    }
+    return ages;
+}
+
 SuspectStatement fromWire(const wire::SuspectStatement &suspect)
 {
     return {fromWire(suspect.digest), fromWire(suspect.charged), fromWire(suspect.cleared)};
@@ -62,14 +85,15 @@
 
 void CrashWatch::queueReports(const EndpointIncarnation &incarnation, const ContentInProgress &inProgress)
 {
-    this->queueReport(incarnation, inProgress.requests.early, DigestKind::Requests);
-    this->queueReport(incarnation, inProgress.requests.late, DigestKind::LateRequests);
-    this->queueReport(incarnation, inProgress.parts.early, DigestKind::Parts);
-    this->queueReport(incarnation, inProgress.parts.late, DigestKind::LateParts);
+    const auto &ages = inProgress.requests.ages;
+    this->queueReport(incarnation, inProgress.requests.early, DigestKind::Requests, ages);
+    this->queueReport(incarnation, inProgress.requests.late, DigestKind::LateRequests, ages);
+    this->queueReport(incarnation, inProgress.parts.early, DigestKind::Parts, ages);
+    this->queueReport(incarnation, inProgress.parts.late, DigestKind::LateParts, ages);
 }
 
 void CrashWatch::queueReport(const EndpointIncarnation &incarnation, const std::vector<RequestDigest> &digests,
-                             DigestKind kind)
+                             DigestKind kind, const std::unordered_map<RequestDigest, Duration> &ages)
 {
     const std::size_t room = maxUnsent - std::min(maxUnsent, this->unsentDigests);
     const std::size_t queued = std::min(room, digests.size());
@@ -86,6 +110,7 @@
         switch (kind) {
         case DigestKind::Requests:
             report.digests = part;
+            report.__set_ages(agesOf(part, ages));
             break;
         case DigestKind::LateRequests:
             report.lateDigests = part;
@@ -174,14 +199,13 @@
     for (const wire::CrashReport &report : update.crashes) {
         const CrashKey key = crashKeyOf(report.endpoint, report.born);
         this->counts.crashes += firstReportTime(this->ledger, key) ? 0 : 1;
-        recordCrash(this->ledger, key, report.serviceName, {fromWire(report.digests), fromWire(report.lateDigests)},
-                    now);
+        recordCrash(this->ledger, key, report.serviceName, requestsOf(report), now);
         recordCrash(this->parts, key, report.serviceName,
                     {fromWire(report.partDigests), fromWire(report.latePartDigests)}, now);
         this->confirm(key, "told");
     }
     for (const std::int64_t digest : update.completed) {
-        lacewing::recordCompletion(this->ledger, fromWire(digest));
+        this->clearRequest(fromWire(digest));
     }
     for (const std::int64_t part : update.completedParts) {
         lacewing::recordCompletion(this->parts, fromWire(part));
@@ -208,6 +232,7 @@
 wire::CrashNews CrashWatch::periodicUpdate()
 {
     const TimePoint now = this->clock.now();
+    this->review(); // proofs end without any news
     wire::CrashNews update;
     for (const SuspectStatement &one : selectStatements(this->ledger, this->round, maxStatementsPerUpdate, now)) {
         update.suspects.push_back(toWire(one));
--- a/lacewing/entrynodemetrics.cpp
+++ b/lacewing/entrynodemetrics.cpp
@@ -54,6 +54,8 @@
     line("endpoint_crashes_total", crashes.crashes);
     line("endpoint_crashes_refuted_total", crashes.refuted);
     line("requests_proven_to_crash_total", crashes.proven);
+    line("request_proofs_ended_total", crashes.proofsEnded);
+    line("request_proofs_cleared_total", crashes.proofsCleared);
     line("parts_proven_to_crash_total", crashes.partsProven);
     line("crash_digests_untold_total", crashes.untold);
     line("copy_leases_acquired_total", this->copyLeases.counts.acquired);
--- a/lacewing/lacewing.thrift
+++ b/lacewing/lacewing.thrift
@@ -322,7 +322,8 @@
   4: list<i64> digests,                // of requests that had just begun, or had not begun
   5: list<i64> lateDigests,            // of requests that had been answered for a while
   6: optional list<i64> partDigests,   // of the parts of prompts of the former
-  7: optional list<i64> latePartDigests // of those of the latter alone
+  7: optional list<i64> latePartDigests, // of those of the latter alone
+  8: optional list<i32> ages           // of the digests, in their order: milliseconds since the last copy was sent
 }
 
 /** Crashes that count against a request, and such as count no more. */
--- a/lacewing/relayend.cpp
+++ b/lacewing/relayend.cpp
@@ -62,7 +62,7 @@
     const bool replaced
         = isReplaced(this->gateway.fleetState, {this->endpoint, this->incarnationStart}, this->service, address);
     this->gateway.crashes.recordBrokenConnection({this->endpoint, this->incarnationStart, this->service, address},
-                                                 this->content, answeredFor, replaced);
+                                                 this->content, this->sentAt, answeredFor, replaced);
 }
 
 bool Relay::refuseIfProvenCrashing()
@@ -71,7 +71,6 @@
         return false;
     }
     const bool byPart = this->gateway.crashes.hasProvenPart(this->content);
-    this->gateway.crashes.recordRefusal(this->content);
     this->sendGatewayAnswer(byPart ? ResultCode::PartCrashesEndpoints : ResultCode::CrashesEndpoints, Duration {0});
     return true;
 }
@@ -81,6 +80,9 @@
     if (this->done || this->suspicion() != Suspicion::Proven) {
         return;
     }
+    if (this->written && this->gateway.now() - this->sentAt >= earlyCrashWindow) {
+        return; // its complete answer would show that the proof is wrong
+    }
     if (this->link) {
         this->link->close(); // the endpoint may not have started to run the request
         this->link.reset();
--- a/lacewing/testing/crashledgertest.cpp
+++ b/lacewing/testing/crashledgertest.cpp
@@ -109,6 +109,75 @@
     cr_assert_eq(fixture.suspicion(poison), Suspicion::Proven);
 }
 
+// Guards against a popular request whose copies are ended one by one, by failures that began before they could show
+// anything.
+Test(crashledger, crashesUnderCopiesThatWereSentTogetherCountAsOne)
+{
+    LedgerFixture fixture;
+    for (int number = 0; number < 6; ++number) {
+        const Duration age = milliseconds(100) + milliseconds(400) * number;
+        recordCrash(fixture.ledger, crashKeyOf("e" + std::to_string(number), 1), "s", {{sound}, {}, {{sound, age}}},
+                    fixture.now);
+        fixture.now += milliseconds(400);
+        reviewLedger(fixture.ledger, fixture.now);
+    }
+    cr_assert_eq(fixture.suspicion(sound), Suspicion::Suspected);
+}
+
+namespace {
+
+/// @return a fixture whose poison request is proven
+LedgerFixture proveThePoison()
+{
+    LedgerFixture fixture;
+    for (const char *endpoint : {"a", "b", "c"}) {
+        fixture.crash(endpoint, {poison});
+    }
+    return fixture;
+}
+
+} // namespace
+
+// Guards against a proof that nothing can end: no copy is sent that could be answered.
+Test(crashledger, aProofEndsByItself)
+{
+    LedgerFixture fixture = proveThePoison();
+    cr_assert_eq(fixture.suspicion(poison), Suspicion::Proven);
+    fixture.now += firstProofTime;
+    cr_assert_eq(endProofs(fixture.ledger, fixture.now).size(), 1U);
+    cr_assert_eq(fixture.suspicion(poison), Suspicion::Suspected, "its next copy is a trial");
+    cr_assert(reviewLedger(fixture.ledger, fixture.now).empty(), "the crashes before prove nothing more");
+    cr_assert(recordCompletion(fixture.ledger, poison));
+    cr_assert_eq(fixture.suspicion(poison), Suspicion::None);
+}
+
+Test(crashledger, aTrialThatCrashesProvesTheRequestForTwiceAsLong)
+{
+    LedgerFixture fixture = proveThePoison();
+    fixture.now += firstProofTime;
+    endProofs(fixture.ledger, fixture.now);
+    fixture.crash("d", {poison});
+    cr_assert_eq(fixture.suspicion(poison), Suspicion::Proven);
+    fixture.now += firstProofTime;
+    cr_assert(endProofs(fixture.ledger, fixture.now).empty());
+    fixture.now += firstProofTime;
+    cr_assert_eq(endProofs(fixture.ledger, fixture.now).size(), 1U);
+    cr_assert_eq(proofTime(100), proofRetention);
+}
+
+Test(crashledger, aVmThatLearnsOfOldCrashesDoesNotEndATrial)
+{
+    LedgerFixture fixture = proveThePoison();
+    const std::vector<SuspectStatement> statements = selectStatements(fixture.ledger, 0, 4, fixture.now);
+    fixture.now += firstProofTime;
+    endProofs(fixture.ledger, fixture.now);
+    for (const SuspectStatement &statement : statements) {
+        applyStatement(fixture.ledger, statement, fixture.now);
+    }
+    fixture.now += settlingTime;
+    cr_assert(reviewLedger(fixture.ledger, fixture.now).empty());
+}
+
 Test(crashledger, requestsWithEqualCrashesAreNotProvenUntilOneHasMore)
 {
     LedgerFixture fixture;
@@ -284,6 +353,7 @@
             if (copy.endpoint == endpoint) {
                 InProgress &requests = byVm[copy.vm];
                 (this->now - copy.begun >= earlyCrashWindow ? requests.late : requests.early).push_back(copy.digest);
+                requests.ages[copy.digest] = this->now - copy.begun;
             }
             if (copy.endpoint == endpoint && !copy.isRetry && copy.digest != poison) {
                 this->pendingRetries.push_back({copy.digest, this->now + milliseconds(100 + this->randomBelow(500))});
--- a/lacewing/testing/crashwatchtest.cpp
+++ b/lacewing/testing/crashwatchtest.cpp
@@ -60,7 +60,8 @@
 
     void breakConnection(bool replaced = false)
     {
-        this->watch.recordBrokenConnection({"i", born, "s", this->address}, this->content, std::nullopt, replaced);
+        this->watch.recordBrokenConnection({"i", born, "s", this->address}, this->content, this->clock.now(),
+                                           std::nullopt, replaced);
     }
 
     void list(const EndpointName &id, std::int64_t start)
@@ -203,3 +204,58 @@
     fixture.runFor(probed);
     cr_assert_eq(reported, maxInProgressPerCrash, "%zu requests told", reported);
 }
+
+namespace {
+
+wire::CrashNews reportOf(const std::string &endpoint, RequestDigest digest, std::int32_t ageMilliseconds)
+{
+    wire::CrashReport report;
+    report.endpoint = endpoint;
+    report.born = born;
+    report.serviceName = "s";
+    report.digests = {static_cast<std::int64_t>(digest)};
+    report.__set_ages({ageMilliseconds});
+    wire::CrashNews news;
+    news.crashes.push_back(report);
+    return news;
+}
+
+/// Takes the reports of another VM, of crashes at some distance.
+/// @param ageMilliseconds of the copy at each endpoint
+/// @return what is known of the request afterwards
+Suspicion takeReports(WatchFixture &fixture, std::int32_t ageMilliseconds)
+{
+    constexpr std::chrono::milliseconds apart {400};
+    for (const char *endpoint : {"a", "b", "c"}) {
+        fixture.watch.take(reportOf(endpoint, fixture.content.digest, ageMilliseconds));
+        fixture.runFor(apart);
+    }
+    return fixture.watch.suspicionOf(fixture.content);
+}
+
+} // namespace
+
+// Guards against copies that ran beside each other, at VMs of their own, and are taken for independent evidence.
+Test(crashwatch, otherVmsAreToldHowLongAgoACopyWasSent)
+{
+    WatchFixture fixture(Port::Closed);
+    wire::CrashNews told;
+    fixture.watch.onUpdate = [&told](const wire::CrashNews &update) { told = update; };
+    const TimePoint sentAt = fixture.clock.now() - milliseconds(700);
+    fixture.watch.recordBrokenConnection({"i", born, "s", fixture.address}, fixture.content, sentAt, std::nullopt,
+                                         false);
+    for (int times = 0; times < 200 && told.crashes.empty(); ++times) {
+        fixture.runFor(std::chrono::milliseconds(50));
+    }
+    cr_assert_eq(told.crashes.size(), 1U);
+    cr_assert_eq(told.crashes.front().ages.size(), told.crashes.front().digests.size());
+    cr_expect_geq(told.crashes.front().ages.front(), 700);
+}
+
+Test(crashwatch, reportsOfCopiesThatRanBesideEachOtherProveNothing)
+{
+    WatchFixture beside(Port::Accepting);
+    cr_expect_eq(takeReports(beside, 2000), Suspicion::Suspected);
+    WatchFixture apart(Port::Accepting);
+    cr_expect_eq(takeReports(apart, 50), Suspicion::Proven);
+}
