DENIED: copies that wait for each other are sent once their request is cleared

Cause: a copy that waits for the lease of its request is woken by that lease only. Change: an answer that clears a request wakes its copies at all VMs. A copy that another VM runs for this one is no longer cut by a proof of this VM: the other VM decides, as for its own.

--- a/lacewing/crashwatch.cpp
+++ b/lacewing/crashwatch.cpp
@@ -261,7 +261,12 @@
         this->counts.proofsCleared += 1;
         logEvent("request_proof_cleared", {{"digest", describe(digest)}});
     }
-    return lacewing::recordCompletion(this->ledger, digest);
+    const bool cleared = lacewing::recordCompletion(this->ledger, digest);
+    if (cleared && this->onCleared) {
+        asio::post(this->context,
+                   [this, digest] { runGuarded("crash_cleared", [this, digest] { this->onCleared(digest); }); });
+    }
+    return cleared;
 }
 
 void CrashWatch::recordAnswer(const EndpointName &endpoint, std::int64_t born, TimePoint connectedAt, TimePoint sentAt)
--- a/lacewing/crashwatch.h
+++ b/lacewing/crashwatch.h
@@ -102,6 +102,8 @@
     std::function<void(const wire::CrashNews &)> onUpdate;
     /// Called when requests or parts are newly proven to crash endpoints.
     std::function<void()> onProven;
+    /// Called after a complete answer has cleared a request that was suspected or proven.
+    std::function<void(RequestDigest)> onCleared;
 
 private:
     /// What the digests of a report belong to.
--- a/lacewing/gateway.cpp
+++ b/lacewing/gateway.cpp
@@ -39,6 +39,7 @@
       random(std::random_device {}())
 {
     this->crashes.onProven = [this] { this->endProvenRequests(); };
+    this->crashes.onCleared = [this](RequestDigest digest) { this->resumeCopies(digest); };
     this->reach.onChanged
         = [this](const ServiceName &service, bool unreachable) { this->onReachChanged(service, unreachable); };
     this->reach.onVerified = [this](const ServiceName &service) { this->resumeVerified(service); };
@@ -212,6 +213,14 @@
     }
 }
 
+void Gateway::resumeCopies(RequestDigest digest)
+{
+    const std::vector<std::shared_ptr<Relay>> open(this->relays.begin(), this->relays.end());
+    for (const auto &relay : open) {
+        relay->endCopyWait(digest);
+    }
+}
+
 void Gateway::setRevocationBound(std::optional<Duration> bound)
 {
     this->settings.revocationBound = bound;
--- a/lacewing/gateway.h
+++ b/lacewing/gateway.h
@@ -315,6 +315,7 @@
     void wakeWaiting();
     void scheduleWakeup(Duration delay);
     void endProvenRequests();
+    void resumeCopies(RequestDigest digest);
     void announceEndpointStatus(const EndpointName &id, bool works);
     void recordEndpointFailure(const EndpointName &id, EndpointFailure failure, const std::string &request);
     void recordEndpointSuccess(const EndpointName &id);
--- a/lacewing/relay.h
+++ b/lacewing/relay.h
@@ -64,6 +64,9 @@
     void abandonCaller();
     /// Ends the request if the crash ledger has proven that it crashes endpoints.
     void endIfProvenToCrash();
+    /// Sends the request if it waits for the lease of its copies, which is not needed any more.
+    /// @param digest of the requests that are no longer suspected
+    void endCopyWait(RequestDigest digest);
     /// Ends the request with an answer that the gateway generates.
     /// @param wanted reason; replaced by OutcomeUnknown if it implies that the request has not run and that is not
     /// certain
--- a/lacewing/relaycopies.cpp
+++ b/lacewing/relaycopies.cpp
@@ -52,6 +52,16 @@
     }
 }
 
+void Relay::endCopyWait(RequestDigest digest)
+{
+    if (this->done || this->content.digest != digest || this->copyTicket == 0 || this->copyLeaseHeld) {
+        return;
+    }
+    this->releaseCopyLease();
+    this->waitTimer.cancel();
+    this->run([this] { this->place(); });
+}
+
 void Relay::releaseCopyLease()
 {
     const bool unsettled = std::exchange(this->mayStillRun, false);
--- a/lacewing/relayend.cpp
+++ b/lacewing/relayend.cpp
@@ -80,7 +80,8 @@
     if (this->done || this->suspicion() != Suspicion::Proven) {
         return;
     }
-    if (this->written && this->gateway.now() - this->sentAt >= earlyCrashWindow) {
+    const bool sent = this->written || !this->peer.empty();
+    if (sent && this->gateway.now() - this->sentAt >= earlyCrashWindow) {
         return; // its complete answer would show that the proof is wrong
     }
     if (this->link) {
