--- a/lacewing/crashevidence.h
+++ b/lacewing/crashevidence.h
@@ -5,6 +5,10 @@
 // that does crash endpoints ends them in the same way when a burst of its copies arrives before the first crash is
 // known. What tells them apart is a copy that is sent after the crash before: whatever ended those endpoints did not
 // end the one to which that copy is sent.
+//
+// So crashes under copies that were sent beside each other count as one. They count as two if two of the copies came
+// together and ended their endpoints soon: a burst of a deadly request then ends one endpoint more, and still no proof
+// is made of copies that were sent beside each other.
 
 #pragma once
 
--- a/lacewing/crashwatch.cpp
+++ b/lacewing/crashwatch.cpp
@@ -369,6 +369,7 @@
 
 void CrashWatch::endProofs()
 {
+    endPartProofs(this->parts, this->clock.now());
     for (const RequestDigest digest : lacewing::endProofs(this->ledger, this->clock.now())) {
         this->counts.proofsEnded += 1;
         logEvent("request_proof_ended", {{"digest", describe(digest)}});
--- a/lacewing/crashwatchupdates.cpp
+++ b/lacewing/crashwatchupdates.cpp
@@ -232,7 +232,7 @@
 wire::CrashNews CrashWatch::periodicUpdate()
 {
     const TimePoint now = this->clock.now();
-    this->review(); // proofs end without any news
+    this->endProofs(); // without any news there is no review
     wire::CrashNews update;
     for (const SuspectStatement &one : selectStatements(this->ledger, this->round, maxStatementsPerUpdate, now)) {
         update.suspects.push_back(toWire(one));
--- a/lacewing/promptparts.cpp
+++ b/lacewing/promptparts.cpp
@@ -20,23 +20,6 @@
                        [](const ChargedCrash &crash) { return crash.cleared; });
 }
 
-/// Ends proofs that are old: the next crash proves the part again.
-void endOldProofs(CrashLedger &parts, TimePoint now)
-{
-    constexpr std::size_t keptCrashes = partCrashesToProve - 1;
-    for (auto &[digest, suspect] : parts.suspects) {
-        if (!suspect.proven || now - suspect.lastSeen < proofRetention) {
-            continue;
-        }
-        suspect.proven = false;
-        suspect.lastSeen = now;
-        std::erase_if(suspect.crashes, [](const ChargedCrash &crash) { return crash.cleared; });
-        if (suspect.crashes.size() > keptCrashes) {
-            suspect.crashes.erase(suspect.crashes.begin(), suspect.crashes.end() - keptCrashes);
-        }
-    }
-}
-
 /// Clears crashes of requests with a proven part that were on their way when it was proven.
 void clearExplainedByProven(CrashLedger &parts)
 {
@@ -110,6 +93,22 @@
     return XXH3_64bits(text.data(), text.size());
 }
 
+void endPartProofs(CrashLedger &parts, TimePoint now)
+{
+    constexpr std::size_t keptCrashes = partCrashesToProve - 1;
+    for (auto &[digest, suspect] : parts.suspects) {
+        if (!suspect.proven || now - suspect.lastSeen < proofRetention) {
+            continue;
+        }
+        suspect.proven = false;
+        suspect.lastSeen = now;
+        std::erase_if(suspect.crashes, [](const ChargedCrash &crash) { return crash.cleared; });
+        if (suspect.crashes.size() > keptCrashes) {
+            suspect.crashes.erase(suspect.crashes.begin(), suspect.crashes.end() - keptCrashes);
+        }
+    }
+}
+
 void clearExplainedCrashes(CrashLedger &parts, std::span<const CrashKey> crashes)
 {
     for (auto &[digest, suspect] : parts.suspects) {
@@ -125,7 +124,7 @@
 
 std::vector<RequestDigest> reviewParts(CrashLedger &parts, TimePoint now)
 {
-    endOldProofs(parts, now);
+    endPartProofs(parts, now);
     removeExpired(parts, now);
     clearExplainedByProven(parts);
     std::vector<RequestDigest> proven;
--- a/lacewing/promptparts.h
+++ b/lacewing/promptparts.h
@@ -59,7 +59,12 @@
 /// @param crashes of the request
 void clearExplainedCrashes(CrashLedger &parts, std::span<const CrashKey> crashes);
 
-/// Removes expired entries, then evaluates the crashes that have settled.
+/// Ends proofs that are old: the next crash proves the part again.
+/// @param parts ledger of parts; changed
+/// @param now current time
+void endPartProofs(CrashLedger &parts, TimePoint now);
+
+/// Ends old proofs and removes expired entries, then evaluates the crashes that have settled.
 /// @param parts ledger of parts; changed
 /// @param now current time
 /// @return parts that are newly proven
--- a/lacewing/testing/crashwatchtest.cpp
+++ b/lacewing/testing/crashwatchtest.cpp
@@ -259,3 +259,15 @@
     WatchFixture apart(Port::Accepting);
     cr_expect_eq(takeReports(apart, 50), Suspicion::Proven);
 }
+
+// Guards against a proof that outlasts its time because no crash is reported.
+Test(crashwatch, aProofEndsWithoutNews)
+{
+    WatchFixture fixture(Port::Accepting);
+    cr_assert_eq(takeReports(fixture, 50), Suspicion::Proven);
+    fixture.clock.pause();
+    fixture.clock.advance(firstProofTime);
+    fixture.watch.periodicUpdate();
+    cr_expect_eq(fixture.watch.suspicionOf(fixture.content), Suspicion::Suspected);
+    cr_expect_eq(fixture.watch.counts.proofsEnded, 1);
+}
