--- a/lacewing/crashevidence.cpp
+++ b/lacewing/crashevidence.cpp
@@ -1,4 +1,6 @@
-// Crashes are taken in the order in which they were reported. Each one joins the group before it, or begins another.
+// Crashes are taken in the order in which they were reported. Each one joins the group before it, or begins another. A
+// group is represented by its smallest keys, not by its first crashes: VMs receive reports in different orders, and one
+// that learns of a group from the statements of several VMs must not count it several times.
 
 #include "crashevidence.h"
 
@@ -21,6 +23,7 @@
     bool hasOtherCause = false; ///< endpoints that did not run the request crashed at the same time
     bool hasBurst = false; ///< two copies that arrived together ended their endpoints soon
     std::vector<TimePoint> soonAfter {}; ///< when the copies were sent whose endpoints crashed soon
+    std::vector<CrashKey> keys {}; ///< of all its crashes
 };
 
 /// @return whether another endpoint of the service crashed at about the same time while the request was not in progress
@@ -43,21 +46,27 @@
     return sameMoment || *crash.sentAt < group.first + settlingTime;
 }
 
-/// Adds a crash to the group to which it belongs.
-/// @return whether it makes the group a burst, which counts once more
-bool addTo(CrashGroup &group, const ChargedCrash &crash)
+void addTo(CrashGroup &group, const ChargedCrash &crash)
 {
     group.last = crash.firstReported;
+    group.keys.push_back(crash.key);
     if (crash.late || crash.firstReported - *crash.sentAt >= burstCrashTime) {
-        return false;
+        return;
     }
     const bool together = std::any_of(group.soonAfter.begin(), group.soonAfter.end(), [&](TimePoint sent) {
         return std::chrono::abs(sent - *crash.sentAt) < burstWindow;
     });
     group.soonAfter.push_back(*crash.sentAt);
-    const bool begins = together && !group.hasBurst && !group.hasOtherCause;
     group.hasBurst = group.hasBurst || together;
-    return begins;
+}
+
+/// Adds the keys by which a group counts: one, or two of a burst.
+void addKeys(CrashGroup &group, std::vector<CrashKey> &independent)
+{
+    const std::size_t count = group.hasBurst && !group.hasOtherCause ? 2 : 1;
+    const auto end = group.keys.begin() + static_cast<std::ptrdiff_t>(std::min(count, group.keys.size()));
+    std::partial_sort(group.keys.begin(), end, group.keys.end());
+    independent.insert(independent.end(), group.keys.begin(), end);
 }
 
 } // namespace
@@ -89,14 +98,17 @@
             continue;
         }
         if (!group || !joins(*group, crash)) {
+            if (group) {
+                addKeys(*group, independent);
+            }
             const EndpointCrash *found = findCrash(ledger, crash.key);
             const bool hasOtherCause = found != nullptr && hasCommonCause(ledger, *found, digest);
             group = CrashGroup {crash.firstReported, crash.firstReported, hasOtherCause};
-            independent.push_back(crash.key);
-            addTo(*group, crash);
-        } else if (addTo(*group, crash)) {
-            independent.push_back(crash.key);
         }
+        addTo(*group, crash);
+    }
+    if (group) {
+        addKeys(*group, independent);
     }
     return independent;
 }
--- a/lacewing/relayanswer.cpp
+++ b/lacewing/relayanswer.cpp
@@ -47,9 +47,6 @@
 {
     ResponseReader &answer = this->link->answer();
     const AnswerInfo answerInfo = this->gateway.format.readAnswer(answer.head);
-    if (answerInfo.stated.keepAlive) {
-        this->link->keepAlive = *answerInfo.stated.keepAlive;
-    }
     const AnswerMatch match = matchAnswer(answerInfo, answer.head.status, this->info.id);
     if (match == AnswerMatch::OtherRequest) {
         this->link->skipAnswer();
@@ -84,6 +81,9 @@
 
 void Relay::recordHead(const AnswerInfo &answerInfo)
 {
+    if (answerInfo.stated.keepAlive) {
+        this->link->keepAlive = *answerInfo.stated.keepAlive;
+    }
     const int status = this->link->answer().head.status;
     const bool served = answerInfo.fromEndpoint && status < 300;
     this->recordUnansweredEnd(status != misdirected, false); // another endpoint shows nothing of this one
--- a/lacewing/testing/crashledgertest.cpp
+++ b/lacewing/testing/crashledgertest.cpp
@@ -124,6 +124,29 @@
     cr_assert_eq(fixture.suspicion(sound), Suspicion::Suspected);
 }
 
+// Guards against one moment that a VM which has just started counts once for each VM that states it.
+Test(crashledger, aVmWithoutStateCountsTheCrashesOfOneMomentOnce)
+{
+    const std::vector<std::string> endpoints {"a", "b", "c"};
+    LedgerFixture fresh;
+    for (std::size_t first = 0; first < endpoints.size(); ++first) { // each VM sees the crash of its own copy first
+        LedgerFixture fixture;
+        for (std::size_t number = 0; number < endpoints.size(); ++number) {
+            const Duration age = milliseconds(600) * static_cast<std::int64_t>(number + 1);
+            const std::string &endpoint = endpoints[(first + number) % endpoints.size()];
+            recordCrash(fixture.ledger, crashKeyOf(endpoint, 1), "s", {{sound}, {}, {{sound, age}}}, fixture.now);
+            fixture.now += milliseconds(2);
+        }
+        fixture.now += milliseconds(1000);
+        for (const SuspectStatement &statement : selectStatements(fixture.ledger, 0, 4, fixture.now)) {
+            applyStatement(fresh.ledger, statement, fresh.now);
+        }
+    }
+    fresh.now += settlingTime;
+    cr_assert(reviewLedger(fresh.ledger, fresh.now).empty());
+    cr_assert_eq(fresh.suspicion(sound), Suspicion::Suspected);
+}
+
 namespace {
 
 /// @return a fixture whose poison request is proven
