MIXED: an answer with a status outside the protocol is none

Callers got a server's answer with the status 000 (the VM wrote 'HTTP/1.1 0') and one that switches the protocol. Cause: the parser takes any three digits, and each reader believed it. A status outside 200 to 599, other than interim ones, ends the exchange as a malformed head does: the request may have run, the connection is closed, the caller gets 502 or the request is retried. Same cause: reports, orders and the store (fetch; a 000 counted as 'not connected', not as unreadable, and an interim answer as the final one, so that the next call got its reply), lacewingd's engines and log service.

--- a/lacewing/blockinghttp.cpp
+++ b/lacewing/blockinghttp.cpp
@@ -14,6 +14,7 @@
 #include <cxxtools/http/request.h>
 #include <cxxtools/selector.h>
 
+#include "httphead.h"
 #include "resultcode.h"
 
 namespace lacewing {
@@ -151,6 +152,10 @@
         this->exchangeState->begin(request);
         error = this->exchangeState->waitUntilFinished(request, this->stopped);
         answer.status = error ? 0 : this->exchangeState->status();
+        if (!error && !isFinalStatus(answer.status)) {
+            error = ResultCode::StreamBroken;
+            answer.status = 0;
+        }
     } catch (const std::exception &) {
         const bool sent = this->exchangeState && this->exchangeState->wasSent();
         error = sent ? ResultCode::StreamBroken : ResultCode::PeerUnreachable;
--- a/lacewing/endpointlink.cpp
+++ b/lacewing/endpointlink.cpp
@@ -177,8 +177,7 @@
         this->failExchange(LinkFailure::Broken, error);
         return;
     }
-    const int status = this->reader->head.status;
-    const bool interim = this->reader->headRead() && status >= 100 && status < 200 && status != 101;
+    const bool interim = this->reader->headRead() && isInterimStatus(this->reader->head.status);
     if (this->skipping || interim) {
         if (this->discardAnswer()) {
             this->parseInput();
--- a/lacewing/enginerun.cpp
+++ b/lacewing/enginerun.cpp
@@ -190,6 +190,9 @@
         co_return;
     }
     const int status = static_cast<int>(parser.get().result_int());
+    if (!isFinalStatus(status)) {
+        co_return;
+    }
     if (this->isModel() && status >= firstErrorStatus) {
         co_await this->readRefusal(parser, status);
     } else {
--- a/lacewing/httpclient.cpp
+++ b/lacewing/httpclient.cpp
@@ -15,16 +15,23 @@
 
 constexpr std::size_t maxExtensionBytes = 64 * kibibyte; ///< of all chunks of a reply
 constexpr std::size_t maxHeadBytes = 64 * kibibyte; ///< of a reply, with its trailers
+constexpr int maxInterimReplies = 8; ///< in front of a reply
 
 using RequestMessage = http::request<http::string_body>;
 using ReplyParser = http::response_parser<http::string_body>;
 
-asio::awaitable<NetError> exchangeWhole(HttpConnection &connection, const HttpCall &call, const RequestMessage &request,
-                                        ReplyParser &parser)
+asio::awaitable<NetError> writeWhole(HttpConnection &connection, const HttpCall &call, const RequestMessage &request)
 {
     NetError error;
     connection.stream.expires_after(call.timeout);
     co_await http::async_write(connection.stream, request, awaitInto(error));
+    co_return error;
+}
+
+/// Reads a reply within the time that is left of the call.
+asio::awaitable<NetError> readWhole(HttpConnection &connection, const HttpCall &call, ReplyParser &parser)
+{
+    NetError error;
     const std::size_t maxBytes = maxHeadBytes + 2 * call.maxBodyBytes;
     std::size_t received = 0;
     while (!error && !parser.is_done()) {
@@ -47,14 +54,12 @@
     co_return error;
 }
 
-asio::awaitable<NetError> exchangeInParts(HttpConnection &connection, const HttpCall &call,
-                                          const RequestMessage &request, ReplyParser &parser, HttpReply &reply)
+asio::awaitable<NetError> readInParts(HttpConnection &connection, const HttpCall &call, ReplyParser &parser,
+                                      HttpReply &reply)
 {
-    NetError error = co_await writeInParts(connection, call, request);
-    if (!error) {
-        connection.stream.expires_after(call.timeout);
-        co_await http::async_read_header(connection.stream, connection.buffer, parser, awaitInto(error));
-    }
+    NetError error;
+    connection.stream.expires_after(call.timeout);
+    co_await http::async_read_header(connection.stream, connection.buffer, parser, awaitInto(error));
     if (error) {
         co_return error;
     }
@@ -75,6 +80,38 @@
     co_return error;
 }
 
+/// Reads the final reply. The parser is that of the last reply that was begun.
+asio::awaitable<NetError> readFinalReply(HttpConnection &connection, const HttpCall &call,
+                                         std::optional<ReplyParser> &parser, HttpReply &reply)
+{
+    std::size_t extensionBytes = 0;
+    auto onChunk = [&](std::uint64_t, beast::string_view extensions, beast::error_code &tooMany) {
+        extensionBytes += extensions.size();
+        if (extensionBytes > maxExtensionBytes) {
+            tooMany = http::error::bad_chunk_extension;
+        }
+    };
+    for (int count = 0; count <= maxInterimReplies; ++count) {
+        parser.emplace();
+        parser->body_limit(call.maxBodyBytes);
+        parser->on_chunk_header(onChunk);
+        NetError error;
+        if (call.stallTimeout.count() > 0) {
+            error = co_await readInParts(connection, call, *parser, reply);
+        } else {
+            error = co_await readWhole(connection, call, *parser);
+        }
+        const int status = static_cast<int>(parser->get().result_int());
+        if (error || isFinalStatus(status)) {
+            co_return error;
+        }
+        if (!isInterimStatus(status)) {
+            break;
+        }
+    }
+    co_return NetError(http::error::bad_status);
+}
+
 RequestMessage makeRequest(const HttpCall &call)
 {
     constexpr unsigned httpVersion = 11;
@@ -181,35 +218,30 @@
             pool.release(std::move(connection));
             break;
         }
-        ReplyParser parser;
-        parser.body_limit(call.maxBodyBytes);
-        std::size_t extensionBytes = 0;
-        auto onChunk = [&](std::uint64_t, beast::string_view extensions, beast::error_code &tooMany) {
-            extensionBytes += extensions.size();
-            if (extensionBytes > maxExtensionBytes) {
-                tooMany = http::error::bad_chunk_extension;
-            }
-        };
-        parser.on_chunk_header(onChunk);
+        std::optional<ReplyParser> parser;
         const bool inParts = call.stallTimeout.count() > 0;
         if (inParts) {
-            reply.error = co_await exchangeInParts(*connection, call, request, parser, reply);
+            reply.error = co_await writeInParts(*connection, call, request);
         } else {
-            reply.error = co_await exchangeWhole(*connection, call, request, parser);
+            reply.error = co_await writeWhole(*connection, call, request);
+        }
+        if (!reply.error) {
+            reply.error = co_await readFinalReply(*connection, call, parser, reply);
         }
-        reply.bodyBytes = parser.get().body().size();
+        const bool begun = parser && parser->got_some();
+        reply.bodyBytes = parser ? parser->get().body().size() : 0;
         if (reply.declined) {
-            readReply(parser.get(), reply);
+            readReply(parser->get(), reply);
             break;
         }
-        reply.unreadable = reply.error && parser.got_some();
+        reply.unreadable = reply.error && begun;
         if (!reply.error) {
-            const bool keep = parser.get().keep_alive();
-            readReply(parser.get(), reply);
+            const bool keep = parser->get().keep_alive();
+            readReply(parser->get(), reply);
             if (keep) {
                 pool.release(std::move(connection));
             }
-        } else if (connection->reused && !parser.got_some()) {
+        } else if (connection->reused && !begun) {
             reply.keptConnectionSilent = reply.error == beast::error::timeout;
             fresh = true;
             retry = true;
--- a/lacewing/httphead.cpp
+++ b/lacewing/httphead.cpp
@@ -64,6 +64,21 @@
 
 } // namespace
 
+bool isFinalStatus(int status)
+{
+    constexpr int firstFinal = 200;
+    constexpr int lastFinal = 599;
+    return status >= firstFinal && status <= lastFinal;
+}
+
+bool isInterimStatus(int status)
+{
+    constexpr int firstInterim = 100;
+    constexpr int switchingProtocols = 101;
+    constexpr int lastInterim = 199;
+    return status >= firstInterim && status <= lastInterim && status != switchingProtocols;
+}
+
 bool equalIgnoringCase(std::string_view left, std::string_view right)
 {
     return std::equal(left.begin(), left.end(), right.begin(), right.end(),
--- a/lacewing/httphead.h
+++ b/lacewing/httphead.h
@@ -40,6 +40,15 @@
     bool keepAlive = true;
 };
 
+/// @param status of an answer
+/// @return whether it is one of a final answer: neither interim nor outside the protocol
+bool isFinalStatus(int status);
+
+/// @param status of an answer
+/// @return whether a final answer follows on the connection; false for a switch of the protocol, which no request asks
+/// for
+bool isInterimStatus(int status);
+
 /// @param headers headers to search
 /// @param name name of the header, case-insensitive
 /// @return value of the first match, or an empty view
--- a/lacewing/httpreader.cpp
+++ b/lacewing/httpreader.cpp
@@ -212,6 +212,9 @@
     if (containsStatusLine(reason)) {
         error = http::error::bad_reason;
     }
+    if (!isFinalStatus(status) && !isInterimStatus(status)) { // the parser takes any three digits
+        error = http::error::bad_status;
+    }
     this->head.status = status;
     this->head.reason = toString(reason);
 }
