MIXED: a reset that a write has got is no end of an answer

A server answered a long upload at once with a 200 without a length, sent a part and reset the connection: the caller got the part as a complete answer. Cause: the system reports a reset once. The write of the request that was under way got it, and its result was ignored since 'the read reports an error'; the read behind it saw the end of the connection, which completes a body without a length. Now, if the request was not written completely, the end counts only if the connection has not failed (poll reports a hang-up of both directions after a reset, not after an orderly close). Evidence: malformedanswertest; the log has cause='Connection reset by peer'. Elsewhere: requests to other VMs go over the same class. Calls with short replies and lacewingd's engines are read after the write has succeeded, and a write that fails ends them.

--- a/lacewing/endpointlink.cpp
+++ b/lacewing/endpointlink.cpp
@@ -123,7 +123,7 @@
     asio::async_write(this->socket, asio::buffer(*bytes), [weak, bytes](const NetError &error, std::size_t) {
         const auto self = weak.lock();
         if (self && !self->closed && !error) {
-            self->written = true; // the read reports an error, after any answer that arrived before it
+            self->written = true; // an answer that arrived before an error is still read
         }
     });
 }
@@ -154,7 +154,11 @@
         this->remoteClosed = true;
         ReadError cut;
         if (error == asio::error::eof && this->reader->headRead()) {
-            this->reader->readEnd(cut);
+            if (!this->written && wasReset(this->socket)) {
+                cut = asio::error::connection_reset;
+            } else {
+                this->reader->readEnd(cut);
+            }
         }
         if (error != asio::error::eof || cut || !this->reader->complete() || this->skipping) {
             this->failExchange(LinkFailure::Broken, cut ? cut : error);
--- a/lacewing/netaddress.cpp
+++ b/lacewing/netaddress.cpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 namespace lacewing {
@@ -123,6 +124,12 @@
     return size <= 0 && !noDataYet;
 }
 
+bool wasReset(Tcp::socket &socket)
+{
+    pollfd state {socket.native_handle(), 0, 0};
+    return ::poll(&state, 1, 0) < 0 || (state.revents & (POLLHUP | POLLERR | POLLNVAL)) != 0;
+}
+
 Duration timeSinceInput(Tcp::socket &socket)
 {
     tcp_info info {};
--- a/lacewing/netaddress.h
+++ b/lacewing/netaddress.h
@@ -68,6 +68,12 @@
 /// @return whether the peer has closed the connection or it is broken
 bool closedByPeer(Tcp::socket &socket);
 
+/// Checks a connection whose end was read. The system reports a reset once, to whatever call comes first; a read behind
+/// a write that got it sees an orderly end.
+/// @param socket a socket that was connected
+/// @return whether the connection was reset or has failed, and not just been closed by the peer
+bool wasReset(Tcp::socket &socket);
+
 /// @param socket a connected socket
 /// @return time since the system received the last bytes, whether they have been read or not; 0: not known
 Duration timeSinceInput(Tcp::socket &socket);
