--- a/lacewing/httpclient.cpp
+++ b/lacewing/httpclient.cpp
@@ -80,6 +80,12 @@
     co_return error;
 }
 
+bool hasForeignCoding(const http::response<http::string_body> &response)
+{
+    const auto coding = response.find(http::field::transfer_encoding);
+    return coding != response.end() && !beast::iequals(coding->value(), "chunked");
+}
+
 /// Reads the final reply. The parser is that of the last reply that was begun.
 asio::awaitable<NetError> readFinalReply(HttpConnection &connection, const HttpCall &call,
                                          std::optional<ReplyParser> &parser, HttpReply &reply)
@@ -102,6 +108,9 @@
             error = co_await readWhole(connection, call, *parser);
         }
         const int status = static_cast<int>(parser->get().result_int());
+        if (!error && hasForeignCoding(parser->get())) {
+            error = http::error::bad_transfer_encoding;
+        }
         if (error || isFinalStatus(status)) {
             co_return error;
         }
--- a/lacewing/httpreader.cpp
+++ b/lacewing/httpreader.cpp
@@ -6,6 +6,7 @@
 #include <limits>
 
 #include <boost/asio/buffer.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
 
 namespace lacewing {
@@ -71,6 +72,12 @@
     return false;
 }
 
+/// Only one coding is understood. Of a body in another one neither the end nor the bytes are known.
+bool isForeignCoding(http::field name, boost::beast::string_view value)
+{
+    return name == http::field::transfer_encoding && !boost::beast::iequals(value, "chunked");
+}
+
 void countExtensions(boost::beast::string_view extensions, std::size_t &total, ReadError &error)
 {
     total += extensions.size();
@@ -119,8 +126,11 @@
 {
 }
 
-void RequestReader::on_field_impl(http::field, string_view name, string_view value, ReadError &)
+void RequestReader::on_field_impl(http::field field, string_view name, string_view value, ReadError &error)
 {
+    if (isForeignCoding(field, value)) {
+        error = http::error::bad_transfer_encoding;
+    }
     this->head.headers.push_back({toString(name), toString(value)});
 }
 
@@ -219,11 +229,14 @@
     this->head.reason = toString(reason);
 }
 
-void ResponseReader::on_field_impl(http::field, string_view name, string_view value, ReadError &error)
+void ResponseReader::on_field_impl(http::field field, string_view name, string_view value, ReadError &error)
 {
     if (containsStatusLine(value)) {
         error = http::error::bad_value;
     }
+    if (isForeignCoding(field, value)) {
+        error = http::error::bad_transfer_encoding;
+    }
     this->head.headers.push_back({toString(name), toString(value)});
 }
 
--- a/lacewing/testing/httpreadertest.cpp
+++ b/lacewing/testing/httpreadertest.cpp
@@ -81,6 +81,15 @@
     cr_assert(refused("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nxyz\r\n"));
 }
 
+Test(httpreader, aRequestInAnotherTransferCodingIsRefused)
+{
+    for (const std::string coding : {"gzip", "identity", "chunked, gzip", "gzip, chunked", "xchunked"}) {
+        cr_expect(refused("POST / HTTP/1.1\r\nTransfer-Encoding: " + coding
+                          + "\r\n\r\nGET /hidden HTTP/1.1\r\nHost: h\r\n\r\n"),
+                  "%s: its body would be read as a request", coding.c_str());
+    }
+}
+
 Test(httpreader, headAndBodyLimitsAreEnforced)
 {
     cr_assert(refused("GET / HTTP/1.1\r\nX: " + std::string(headLimit, 'x') + "\r\n\r\n"));
