MIXED: a field behind the body is none of the head

A chunked answer that arrived at once was judged with the fields of its trailer: a mark, an id or a statement 'not run' behind the body counted as part of the head. It depended on how much had arrived when the head was read. Cause: the parser reports fields of the trailer by the same call.

--- a/lacewing/testing/httpreadertest.cpp
+++ b/lacewing/testing/httpreadertest.cpp
@@ -90,6 +90,18 @@
     }
 }
 
+Test(httpreader, aTrailerFieldIsNoneOfTheHead)
+{
+    std::mt19937 random(3);
+    RequestReader reader(headLimit, bodyLimit);
+    ReadError error;
+    feed(reader, "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\nDeadline-Ms: 9\r\n\r\n", random,
+         error);
+    cr_assert_not(error);
+    cr_assert(reader.complete());
+    cr_expect_eq(reader.head.headers.size(), 1U);
+}
+
 Test(httpreader, headAndBodyLimitsAreEnforced)
 {
     cr_assert(refused("GET / HTTP/1.1\r\nX: " + std::string(headLimit, 'x') + "\r\n\r\n"));
