--- a/lacewing/httpreader.cpp
+++ b/lacewing/httpreader.cpp
@@ -3,6 +3,7 @@
 
 #include "httpreader.h"
 
+#include <functional>
 #include <limits>
 
 #include <boost/asio/buffer.hpp>
@@ -78,6 +79,13 @@
     return name == http::field::transfer_encoding && !boost::beast::iequals(value, "chunked");
 }
 
+/// The parser joins the lines of a folded value in a buffer of its own.
+bool isFolded(boost::beast::string_view value, std::string_view input)
+{
+    const std::less<> before;
+    return !value.empty() && (before(value.data(), input.data()) || !before(value.data(), input.data() + input.size()));
+}
+
 void countExtensions(boost::beast::string_view extensions, std::size_t &total, ReadError &error)
 {
     total += extensions.size();
@@ -177,6 +185,7 @@
 
 std::size_t ResponseReader::read(std::string_view bytes, ReadError &error)
 {
+    this->input = bytes;
     return readBounded(static_cast<http::basic_parser<false> &>(*this), bytes, error);
 }
 
@@ -243,6 +252,9 @@
     if (isForeignCoding(field, value)) {
         error = http::error::bad_transfer_encoding;
     }
+    if (isFolded(value, this->input)) { // the line that continues it may be a field that was cut
+        error = http::error::bad_value;
+    }
     this->head.headers.push_back({toString(name), toString(value)});
 }
 
--- a/lacewing/httpreader.h
+++ b/lacewing/httpreader.h
@@ -91,6 +91,8 @@
     HttpResponseHead head;
 
 private:
+    std::string_view input; ///< of the current call of read()
+
     using string_view = boost::beast::string_view; // NOLINT(readability-identifier-naming): name of the base class
     void on_request_impl(boost::beast::http::verb, string_view, string_view, int, ReadError &) override;
     void on_response_impl(int, string_view, int, ReadError &) override;
