BUDGET: the retries that are on their way before an endpoint counts as silent are not earned

Cause: a retry is charged when it is sent and counts when it arrives. Until an endpoint counts as silent (0.5 s), retries still go there; a quarter of the slack was all that stood for them, while their number grows with the rate. Arrivals that are late by less than 1 s are not charged again. Change: requests earn for the window less that time, 0.19 in place of 0.2. The part that is left grows with the rate as the cause does.

--- a/lacewing/entrynodequota.cpp
+++ b/lacewing/entrynodequota.cpp
@@ -50,14 +50,15 @@
 
 void EntryNode::shareRetryBudget()
 {
+    const double share = requestShare(this->settings.retryShare, this->settings.retryWindow);
     if (!this->mixesRead) { // it does not know yet how many VMs there are
-        this->dataPath.setRetryLimits(this->settings.retryShare, 1, 0);
+        this->dataPath.setRetryLimits(share, 1, 0);
         return;
     }
     const std::size_t vms = this->gossip.vmsInUse();
     const double burst = burstShare(this->settings.retryBurst, vms);
     const double perSecond = floorShare(this->settings.retryBurst, this->settings.retryWindow, vms);
-    this->dataPath.setRetryLimits(this->settings.retryShare, burst, perSecond);
+    this->dataPath.setRetryLimits(share, burst, perSecond);
     if (std::exchange(this->retryBudgetVms, vms) != vms) {
         logEvent("retry_budget_shared",
                  {{"vms", std::to_string(vms)},
--- a/lacewing/retrybudget.cpp
+++ b/lacewing/retrybudget.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 
 #include "coresettings.h"
+#include "retryarrivals.h"
 
 namespace lacewing {
 
@@ -49,6 +50,12 @@
     return std::clamp(notSaved, 0.0, part * burstOfAll) / seconds / sharing;
 }
 
+double requestShare(double shareOfAll, Duration window)
+{
+    const std::chrono::duration<double> counted = std::max(window, 2 * silentAfter);
+    return shareOfAll * (1 - std::chrono::duration<double>(silentAfter) / counted);
+}
+
 void noteFirstAttempt(RetryBudget &budget, const CoreSettings &settings, TimePoint now)
 {
     refill(budget, settings, now);
--- a/lacewing/retrybudget.h
+++ b/lacewing/retrybudget.h
@@ -41,6 +41,14 @@
 /// @return retries a second of one VM
 double floorShare(double burstOfAll, Duration window, std::size_t vms);
 
+/// What each request adds to the budget. Load pattern: endpoints stand still while requests come at a high rate. Until
+/// they count as silent, retries are sent to them, which arrive later than in the window that has earned them; their
+/// number grows with the rate, and the slack does not. So that part of a window is not earned.
+/// @param shareOfAll retries that all VMs together may make, as a share of their requests
+/// @param window in which they are counted
+/// @return retries for each request
+double requestShare(double shareOfAll, Duration window);
+
 /// Counts a first attempt.
 /// @param budget changed
 /// @param settings share, floor and burst
--- a/lacewing/testing/retryarrivalstest.cpp
+++ b/lacewing/testing/retryarrivalstest.cpp
@@ -84,7 +84,7 @@
 public:
     Simulation(const Scenario &chosen, Way chosenWay) : scenario(chosen), way(chosenWay), vms(vmCount)
     {
-        this->settings.retryShare = ratio;
+        this->settings.retryShare = requestShare(ratio, milliseconds(windowMilliseconds));
         this->settings.retryAtStart = 0;
         this->settings.retryBurst = burstShare(slack, vmCount);
         this->settings.retryFloor = floorShare(slack, milliseconds(windowMilliseconds), vmCount);
@@ -255,6 +255,12 @@
         {"two of four, 8 s, timeout of 15 s", 4, 2, 8000, 4000, 2, 150, 15000},
         {"four of four, 5 s", 4, 4, 5000, 4000, 2},
         {"three of nine, 8 s, 40 requests/s", 9, 3, 8000, 4000, 2, 40, 4000},
+        {"three of four, 8 s, 300 requests/s", 4, 3, 8000, 4000, 2, 300},
+        {"two of four, 8 s, 300 requests/s", 4, 2, 8000, 4000, 2, 300},
+        {"three of four, 8 s, 1,000 requests/s", 4, 3, 8000, 4000, 2, 1000},
+        {"three of four, 5 s, 150 requests/s", 4, 3, 5000, 4000, 2},
+        {"one of four, 8 s, 600 requests/s", 4, 1, 8000, 4000, 2, 600},
+        {"three of four, 0.45 s, twelve times, 600 requests/s", 4, 3, 450, 800, 12, 600},
     };
     for (const Scenario &scenario : scenarios) {
         const double beyond = Simulation(scenario, Way::Both).run();
