VERSION, CONFIG: zones read the operators' changes each second, whatever a waiting read does

The proof that keys are current has such a read, by the owner of each zone each second, and by each VM that hears of none for 3 s; it ran only where callers show keys. It runs everywhere now, with the bound of versions in place of that of keys. Ways weighed: a shorter wait of all VMs (a read a second for each VM, 58 a second of a deployment); reads only after the store was slow or failed (a silent connection gives no sign on the others).

--- a/lacewing/configproof.h
+++ b/lacewing/configproof.h
@@ -1,5 +1,6 @@
 // Proves to a VM that its configuration was current at some time, so that a key taken away is not accepted for longer
-// than the revocation bound, whatever the VM is cut off from.
+// than the revocation bound, whatever the VM is cut off from. Where no keys are shown, the reads that prove it still
+// bound the time for which a change stays unknown: a read that waits for changes may never be answered.
 //
 // A read of the operators' changes that began at a time and found nothing newer proves that all changes acknowledged
 // before that time are known. Each proof has the time at which its read began, by this VM's own clock: a read that
--- a/lacewing/entrynode.h
+++ b/lacewing/entrynode.h
@@ -210,7 +210,8 @@
     void broadcastPlacement(const wire::PlacementNotice &notice);
     void announce();
     void restoreAnnouncement();
-    bool needsConfigProofs() const;
+    /// @return time within which this VM needs a proof that it knows the operators' changes
+    Duration changesBound() const;
     void checkConfigProof();
     void passOnConfigRead(TimePoint begun);
     void connectQuota();
--- a/lacewing/entrynodeconfig.cpp
+++ b/lacewing/entrynodeconfig.cpp
@@ -106,20 +106,21 @@
     this->passOnConfigRead(begun);
 }
 
-bool EntryNode::needsConfigProofs() const
+Duration EntryNode::changesBound() const
 {
     const auto &config = this->dataPath.config();
-    return this->settings.revocationBound && config && config->requiresKeys;
+    const bool showsKeys = this->settings.revocationBound && config && config->requiresKeys;
+    return showsKeys ? *this->settings.revocationBound : this->settings.versionBound;
 }
 
 void EntryNode::checkConfigProof()
 {
-    if (!this->needsConfigProofs() || !this->onConfigCheck) {
+    if (!this->dataPath.config() || !this->onConfigCheck) {
         return;
     }
     const TimePoint now = this->clock.now();
     const ConfigReader reader {this->owner.active(), this->configCheckBegun};
-    if (!shouldReadConfig(this->dataPath.configProof, reader, *this->settings.revocationBound, now)) {
+    if (!shouldReadConfig(this->dataPath.configProof, reader, this->changesBound(), now)) {
         return;
     }
     this->configCheckBegun = now;
