LIMIT: a late copy of an earlier reply does not decide what the owner believes

Cause: replies were matched by their place on the connection alone, and an idle connection was reused with unread bytes. Change: a connection with unread bytes is not reused. Meanwhile the order count that each order names protects the server: one wrong reply makes the count differ.

--- a/lacewing/entrynode.h
+++ b/lacewing/entrynode.h
@@ -123,6 +123,9 @@
     void recordStoreEra(std::int64_t era, std::int64_t before);
     /// Reads the list of VMs from the platform; also done periodically.
     void refreshVms();
+    /// A reply of an endpoint to an order may have been that to another one.
+    /// @param endpoint id of the endpoint
+    void distrustOrders(const EndpointName &endpoint);
     /// @param vm name of another VM
     /// @return whether the VM was heard within vmLifetime
     bool heard(const VmId &vm) const;
--- a/lacewing/entrynodeplacement.cpp
+++ b/lacewing/entrynodeplacement.cpp
@@ -159,6 +159,13 @@
     return lacewing::mayOrder(this->claim, this->settings.claim, this->clock.now()) && !this->stopping;
 }
 
+void EntryNode::distrustOrders(const EndpointName &endpoint)
+{
+    if (this->owner.active()) {
+        this->owner.distrustOrders(endpoint);
+    }
+}
+
 void EntryNode::becomeOwner()
 {
     if (this->owner.active()) {
--- a/lacewing/httpclient.cpp
+++ b/lacewing/httpclient.cpp
@@ -7,6 +7,7 @@
 
 #include <charconv>
 
+#include "eventlog.h"
 #include "sizes.h"
 
 namespace lacewing {
@@ -16,6 +17,9 @@
 constexpr std::size_t maxExtensionBytes = 64 * kibibyte; ///< of all chunks of a reply
 constexpr std::size_t maxHeadBytes = 64 * kibibyte; ///< of a reply, with its trailers
 constexpr int maxInterimReplies = 8; ///< in front of a reply
+/// How long a server that has sent bytes which belong to no call is given a new connection for each call that checks
+/// it.
+constexpr std::chrono::seconds strayMemory(60);
 
 using RequestMessage = http::request<http::string_body>;
 using ReplyParser = http::response_parser<http::string_body>;
@@ -166,6 +170,10 @@
     while (!idleConnections.empty()) {
         Idle last = std::move(idleConnections.back());
         idleConnections.pop_back();
+        if (hasUnreadData(last.connection->stream.socket())) { // they would be taken for the next reply
+            this->recordStray(address);
+            continue;
+        }
         if (last.since >= minIdleSince && !closedByPeer(last.connection->stream.socket())) {
             last.connection->reused = true;
             return std::move(last.connection);
@@ -206,16 +214,55 @@
 {
     connection->stream.expires_never();
     std::vector<Idle> &idleConnections = this->idle[connection->address];
-    if (idleConnections.size() < this->settings.maxIdlePerAddress && connection->buffer.size() == 0) {
+    if (connection->buffer.size() > 0) {
+        this->recordStray(connection->address);
+        return;
+    }
+    if (idleConnections.size() < this->settings.maxIdlePerAddress) {
         idleConnections.push_back(Idle {std::move(connection), std::chrono::steady_clock::now()});
     }
 }
 
+void HttpPool::settle(std::unique_ptr<HttpConnection> connection, const HttpCall &call, bool keep)
+{
+    connection->stream.expires_never();
+    const auto held = std::make_shared<std::unique_ptr<HttpConnection>>(std::move(connection));
+    const auto timer = std::make_shared<asio::steady_timer>(this->context);
+    timer->expires_after(call.strayCheck);
+    timer->async_wait([this, timer, held, keep, onStray = call.onStray](const NetError &) {
+        HttpConnection &settled = **held;
+        if (settled.buffer.size() > 0 || hasUnreadData(settled.stream.socket())) {
+            this->recordStray(settled.address);
+            if (onStray) {
+                onStray();
+            }
+        } else if (keep) {
+            this->release(std::move(*held));
+        }
+    });
+}
+
+void HttpPool::recordStray(const std::string &address)
+{
+    if (!this->hasSentStrays(address)) {
+        logEvent("stray_bytes", {{"address", address}});
+    }
+    this->strays[address] = std::chrono::steady_clock::now();
+}
+
+bool HttpPool::hasSentStrays(const std::string &address) const
+{
+    const auto found = this->strays.find(address);
+    return found != this->strays.end() && std::chrono::steady_clock::now() - found->second < strayMemory;
+}
+
 asio::awaitable<HttpReply> fetch(HttpPool &pool, const HttpCall &call)
 {
     const RequestMessage request = makeRequest(call);
     HttpReply reply;
-    bool fresh = false;
+    const bool checks = call.strayCheck.count() > 0;
+    const bool alone = checks && pool.hasSentStrays(call.address);
+    bool fresh = alone;
     for (bool retry = true; retry;) {
         retry = false;
         auto connection = co_await pool.acquire(call.address, fresh, call.timeout);
@@ -245,9 +292,11 @@
         }
         reply.unreadable = reply.error && begun;
         if (!reply.error) {
-            const bool keep = parser->get().keep_alive();
+            const bool keep = parser->get().keep_alive() && !alone;
             readReply(parser->get(), reply);
-            if (keep) {
+            if (checks && connection->reused) {
+                pool.settle(std::move(connection), call, keep);
+            } else if (keep) {
                 pool.release(std::move(connection));
             }
         } else if (connection->reused && !begun) {
--- a/lacewing/httpclient.h
+++ b/lacewing/httpclient.h
@@ -49,6 +49,8 @@
     Duration idleTimeout = milliseconds(20000);
 };
 
+struct HttpCall;
+
 class HttpPool
 {
 public:
@@ -65,6 +67,16 @@
     /// @param connection connection to keep for reuse
     void release(std::unique_ptr<HttpConnection> connection);
 
+    /// Returns a connection to the pool if no bytes come behind the reply of a call, and calls its onStray if they do.
+    /// @param connection connection to keep apart meanwhile
+    /// @param call whose reply was read
+    /// @param keep whether it may be used again
+    void settle(std::unique_ptr<HttpConnection> connection, const HttpCall &call, bool keep);
+
+    /// @param address of a server
+    /// @return whether it has lately sent bytes that belong to no call
+    bool hasSentStrays(const std::string &address) const;
+
 private:
     struct Idle {
         std::unique_ptr<HttpConnection> connection;
@@ -72,9 +84,11 @@
     };
 
     std::unique_ptr<HttpConnection> takeIdle(const std::string &address);
+    void recordStray(const std::string &address);
 
     asio::io_context &context;
     HttpPoolSettings settings;
+    std::unordered_map<std::string, std::chrono::steady_clock::time_point> strays; ///< by address, the latest ones
     std::unordered_map<std::string, std::vector<Idle>> idle;
 };
 
@@ -91,6 +105,11 @@
     /// would end a large transfer on a slow link each time.
     Duration stallTimeout {0};
     std::size_t maxBodyBytes = maxReplyBytes; ///< of the reply; bytes that are not part of it may be as many again
+    /// How long a kept connection stays apart after the reply, to see whether more bytes come: the reply was then a
+    /// late copy of an earlier one, and the call's own one came behind it. For a minute after that such calls to the
+    /// server go over new connections. 0: it is not checked.
+    Duration strayCheck {0};
+    std::function<void()> onStray; ///< called if such bytes came: what the reply said may be wrong
     std::function<bool()> mayWrite; ///< called just before the request is written; absent: it may be
     /// Called with the size of a reply's body before the body is received; nothing: not stated. If it returns false,
     /// the reply is not received and the connection is closed. Absent: it is received. Needs a stallTimeout.
--- a/lacewing/placementowner.h
+++ b/lacewing/placementowner.h
@@ -59,6 +59,10 @@
     /// @param vmZone zone of this VM
     /// @param report what its requests run on and wait for
     void recordDemand(const VmId &vm, const ZoneName &vmZone, const wire::DemandReport &report);
+    /// A reply that this owner has believed may have been that to another order: the endpoint gets no order until its
+    /// report is read.
+    /// @param id of the endpoint
+    void distrustOrders(const EndpointName &id);
     /// @param vm VM that has left the deployment
     void forgetVm(const VmId &vm);
 
--- a/lacewing/placementownerreports.cpp
+++ b/lacewing/placementownerreports.cpp
@@ -112,6 +112,18 @@
     });
 }
 
+void PlacementOwner::distrustOrders(const EndpointName &id)
+{
+    const auto found = this->state.endpoints.find(id);
+    if (found == this->state.endpoints.end()) {
+        return;
+    }
+    logEvent("orders_distrusted", {{"endpoint", id}, {"orders", std::to_string(found->second.orders)}});
+    found->second.ready = false; // until its report is read
+    found->second.orders = 0; // whatever the report states is believed
+    this->readReport(id);
+}
+
 void PlacementOwner::recordOrderAnswer(PlacedEndpoint &endpoint, OrderReply reply) const
 {
     if (reply == OrderReply::Unreadable) {
@@ -151,6 +163,9 @@
         return;
     }
     if (endpoint.orderPending) { // the answer to the pending order is newer
+        if (!endpoint.ready) {
+            this->schedulePoll(id, pollInterval);
+        }
         return;
     }
     endpoint.orders = report.orders;
--- a/lacewing/testing/httpreadertest.cpp
+++ b/lacewing/testing/httpreadertest.cpp
@@ -95,7 +95,7 @@
     std::mt19937 random(3);
     RequestReader reader(headLimit, bodyLimit);
     ReadError error;
-    feed(reader, "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\nDeadline-Ms: 9\r\n\r\n", random,
+    feed(reader, "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\nX-Late: 9\r\n\r\n", random,
          error);
     cr_assert_not(error);
     cr_assert(reader.complete());
--- a/lacewing/testing/placementownertest.cpp
+++ b/lacewing/testing/placementownertest.cpp
@@ -195,3 +195,34 @@
     zone.run(milliseconds(200));
     cr_expect_geq(zone.orders.size(), 1U, "orders are given again");
 }
+
+Test(placementowner, anEndpointWhoseRepliesAreDistrustedGetsNoOrderUntilItsReportIsRead)
+{
+    // Guards against orders by a count and places that rest on the reply to another order, which may load more than
+    // the endpoint holds.
+    Zone zone;
+    zone.owner.recordDemand("vm", "z", makeDemand(1, 1));
+    zone.run(milliseconds(40));
+    cr_assert_eq(zone.orders.size(), 1);
+    const EndpointName id = zone.orders.front().endpoint;
+    std::vector<std::function<void()>> heldReports;
+    const auto answerReport = zone.port.report;
+    zone.port.report = [&](const EndpointName &asked, const std::string &address, auto done) {
+        heldReports.push_back([&answerReport, asked, address, done] { answerReport(asked, address, done); });
+    };
+    for (const auto &[endpoint, known] : zone.fleet.endpoints) {
+        zone.owner.distrustOrders(endpoint);
+    }
+    cr_assert_geq(heldReports.size(), zone.fleet.endpoints.size());
+    zone.owner.recordDemand("vm", "z", makeDemand(2, 4));
+    zone.run(milliseconds(100));
+    cr_assert_eq(zone.orders.size(), 1, "no endpoint may be ordered anything");
+    for (const auto &answer : std::exchange(heldReports, {})) {
+        answer();
+    }
+    zone.run(milliseconds(100));
+    cr_assert_gt(zone.orders.size(), 1);
+    for (const PlacementOrder &order : zone.orders) {
+        cr_expect_eq(order.expectedOrders, 0, "what the report states, not what was believed of %s", id.c_str());
+    }
+}
