--- a/lacewing/fleet.cpp
+++ b/lacewing/fleet.cpp
@@ -11,6 +11,23 @@
 
 namespace {
 
+/// An address belongs to the process that was started last. The entry of one that has ended may stay on the list, as
+/// after the return of a store that was away when it would have lapsed.
+void updateSupplanted(Fleet &fleet, const std::string &address)
+{
+    std::int64_t latest = 0;
+    for (const auto &[id, endpoint] : fleet.endpoints) {
+        if (endpoint.entry.address == address) {
+            latest = std::max(latest, endpoint.entry.born);
+        }
+    }
+    for (auto &[id, endpoint] : fleet.endpoints) {
+        if (endpoint.entry.address == address) {
+            endpoint.supplanted = endpoint.entry.born > 0 && endpoint.entry.born < latest;
+        }
+    }
+}
+
 void addEndpoint(Fleet &fleet, const EndpointEntry &entry, TimePoint now)
 {
     FleetEndpoint endpoint;
@@ -20,6 +37,7 @@
     endpoint.lastListed = now;
     fleet.endpoints.emplace(entry.id, std::move(endpoint));
     fleet.byService[entry.service].push_back(entry.id);
+    updateSupplanted(fleet, entry.address);
 }
 
 /// Removes weights that the endpoint no longer holds; an adapter is remembered in rememberedAdapters.
@@ -67,7 +85,12 @@
     // It belongs to the incarnation. A VM of a build that doesn't know versions passes entries on without it.
     const std::string softwareVersion
         = entry.softwareVersion.empty() ? known.entry.softwareVersion : entry.softwareVersion;
+    const std::string address = known.entry.address;
     known.entry = entry;
+    if (address != entry.address) {
+        updateSupplanted(fleet, address);
+        updateSupplanted(fleet, entry.address);
+    }
     known.entry.softwareVersion = softwareVersion;
     known.entry.leaving = leaving;
     if (orders > entry.orders) {
@@ -83,6 +106,11 @@
     return found != fleet.endpoints.end() && found->second.entry.born == born;
 }
 
+bool isWithdrawn(const FleetEndpoint &endpoint)
+{
+    return endpoint.entry.leaving || endpoint.supplanted;
+}
+
 bool isOfVersion(const FleetEndpoint &endpoint, const std::optional<std::string> &wanted)
 {
     return !wanted || endpoint.entry.softwareVersion == *wanted;
@@ -122,7 +150,9 @@
         keepStatements(fleet.unlisted, {id, entry.born}, stated, now);
     }
     std::erase(fleet.byService[found->second.entry.service], id);
+    const std::string address = entry.address;
     fleet.endpoints.erase(found);
+    updateSupplanted(fleet, address);
 }
 
 bool isReplaced(const Fleet &fleet, const EndpointInstance &instance, const ServiceName &service,
@@ -189,7 +219,7 @@
     std::optional<Duration> first;
     for (const EndpointName &id : endpointsOf(fleet, service)) {
         const FleetEndpoint &endpoint = fleet.endpoints.at(id);
-        if (endpoint.entry.leaving) {
+        if (isWithdrawn(endpoint)) {
             continue;
         }
         if (!isResting(endpoint.stated.rest, now)) {
--- a/lacewing/fleet.h
+++ b/lacewing/fleet.h
@@ -57,6 +57,7 @@
     std::int32_t ownCrashSuspects = 0; ///< requests among them that may crash the endpoint
     std::int32_t allRunning = 0; ///< requests of all VMs in progress there, as last reported by the placement owner
     std::int32_t ownRunningAtReport = 0; ///< ownRunning at the time of that report
+    bool supplanted = false; ///< a process that was started later is listed at its address, so that it has ended
     TimePoint lastListed; ///< when the platform's list last contained it
 };
 
@@ -130,6 +131,10 @@
 bool isReplaced(const Fleet &fleet, const EndpointInstance &instance, const ServiceName &service,
                 std::string_view address);
 
+/// @param endpoint of the list
+/// @return whether it gets no further work: it is leaving, or has ended
+bool isWithdrawn(const FleetEndpoint &endpoint);
+
 /// @param endpoint any endpoint
 /// @param wanted software version; nothing: any. Versions have no order: one is equal or it is another one
 /// @return whether the endpoint runs that version
--- a/lacewing/gatewayforwarding.cpp
+++ b/lacewing/gatewayforwarding.cpp
@@ -129,9 +129,9 @@
 {
     std::vector<ReachWatch::Candidate> candidates;
     for (const EndpointName &id : endpointsOf(this->fleetState, service)) {
-        const EndpointEntry &entry = this->fleetState.endpoints.at(id).entry;
-        if (!entry.leaving) {
-            candidates.push_back({id, entry.address});
+        const FleetEndpoint &endpoint = this->fleetState.endpoints.at(id);
+        if (!isWithdrawn(endpoint)) {
+            candidates.push_back({id, endpoint.entry.address});
         }
     }
     return candidates;
--- a/lacewing/sendgate.cpp
+++ b/lacewing/sendgate.cpp
@@ -55,6 +55,9 @@
     if (!isOfVersion(endpoint, softwareVersion)) {
         return SendHold::OtherVersion;
     }
+    if (endpoint.supplanted) {
+        return SendHold::Gone;
+    }
     if (endpoint.entry.leaving) {
         return SendHold::Leaving;
     }
--- a/lacewing/testing/endpointchoicetest.cpp
+++ b/lacewing/testing/endpointchoicetest.cpp
@@ -460,3 +460,33 @@
     cr_expect_not(takeStatements(unlisted, {"e0", 1}, start).leavingSince.has_value(), "the oldest are dropped");
     cr_expect(takeStatements(unlisted, {"e" + std::to_string(maxUnlisted), 1}, start).leavingSince.has_value());
 }
+
+Test(endpointchoice, anEndpointWhoseAddressBelongsToALaterProcessIsNotSelected)
+{
+    // The entry of a process that has ended stays on the list, and another one was started at its address. Guards
+    // against requests that the other one turns away, each of which costs a retry.
+    Fleet fleet;
+    EndpointEntry ended = makeEntry("ended", "a");
+    ended.address = "10.0.0.1:80";
+    ended.born = 1000;
+    EndpointEntry later = makeEntry("later", "b");
+    later.address = ended.address;
+    later.born = 2000;
+    putEndpoint(fleet, ended, start);
+    cr_assert_eq(chooseEndpoint(fleet, need(), start).endpoint, "ended");
+    putEndpoint(fleet, later, start);
+    cr_expect_eq(chooseEndpoint(fleet, need(), start).endpoint, "later");
+    cr_expect_eq(checkSend(fleet, {"ended", 1000}, std::nullopt, start), SendHold::Gone);
+    putEndpoint(fleet, ended, start); // it is listed again
+    cr_expect_eq(chooseEndpoint(fleet, need(), start).endpoint, "later");
+    EndpointEntry elsewhere = later;
+    elsewhere.service = "other";
+    elsewhere.id = "other";
+    elsewhere.born = 3000;
+    putEndpoint(fleet, elsewhere, start);
+    cr_expect_eq(chooseEndpoint(fleet, need(), start).result, ChoiceResult::NoEndpoint, "another service has it now");
+    removeEndpoint(fleet, "other", start);
+    cr_expect_eq(chooseEndpoint(fleet, need(), start).endpoint, "later");
+    removeEndpoint(fleet, "later", start);
+    cr_expect_eq(chooseEndpoint(fleet, need(), start).endpoint, "ended", "nothing says that it has ended");
+}
