Read-through: endpoints by address, strays forgotten, a status line in a trailer ends an answer as before

The check for a later process at an address looked at all endpoints for each entry; it follows an index now. The field of a trailer that holds a status line was no longer refused after the change of trailers.

--- a/lacewing/fleet.cpp
+++ b/lacewing/fleet.cpp
@@ -16,15 +16,27 @@
 void updateSupplanted(Fleet &fleet, const std::string &address)
 {
     std::int64_t latest = 0;
-    for (const auto &[id, endpoint] : fleet.endpoints) {
-        if (endpoint.entry.address == address) {
-            latest = std::max(latest, endpoint.entry.born);
-        }
+    for (const EndpointName &id : fleet.byAddress[address]) {
+        latest = std::max(latest, fleet.endpoints.at(id).entry.born);
     }
-    for (auto &[id, endpoint] : fleet.endpoints) {
-        if (endpoint.entry.address == address) {
-            endpoint.supplanted = endpoint.entry.born > 0 && endpoint.entry.born < latest;
-        }
+    for (const EndpointName &id : fleet.byAddress[address]) {
+        FleetEndpoint &endpoint = fleet.endpoints.at(id);
+        endpoint.supplanted = endpoint.entry.born > 0 && endpoint.entry.born < latest;
+    }
+}
+
+void addAddress(Fleet &fleet, const EndpointEntry &entry)
+{
+    fleet.byAddress[entry.address].push_back(entry.id);
+    updateSupplanted(fleet, entry.address);
+}
+
+void removeAddress(Fleet &fleet, const EndpointName &id, const std::string &address)
+{
+    std::erase(fleet.byAddress[address], id);
+    updateSupplanted(fleet, address);
+    if (fleet.byAddress[address].empty()) {
+        fleet.byAddress.erase(address);
     }
 }
 
@@ -37,7 +49,7 @@
     endpoint.lastListed = now;
     fleet.endpoints.emplace(entry.id, std::move(endpoint));
     fleet.byService[entry.service].push_back(entry.id);
-    updateSupplanted(fleet, entry.address);
+    addAddress(fleet, entry);
 }
 
 /// Removes weights that the endpoint no longer holds; an adapter is remembered in rememberedAdapters.
@@ -88,8 +100,8 @@
     const std::string address = known.entry.address;
     known.entry = entry;
     if (address != entry.address) {
-        updateSupplanted(fleet, address);
-        updateSupplanted(fleet, entry.address);
+        removeAddress(fleet, entry.id, address);
+        addAddress(fleet, entry);
     }
     known.entry.softwareVersion = softwareVersion;
     known.entry.leaving = leaving;
@@ -150,9 +162,8 @@
         keepStatements(fleet.unlisted, {id, entry.born}, stated, now);
     }
     std::erase(fleet.byService[found->second.entry.service], id);
-    const std::string address = entry.address;
+    removeAddress(fleet, id, entry.address);
     fleet.endpoints.erase(found);
-    updateSupplanted(fleet, address);
 }
 
 bool isReplaced(const Fleet &fleet, const EndpointInstance &instance, const ServiceName &service,
--- a/lacewing/fleet.h
+++ b/lacewing/fleet.h
@@ -64,6 +64,7 @@
 struct Fleet {
     std::unordered_map<EndpointName, FleetEndpoint> endpoints;
     std::unordered_map<ServiceName, std::vector<EndpointName>> byService;
+    std::unordered_map<std::string, std::vector<EndpointName>> byAddress;
     UnlistedStatements unlisted;
     ListFreshness list;
 };
--- a/lacewing/httpclient.cpp
+++ b/lacewing/httpclient.cpp
@@ -247,7 +247,9 @@
     if (!this->hasSentStrays(address)) {
         logEvent("stray_bytes", {{"address", address}});
     }
-    this->strays[address] = std::chrono::steady_clock::now();
+    const auto now = std::chrono::steady_clock::now();
+    std::erase_if(this->strays, [now](const auto &stray) { return now - stray.second >= strayMemory; });
+    this->strays[address] = now;
 }
 
 bool HttpPool::hasSentStrays(const std::string &address) const
--- a/lacewing/httpreader.cpp
+++ b/lacewing/httpreader.cpp
@@ -243,12 +243,12 @@
 
 void ResponseReader::on_field_impl(http::field field, string_view name, string_view value, ReadError &error)
 {
-    if (this->is_header_done()) { // a trailer field is none of the head
-        return;
-    }
     if (containsStatusLine(value)) {
         error = http::error::bad_value;
     }
+    if (this->is_header_done()) { // a trailer field is none of the head
+        return;
+    }
     if (isForeignCoding(field, value)) {
         error = http::error::bad_transfer_encoding;
     }
