RECOVER: an endpoint that is taken for ended by the list is tried again

Found on reading again: the entry of a later process at an address took an endpoint out of use for as long as that entry stayed, though the list may be wrong, and without requests or orders nothing could show that the endpoint lives. When the later entry went, its report was not read, so that it got no order for good. Cause: a conclusion that removes what could refute it. Change: the conclusion holds for a minute, then the endpoint is tried again; for placement it counts as an endpoint that can't be used, whose report is read when it can.

--- a/lacewing/endpointchoice.cpp
+++ b/lacewing/endpointchoice.cpp
@@ -227,7 +227,7 @@
     for (const EndpointName &id : endpointsOf(fleet, need.service)) {
         const FleetEndpoint &endpoint = fleet.endpoints.at(id);
         const bool avoided = std::find(need.avoid.begin(), need.avoid.end(), id) != need.avoid.end();
-        if (isWithdrawn(endpoint)) {
+        if (isWithdrawn(endpoint, now)) {
             continue;
         }
         if (!isOfVersion(endpoint, need.softwareVersion)) {
--- a/lacewing/entrynodeplacement.cpp
+++ b/lacewing/entrynodeplacement.cpp
@@ -213,7 +213,8 @@
     std::map<ZoneName, ZoneCandidate> zones;
     for (const auto &[id, endpoint] : this->dataPath.fleet().endpoints) {
         const EndpointEntry &entry = endpoint.entry;
-        const bool usable = !isWithdrawn(endpoint) && !isResting(endpoint.stated.rest, this->clock.now());
+        const TimePoint now = this->clock.now();
+        const bool usable = !isWithdrawn(endpoint, now) && !isResting(endpoint.stated.rest, now);
         if (!usable || !entry.held.contains(model) || !this->hasOwner(entry.zone)) {
             continue;
         }
--- a/lacewing/fleet.cpp
+++ b/lacewing/fleet.cpp
@@ -13,7 +13,7 @@
 
 /// An address belongs to the process that was started last. The entry of one that has ended may stay on the list, as
 /// after the return of a store that was away when it would have lapsed.
-void updateSupplanted(Fleet &fleet, const std::string &address)
+void updateSupplanted(Fleet &fleet, const std::string &address, TimePoint now)
 {
     std::int64_t latest = 0;
     for (const EndpointName &id : fleet.byAddress[address]) {
@@ -21,20 +21,24 @@
     }
     for (const EndpointName &id : fleet.byAddress[address]) {
         FleetEndpoint &endpoint = fleet.endpoints.at(id);
-        endpoint.supplanted = endpoint.entry.born > 0 && endpoint.entry.born < latest;
+        if (endpoint.entry.born == 0 || endpoint.entry.born >= latest) {
+            endpoint.supplantedSince.reset();
+        } else if (!endpoint.supplantedSince) {
+            endpoint.supplantedSince = now;
+        }
     }
 }
 
-void addAddress(Fleet &fleet, const EndpointEntry &entry)
+void addAddress(Fleet &fleet, const EndpointEntry &entry, TimePoint now)
 {
     fleet.byAddress[entry.address].push_back(entry.id);
-    updateSupplanted(fleet, entry.address);
+    updateSupplanted(fleet, entry.address, now);
 }
 
-void removeAddress(Fleet &fleet, const EndpointName &id, const std::string &address)
+void removeAddress(Fleet &fleet, const EndpointName &id, const std::string &address, TimePoint now)
 {
     std::erase(fleet.byAddress[address], id);
-    updateSupplanted(fleet, address);
+    updateSupplanted(fleet, address, now);
     if (fleet.byAddress[address].empty()) {
         fleet.byAddress.erase(address);
     }
@@ -49,7 +53,7 @@
     endpoint.lastListed = now;
     fleet.endpoints.emplace(entry.id, std::move(endpoint));
     fleet.byService[entry.service].push_back(entry.id);
-    addAddress(fleet, entry);
+    addAddress(fleet, entry, now);
 }
 
 /// Removes weights that the endpoint no longer holds; an adapter is remembered in rememberedAdapters.
@@ -100,8 +104,8 @@
     const std::string address = known.entry.address;
     known.entry = entry;
     if (address != entry.address) {
-        removeAddress(fleet, entry.id, address);
-        addAddress(fleet, entry);
+        removeAddress(fleet, entry.id, address, now);
+        addAddress(fleet, entry, now);
     }
     known.entry.softwareVersion = softwareVersion;
     known.entry.leaving = leaving;
@@ -118,9 +122,14 @@
     return found != fleet.endpoints.end() && found->second.entry.born == born;
 }
 
-bool isWithdrawn(const FleetEndpoint &endpoint)
+bool isSupplanted(const FleetEndpoint &endpoint, TimePoint now)
+{
+    return endpoint.supplantedSince && now - *endpoint.supplantedSince < supplantedTime;
+}
+
+bool isWithdrawn(const FleetEndpoint &endpoint, TimePoint now)
 {
-    return endpoint.entry.leaving || endpoint.supplanted;
+    return endpoint.entry.leaving || isSupplanted(endpoint, now);
 }
 
 bool isOfVersion(const FleetEndpoint &endpoint, const std::optional<std::string> &wanted)
@@ -162,7 +171,7 @@
         keepStatements(fleet.unlisted, {id, entry.born}, stated, now);
     }
     std::erase(fleet.byService[found->second.entry.service], id);
-    removeAddress(fleet, id, entry.address);
+    removeAddress(fleet, id, entry.address, now);
     fleet.endpoints.erase(found);
 }
 
@@ -230,7 +239,7 @@
     std::optional<Duration> first;
     for (const EndpointName &id : endpointsOf(fleet, service)) {
         const FleetEndpoint &endpoint = fleet.endpoints.at(id);
-        if (isWithdrawn(endpoint)) {
+        if (isWithdrawn(endpoint, now)) {
             continue;
         }
         if (!isResting(endpoint.stated.rest, now)) {
--- a/lacewing/fleet.h
+++ b/lacewing/fleet.h
@@ -57,7 +57,7 @@
     std::int32_t ownCrashSuspects = 0; ///< requests among them that may crash the endpoint
     std::int32_t allRunning = 0; ///< requests of all VMs in progress there, as last reported by the placement owner
     std::int32_t ownRunningAtReport = 0; ///< ownRunning at the time of that report
-    bool supplanted = false; ///< a process that was started later is listed at its address, so that it has ended
+    std::optional<TimePoint> supplantedSince; ///< when a process that was started later was first listed at its address
     TimePoint lastListed; ///< when the platform's list last contained it
 };
 
@@ -132,9 +132,19 @@
 bool isReplaced(const Fleet &fleet, const EndpointInstance &instance, const ServiceName &service,
                 std::string_view address);
 
+/// How long an endpoint gets no work because a later process is listed at its address. The list may be wrong, and
+/// without work nothing would show that the endpoint lives.
+constexpr Duration supplantedTime = milliseconds(60000);
+
 /// @param endpoint of the list
-/// @return whether it gets no further work: it is leaving, or has ended
-bool isWithdrawn(const FleetEndpoint &endpoint);
+/// @param now current time
+/// @return whether it is taken for ended, since a later process is listed at its address
+bool isSupplanted(const FleetEndpoint &endpoint, TimePoint now);
+
+/// @param endpoint of the list
+/// @param now current time
+/// @return whether it gets no work now: it is leaving, or taken for ended
+bool isWithdrawn(const FleetEndpoint &endpoint, TimePoint now);
 
 /// @param endpoint any endpoint
 /// @param wanted software version; nothing: any. Versions have no order: one is equal or it is another one
--- a/lacewing/gatewayforwarding.cpp
+++ b/lacewing/gatewayforwarding.cpp
@@ -130,7 +130,7 @@
     std::vector<ReachWatch::Candidate> candidates;
     for (const EndpointName &id : endpointsOf(this->fleetState, service)) {
         const FleetEndpoint &endpoint = this->fleetState.endpoints.at(id);
-        if (!isWithdrawn(endpoint)) {
+        if (!isWithdrawn(endpoint, this->now())) {
             candidates.push_back({id, endpoint.entry.address});
         }
     }
--- a/lacewing/placementowner.cpp
+++ b/lacewing/placementowner.cpp
@@ -129,7 +129,7 @@
         endpoint.address = known.entry.address;
         endpoint.slots = std::max(1, known.entry.slots);
         const bool isShunned = !acceptsPlacement(fleet, known, this->now());
-        if (isWithdrawn(known)) {
+        if (known.entry.leaving) {
             endpoint.ready = false;
         } else if (isShunned != endpoint.shunned) {
             endpoint.shunned = isShunned; // while it can't be used, its weights are loaded elsewhere
--- a/lacewing/sendgate.cpp
+++ b/lacewing/sendgate.cpp
@@ -55,7 +55,7 @@
     if (!isOfVersion(endpoint, softwareVersion)) {
         return SendHold::OtherVersion;
     }
-    if (endpoint.supplanted) {
+    if (isSupplanted(endpoint, now)) {
         return SendHold::Gone;
     }
     if (endpoint.entry.leaving) {
--- a/lacewing/testing/endpointchoicetest.cpp
+++ b/lacewing/testing/endpointchoicetest.cpp
@@ -487,6 +487,9 @@
     cr_expect_eq(chooseEndpoint(fleet, need(), start).result, ChoiceResult::NoEndpoint, "another service has it now");
     removeEndpoint(fleet, "other", start);
     cr_expect_eq(chooseEndpoint(fleet, need(), start).endpoint, "later");
+    const TimePoint tryAgain = start + supplantedTime;
+    cr_expect_eq(checkSend(fleet, {"ended", 1000}, std::nullopt, tryAgain), SendHold::None, "the list may be wrong");
+    cr_expect_eq(checkSend(fleet, {"ended", 1000}, std::nullopt, tryAgain - milliseconds(1)), SendHold::Gone);
     removeEndpoint(fleet, "later", start);
     cr_expect_eq(chooseEndpoint(fleet, need(), start).endpoint, "ended", "nothing says that it has ended");
 }
--- a/lacewing/testing/placementownertest.cpp
+++ b/lacewing/testing/placementownertest.cpp
@@ -226,3 +226,35 @@
         cr_expect_eq(order.expectedOrders, 0, "what the report states, not what was believed of %s", id.c_str());
     }
 }
+
+Test(placementowner, anEndpointThatWasTakenForEndedGetsOrdersAgain)
+{
+    // A later process was listed at its address and is no longer. Guards against an endpoint whose report is never
+    // read again, so that it gets no order.
+    Zone zone;
+    EndpointEntry later = zone.fleet.endpoints.at("i-0").entry;
+    for (int number = 0; number < endpointCount; ++number) {
+        EndpointEntry entry = zone.fleet.endpoints.at("i-" + std::to_string(number)).entry;
+        entry.address = "10.0.0." + std::to_string(number + 1) + ":80";
+        entry.born = 1000;
+        putEndpoint(zone.fleet, entry, zone.clock.now());
+        later = entry;
+        later.id = "later-" + std::to_string(number);
+        later.service = "other";
+        later.born = 2000;
+        putEndpoint(zone.fleet, later, zone.clock.now());
+    }
+    zone.owner.sync(zone.fleet, zone.config, {});
+    zone.run(milliseconds(50));
+    zone.owner.recordDemand("vm", "z", makeDemand(1, 1));
+    zone.run(milliseconds(50));
+    cr_assert_eq(zone.orders.size(), 0, "all are taken for ended");
+    for (int number = 0; number < endpointCount; ++number) {
+        removeEndpoint(zone.fleet, "later-" + std::to_string(number), zone.clock.now());
+    }
+    zone.owner.sync(zone.fleet, zone.config, {});
+    zone.run(milliseconds(50));
+    zone.owner.recordDemand("vm", "z", makeDemand(1, 1));
+    zone.run(milliseconds(50));
+    cr_expect_eq(zone.orders.size(), 1);
+}
