Metrics: names of organisations, services and topics are escaped in labels

Seen: a name with a quote or a line break, which an operator may give, made the whole page of metrics of lacewing-entry unreadable. Cause: labels were put between quotes as they were; lacewingd's page escaped them, in a function of its own. The label of a service goes through the same function, without a test of its own. Change: one function for both pages.

--- a/lacewing/entrynodemetrics.cpp
+++ b/lacewing/entrynodemetrics.cpp
@@ -6,6 +6,7 @@
 
 #include "eventlog.h"
 #include "handlerguard.h"
+#include "metriclabel.h"
 #include "organisationmetrics.h"
 
 namespace lacewing {
@@ -22,7 +23,7 @@
     line("requests_repeated_total", counters.repeats);
     line("requests_repeated_late_total", counters.lateRepeats);
     for (const auto &[service, budget] : this->dataPath.retryBudgets()) {
-        const std::string label = "{service=\"" + service + "\"}";
+        const std::string label = "{service=\"" + escapeLabel(service) + "\"}";
         line("retries_charged_total" + label, budget.charged);
         line("retry_tokens" + label, std::lround(budget.tokens));
     }
--- a/lacewing/metrics.cpp
+++ b/lacewing/metrics.cpp
@@ -13,6 +13,7 @@
 #include <boost/histogram/histogram.hpp>
 #include <boost/histogram/make_histogram.hpp>
 
+#include "metriclabel.h"
 #include "settingvalue.h"
 
 namespace lacewing {
@@ -25,7 +26,6 @@
                                 0.5,    1.0,   1.1,    2.5,   5.0,  10.0,  30.0, 60.0,   300.0};
 constexpr std::array countEdges {0.0, 1.0, 2.0, 3.0, 4.0, 6.0, 8.0, 12.0, 16.0, 24.0, 32.0, 64.0, 128.0};
 constexpr std::string_view sharedLabel = "other";
-constexpr std::size_t longestLabel = 128;
 
 struct HistogramInfo {
     std::string_view name;
@@ -76,20 +76,6 @@
 
 using Buckets = decltype(makeBuckets({}));
 
-std::string escapeLabel(std::string_view label)
-{
-    std::string text;
-    for (const char character : label.substr(0, longestLabel)) {
-        if (character == '\n') {
-            text += "\\n";
-            continue;
-        }
-        text += character == '"' || character == '\\' ? "\\" : "";
-        text += character;
-    }
-    return text;
-}
-
 void appendHeader(std::string &text, std::string_view name, std::string_view help, std::string_view type)
 {
     text.append("# HELP ").append(name).append(" ").append(help).append("\n");
--- a/lacewing/organisationmetrics.cpp
+++ b/lacewing/organisationmetrics.cpp
@@ -5,6 +5,8 @@
 
 #include <string_view>
 
+#include "metriclabel.h"
+
 namespace lacewing {
 
 namespace {
@@ -20,7 +22,7 @@
 std::string labelOf(std::string_view name, std::string_view value)
 {
     std::string label(name);
-    label.append("=\"").append(value).append("\"");
+    label.append("=\"").append(escapeLabel(value)).append("\"");
     return label;
 }
 
--- a/lacewing/testing/organisationmetricstest.cpp
+++ b/lacewing/testing/organisationmetricstest.cpp
@@ -31,6 +31,15 @@
     cr_assert(contains(text, R"(lacewing_organisation_refused_total{organisation="o",type="over_quota"} 1)"));
 }
 
+// Operators may give any printable name.
+Test(organisationmetrics, aNameWithAQuoteIsEscaped)
+{
+    OrganisationMetrics metrics;
+    metrics.recordRefusal(R"(a"b\c)", ResultCode::OverQuota);
+    cr_assert(
+        contains(metrics.text(), R"(lacewing_organisation_refused_total{organisation="a\"b\\c",type="over_quota"} 1)"));
+}
+
 Test(organisationmetrics, theNumberOfLabelsIsBounded)
 {
     OrganisationMetrics metrics;
