Read-through: one name for entries of another writer; labels keep their length

Found on reading the change again. Labels of lacewing-entry were cut after 128 bytes since they are escaped, so that two names could have become one series: only lacewingd, which did so before, cuts them. Comments that needed a second reading are put in other words.

--- a/lacewing/metriclabel.cpp
+++ b/lacewing/metriclabel.cpp
@@ -1,19 +1,13 @@
-// Names of others are among the labels: one with a quote or a line break would cost the whole page.
+// Operators choose some of the values. An unescaped quote or line break makes the whole page unreadable.
 
 #include "metriclabel.h"
 
 namespace lacewing {
 
-namespace {
-
-constexpr std::size_t longestLabel = 128;
-
-} // namespace
-
 std::string escapeLabel(std::string_view value)
 {
     std::string text;
-    for (const char character : value.substr(0, longestLabel)) {
+    for (const char character : value) {
         if (character == '\n') {
             text += "\\n";
             continue;
--- a/lacewing/metriclabel.h
+++ b/lacewing/metriclabel.h
@@ -8,7 +8,7 @@
 namespace lacewing {
 
 /// @param value of a label, any text
-/// @return the value as it stands between quotes, cut after 128 bytes
+/// @return the value as it stands between quotes
 std::string escapeLabel(std::string_view value);
 
 } // namespace lacewing
--- a/lacewing/metrics.cpp
+++ b/lacewing/metrics.cpp
@@ -26,6 +26,7 @@
                                 0.5,    1.0,   1.1,    2.5,   5.0,  10.0,  30.0, 60.0,   300.0};
 constexpr std::array countEdges {0.0, 1.0, 2.0, 3.0, 4.0, 6.0, 8.0, 12.0, 16.0, 24.0, 32.0, 64.0, 128.0};
 constexpr std::string_view sharedLabel = "other";
+constexpr std::size_t longestLabel = 128;
 
 struct HistogramInfo {
     std::string_view name;
@@ -150,8 +151,8 @@
     const HistogramInfo &info = histogramInfos.at(index);
     appendHeader(text, info.name, info.help, "histogram");
     for (const auto &[key, series] : this->histograms.at(index)) {
-        std::string common
-            = std::string(info.byEndpoint ? "endpoint" : "member") + "=\"" + escapeLabel(key.label) + "\"";
+        std::string common = std::string(info.byEndpoint ? "endpoint" : "member") + "=\""
+            + escapeLabel(std::string_view(key.label).substr(0, longestLabel)) + "\"";
         if (!info.byEndpoint) {
             common += ",class=\"" + std::string(className(key.requestClass)) + "\"";
         }
