RECOVER: loads of models that share the weight store are bounded in number

What callers saw: after all VMs and engines had lost power at once, requests that need an engine were not served until long after the bound.

Cause: what held loads of models back was the rate at which they begin (modelLoadTokens), not how many are in progress. The weight store serves some at full speed and slows all in proportion beyond, and loads that share its speed and begin together end together. Besides, a load of a model was forgotten at the first report, which names no models that are being loaded.

--- a/lacewing/adapterplan.cpp
+++ b/lacewing/adapterplan.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <map>
 #include <set>
 #include <string_view>
 #include <unordered_map>
@@ -54,7 +55,8 @@
     {
         std::size_t loading = 0;
         for (const auto &[id, endpoint] : placement.endpoints) {
-            loading += endpoint.loading.size();
+            loading += static_cast<std::size_t>(std::count_if(endpoint.loading.begin(), endpoint.loading.end(),
+                                                              [](const auto &one) { return isAdapter(one.first); }));
             this->summarize(endpoint);
             this->availableEndpoints += this->isAvailable(id, endpoint) ? 1 : 0;
         }
@@ -114,38 +116,62 @@
         this->orders.push_back(std::move(order));
     }
 
+    /// Loads from the endpoints' own copies first; then those from the weight store, for the services whose models have
+    /// the fewest copies.
     void planModels()
     {
-        double left = this->state.modelLoadTokens;
+        double tokens = this->state.modelLoadTokens;
+        std::int32_t allowed = this->state.modelLoadsAllowed;
+        std::map<ServiceName, std::vector<EndpointName>> waiting;
         for (const auto &[id, endpoint] : this->state.endpoints) {
             const auto engine = this->state.engines.find(endpoint.service);
             const bool empty = endpoint.held.empty() && endpoint.loading.empty();
-            if (!empty || left < 1 || engine == this->state.engines.end() || engine->second.models.empty()
+            if (!empty || engine == this->state.engines.end() || engine->second.models.empty()
                 || !this->isAvailable(id, endpoint)) {
                 continue;
             }
-            left -= 1;
-            this->add(makeOrder(PlacementAction::Load, id, endpoint, this->rarestModel(engine->second), 0));
+            if (endpoint.ownCopies.contains(this->rarestModel(endpoint.service))) {
+                this->planModel(id);
+            } else {
+                waiting[endpoint.service].push_back(id);
+            }
+        }
+        for (; tokens >= 1 && allowed > 0 && !waiting.empty(); tokens -= 1, --allowed) {
+            const auto next
+                = std::min_element(waiting.begin(), waiting.end(), [this](const auto &one, const auto &other) {
+                      return this->copies(this->rarestModel(one.first)) < this->copies(this->rarestModel(other.first));
+                  });
+            this->planModel(next->second.back());
+            next->second.pop_back();
+            if (next->second.empty()) {
+                waiting.erase(next);
+            }
         }
     }
 
-    /// Returns the model with the fewest copies, so that each model is placed somewhere.
-    std::string rarestModel(const EngineSpec &engine) const
+    void planModel(const EndpointName &id)
     {
-        std::string rarest = engine.models.front().name;
-        std::size_t fewest = this->copies(rarest);
-        for (const ModelSpec &model : engine.models) {
-            if (this->copies(model.name) < fewest) {
-                rarest = model.name;
-                fewest = this->copies(rarest);
-            }
-        }
-        return rarest;
+        const PlacedEndpoint &endpoint = this->state.endpoints.at(id);
+        const std::string model = this->rarestModel(endpoint.service);
+        this->plannedModels[model] += 1;
+        this->add(makeOrder(PlacementAction::Load, id, endpoint, model, 0));
+    }
+
+    /// Returns the service's model with the fewest copies, so that each model is placed somewhere.
+    std::string rarestModel(const ServiceName &service) const
+    {
+        const std::vector<ModelSpec> &models = this->state.engines.at(service).models;
+        const auto rarest
+            = std::min_element(models.begin(), models.end(), [this](const ModelSpec &one, const ModelSpec &other) {
+                  return this->copies(one.name) < this->copies(other.name);
+              });
+        return rarest->name;
     }
 
     std::size_t copies(const std::string &weights) const
     {
-        return this->summaryOf(weights).copies;
+        const auto planned = this->plannedModels.find(weights);
+        return this->summaryOf(weights).copies + (planned == this->plannedModels.end() ? 0 : planned->second);
     }
 
     bool hasNewest(const std::string &weights, std::int32_t version) const
@@ -385,6 +411,7 @@
     std::vector<Want> wants;
     std::set<EndpointName> orderedEndpoints;
     std::set<std::string> plannedWeights; ///< weights that this plan orders
+    std::map<std::string, std::size_t> plannedModels; ///< copies of models that this plan orders
     std::vector<PlacementOrder> orders;
 };
 
--- a/lacewing/adapterplan.h
+++ b/lacewing/adapterplan.h
@@ -11,17 +11,23 @@
 // without one, on the endpoint with the smallest share of its places in use, because that endpoint has a free place for
 // its next load. Popular adapters get extra copies when they use a large share of their endpoints' slots, or when many
 // of this zone's streams run on them in another zone.
+//
+// Models have no such demand: each endpoint without one loads one. modelloads.h decides how many at a time; those from
+// an endpoint's own memory or disk are not bounded.
 
 #pragma once
 
 #include <cstdint>
+#include <limits>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
 #include "adapterversions.h"
 #include "askpause.h"
+#include "modelloads.h"
 #include "rememberedadapters.h"
 #include "routeconfig.h"
 #include "types.h"
@@ -64,6 +70,17 @@
     TimePoint since;
 };
 
+/// Load of a model to an endpoint.
+struct ModelLoad {
+    std::string model; ///< empty: not known, as another owner has ordered it
+    TimePoint since;
+    TimePoint lastSeen; ///< when a report last showed it in progress
+    bool accepted = false; ///< the endpoint has accepted this owner's order
+    double concurrentSum = 0; ///< loads of all zones in progress, added up over the reports
+    std::int32_t reports = 0;
+    std::int32_t mostConcurrent = 1;
+};
+
 struct PlacedEndpoint {
     ServiceName service;
     std::int64_t incarnationStart = 0;
@@ -75,7 +92,9 @@
     bool busy = false; ///< executing an order that blocks others
     std::int64_t orders = 0; ///< number of orders accepted; sent as expectedOrders of the next order
     std::map<std::string, PlacedAdapter> held; ///< resident weights: MODEL or MODEL/ADAPTER
-    std::map<std::string, LoadingAdapter> loading;
+    std::map<std::string, LoadingAdapter> loading; ///< adapters, and the model that is being loaded
+    std::optional<ModelLoad> modelLoad; ///< in progress
+    std::set<std::string> ownCopies; ///< models in its own memory or on its own disk
     RememberedAdapters
         rememberedAdapters; ///< unloaded adapters that are still in host memory, from where loads are fast
     TimePoint notBefore; ///< time before which no order is sent
@@ -98,6 +117,8 @@
     AdapterVersions versions;
     std::map<ServiceName, EngineSpec> engines;
     double modelLoadTokens = 1; ///< token bucket: number of model loads that may start now
+    /// Number of model loads that may start now beside those in progress (modelloads.h).
+    std::int32_t modelLoadsAllowed = std::numeric_limits<std::int32_t>::max();
 };
 
 enum class PlacementAction {
@@ -145,6 +166,17 @@
 /// @return the same with the engine taken from the state; 0 if the endpoint's service has no engine
 std::size_t adapterPlaces(const PlacementState &state, const PlacedEndpoint &endpoint);
 
+/// @param engine of the endpoint's service
+/// @return whether the endpoint has no model and can be ordered to load one from the weight store
+bool waitsForModel(const EngineSpec &engine, const PlacedEndpoint &endpoint);
+
+/// @return loads of models in the zone; without what was learned from them
+ZoneModelLoads countModelLoads(const PlacementState &state, TimePoint now);
+
+/// @param model name of a model; empty: the one that takes longest
+/// @return its load time from the weight store without contention; 0: not known
+Duration modelLoadTime(const PlacementState &state, const PlacedEndpoint &endpoint, const std::string &model);
+
 /// @param weights MODEL/ADAPTER
 /// @return whether requests wait for the weights
 bool isAwaited(const PlacementState &state, const std::string &weights);
--- a/lacewing/adapterplanstate.cpp
+++ b/lacewing/adapterplanstate.cpp
@@ -20,7 +20,12 @@
     }
     found->second.loading[weightsOf(order)] = {order.version, now};
     if (order.adapter.empty()) {
-        state.modelLoadTokens -= 1;
+        PlacedEndpoint &endpoint = found->second;
+        endpoint.modelLoad = ModelLoad {};
+        endpoint.modelLoad->model = order.model;
+        endpoint.modelLoad->since = now;
+        endpoint.modelLoad->lastSeen = now;
+        state.modelLoadTokens -= endpoint.ownCopies.contains(order.model) ? 0 : 1;
     }
 }
 
@@ -64,6 +69,48 @@
     return engine == state.engines.end() ? 0 : adapterPlaces(engine->second, endpoint);
 }
 
+bool waitsForModel(const EngineSpec &engine, const PlacedEndpoint &endpoint)
+{
+    const auto isElsewhere = [&endpoint](const ModelSpec &model) { return !endpoint.ownCopies.contains(model.name); };
+    const bool idle = endpoint.ready && !endpoint.busy && !endpoint.orderPending;
+    return idle && endpoint.held.empty() && endpoint.loading.empty()
+        && std::any_of(engine.models.begin(), engine.models.end(), isElsewhere);
+}
+
+Duration modelLoadTime(const PlacementState &state, const PlacedEndpoint &endpoint, const std::string &model)
+{
+    const auto engine = state.engines.find(endpoint.service);
+    Duration longest {0};
+    if (engine != state.engines.end()) {
+        for (const ModelSpec &spec : engine->second.models) {
+            longest = spec.name == model || model.empty() ? std::max(longest, spec.loadTime) : longest;
+        }
+    }
+    return longest;
+}
+
+ZoneModelLoads countModelLoads(const PlacementState &state, TimePoint now)
+{
+    ZoneModelLoads loads;
+    for (const auto &[id, endpoint] : state.endpoints) {
+        const auto engine = state.engines.find(endpoint.service);
+        if (engine == state.engines.end()) {
+            continue;
+        }
+        if (endpoint.modelLoad) {
+            const ModelLoad &load = *endpoint.modelLoad;
+            const Duration most = maxModelLoadTime(modelLoadTime(state, endpoint, load.model), load.mostConcurrent);
+            const bool fromStore = !endpoint.ownCopies.contains(load.model);
+            loads.loading += fromStore && now - load.since < most ? 1 : 0;
+        } else if (!endpoint.held.empty()) {
+            loads.placed += 1;
+        } else if (waitsForModel(engine->second, endpoint)) {
+            loads.waiting += 1;
+        }
+    }
+    return loads;
+}
+
 bool isAwaited(const PlacementState &state, const std::string &weights)
 {
     const auto demand = state.demand.find(weights);
--- a/lacewing/datagramcounts.h
+++ b/lacewing/datagramcounts.h
@@ -37,9 +37,10 @@
     CopyLeaseAnswer,
     ListAsk,
     ListAnswer,
+    ModelLoads,
     PassedOn, ///< datagram of another VM, forwarded within the zone
 };
-constexpr std::size_t datagramKindCount = 23;
+constexpr std::size_t datagramKindCount = 24;
 
 struct DatagramCount {
     std::int64_t datagrams = 0;
--- a/lacewing/entrynode.cpp
+++ b/lacewing/entrynode.cpp
@@ -133,6 +133,10 @@
         = [this](const wire::RejectionDigest &digest) { this->dataPath.applyRejectionDigest(digest); };
     this->gossip.onVmStarted = [this](const VmId &vm) { this->tellRejections(vm); };
     this->owner.onChanged = [this](const wire::PlacementNotice &notice) { this->broadcastPlacement(notice); };
+    this->owner.onModelLoads = [this](const wire::ModelLoads &loads) { this->sendModelLoads(loads); };
+    this->gossip.onModelLoads = [this](const wire::ModelLoadNews &news) {
+        this->owner.recordModelLoads(news.zone, news.loads, news.fencing);
+    };
     this->owner.mayOrder = [this] { return this->mayOrderNow(); };
     this->owner.onFenced = [this] {
         recordFenced(this->claim, this->clock.now());
--- a/lacewing/entrynode.h
+++ b/lacewing/entrynode.h
@@ -210,6 +210,7 @@
     void reportDemand();
     void heartbeat();
     void sendNotice();
+    void sendModelLoads(const wire::ModelLoads &loads);
     void broadcastPlacement(const wire::PlacementNotice &notice);
     void announce();
     void restoreAnnouncement();
--- a/lacewing/entrynodemetrics.cpp
+++ b/lacewing/entrynodemetrics.cpp
@@ -75,6 +75,10 @@
     line("load_checks_total", this->owner.loadChecks);
     line("plans_total", this->owner.plansMade);
     line("reports_read_total", this->owner.reportsRead);
+    const ZoneModelLoads modelLoads = this->owner.modelLoads();
+    line("model_loads_waiting", modelLoads.waiting);
+    line("model_loads_in_progress", modelLoads.loading);
+    line("model_load_limit", this->owner.modelLoadLimit());
     line("endpoints", static_cast<std::int64_t>(this->dataPath.fleet().endpoints.size()));
     const ListFreshness &list = this->dataPath.fleet().list;
     if (isKnown(list.position)) {
--- a/lacewing/entrynodeupdates.cpp
+++ b/lacewing/entrynodeupdates.cpp
@@ -23,6 +23,7 @@
     if (!this->owner.active()) {
         return;
     }
+    this->owner.refreshModelLoads();
     wire::PlacementNotice notice = this->owner.nextNotice();
     const ListFreshness &list = this->dataPath.fleet().list;
     if (isKnown(list.position)) {
@@ -37,6 +38,19 @@
     this->broadcastPlacement(notice);
 }
 
+void EntryNode::sendModelLoads(const wire::ModelLoads &loads)
+{
+    wire::ModelLoadNews news;
+    news.zone = this->settings.zone;
+    news.fencing = this->owner.fencing();
+    news.loads = loads;
+    for (const auto &[zone, zoneOwner] : this->owners) {
+        if (zone != this->settings.zone && this->hasOwner(zone)) {
+            this->gossip.sendModelLoads(zoneOwner.vm, news);
+        }
+    }
+}
+
 void EntryNode::broadcastPlacement(const wire::PlacementNotice &notice)
 {
     this->gossip.sendPlacementToAll(notice);
@@ -65,6 +79,7 @@
     known.fencing = notice.fencing;
     known.heard = now;
     known.idlePlaces = notice.idlePlaces;
+    this->owner.recordModelLoads(notice.zone, notice.modelLoads, notice.fencing); // none are stated if there are none
     if (notice.zone == this->settings.zone) {
         this->dataPath.reachStartStep("zone_owner");
     }
--- a/lacewing/lacewing.thrift
+++ b/lacewing/lacewing.thrift
@@ -275,6 +275,18 @@
   9: i32 index = -1                    // of its load in the owner's notices; -1: not given
 }
 
+/** Loads of models from the weight store to the endpoints of a zone, and what they have shown (modelloads.h). */
+struct ModelLoads {
+  1: i32 waiting = 0,                  // endpoints that could load a model now
+  2: i32 loading = 0,
+  3: i32 placed = 0,                   // endpoints that have a model
+  4: i32 epoch = 0,                    // how often the limit of loads at a time has fallen
+  5: i32 base = 0,                     // limit when the epoch began; 0: the one of the number of engines
+  6: i32 completed = 0                 // loads in this epoch that used the limit and were not slowed
+}
+/** The placement owner of a zone tells the other owners of its loads. */
+struct ModelLoadNews { 1: string zone, 2: i64 fencing, 3: ModelLoads loads }
+
 /** Sent by the placement owner of a zone to every VM when something changed, and as a heartbeat. */
 struct PlacementNotice {
   1: string zone,
@@ -288,7 +300,8 @@
   9: i64 previousNews = 0,             // who has all news up to here has, with this notice, all up to `news`
   10: i64 news = 0,
   11: binary loads,                    // requests in progress at each endpoint, a byte each, by index; 255: not known
-  12: optional i64 listEra             // of the store, to which listChange and listOffset belong
+  12: optional i64 listEra,            // of the store, to which listChange and listOffset belong
+  13: optional ModelLoads modelLoads   // if there are any, or something was learned from them
 }
 
 /** A VM that has missed news of a zone asks its owner for them. */
@@ -524,5 +537,6 @@
   33: optional CopyLeaseAsk copyLeaseAsk,
   34: optional CopyLeaseAnswer copyLeaseAnswer,
   35: optional ListAsk listAsk,
-  36: optional ListAnswer listAnswer
+  36: optional ListAnswer listAnswer,
+  37: optional ModelLoadNews modelLoads
 }
--- /dev/null
+++ b/lacewing/modelloads.cpp
@@ -0,0 +1,190 @@
+// A slowed load shows how many loads the store serves at full speed: with a speed shared by n loads, each takes n / k
+// times as long as with k or fewer. One slow engine shows the same, so that the limit falls by half at most at a time,
+// and only after two loads in a row; with one or two loads at a time, after one.
+//
+// A limit that is too high costs no throughput, only time until the first engines are ready. One that is too low costs
+// throughput. So it grows soon and begins to grow more slowly only when it has fallen.
+
+#include "modelloads.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <vector>
+
+namespace lacewing {
+
+namespace {
+
+/// Slowed loads in a row after which the limit falls.
+constexpr std::int32_t slowedLoadsForFall = 2;
+/// Up to this limit, one slowed load is enough: there may be no second one at the same time.
+constexpr std::int32_t smallLimit = 2;
+/// How much longer a load may take than one that shares a store which serves one at a time.
+constexpr double lostLoadFactor = 1.5;
+/// Load time if the configuration does not name one.
+constexpr Duration unknownLoadTime = milliseconds(4000);
+
+std::int32_t firstLimit(std::size_t engines)
+{
+    return static_cast<std::int32_t>(std::max<std::size_t>(1, engines / enginesPerFirstLoad));
+}
+
+bool isHeard(const StatedModelLoads &stated, TimePoint now)
+{
+    return now - stated.heard < zoneLoadsLifetime;
+}
+
+bool isNewer(const ModelLoadLimit &one, const ModelLoadLimit &other)
+{
+    return one.epoch > other.epoch || (one.epoch == other.epoch && one.epoch > 0 && one.base < other.base);
+}
+
+void beginEpoch(ModelLoadControl &control, std::int32_t epoch, std::int32_t base, TimePoint now)
+{
+    control.limit = {epoch, base, 0};
+    control.epochBegun = now;
+    control.slowed = 0;
+    control.sustained = 0;
+}
+
+void recordSlowed(ModelLoadControl &control, double sustained, std::int32_t limit, TimePoint now)
+{
+    control.slowed += 1;
+    control.sustained = std::max(control.sustained, sustained);
+    const auto next = static_cast<std::int32_t>(std::lround(control.sustained));
+    const std::int32_t needed = limit <= smallLimit ? 1 : slowedLoadsForFall;
+    if (control.slowed < needed || next >= limit) {
+        return;
+    }
+    beginEpoch(control, control.limit.epoch + 1, std::max({1, limit / 2, next}), now);
+}
+
+/// A zone that competes for loads.
+struct Competitor {
+    ZoneName zone;
+    std::int32_t waiting = 0;
+    std::int32_t provided = 0; ///< endpoints that have a model or will have one
+    bool own = false;
+};
+
+bool goesFirst(const Competitor &one, const Competitor &other)
+{
+    return one.provided != other.provided ? one.provided < other.provided : one.zone < other.zone;
+}
+
+Competitor competitorOf(const ZoneName &zone, const ZoneModelLoads &loads, bool own)
+{
+    return {zone, loads.waiting, loads.placed + loads.loading, own};
+}
+
+} // namespace
+
+std::int32_t modelLoadLimit(const ModelLoadControl &control, std::size_t engines)
+{
+    const ModelLoadLimit &learned = control.limit;
+    std::int32_t completed = learned.completed;
+    for (const auto &[zone, stated] : control.zones) {
+        completed += stated.loads.limit.epoch == learned.epoch ? stated.loads.limit.completed : 0;
+    }
+    const std::int32_t step = learned.epoch == 0 ? loadsPerEarlyStep : loadsPerStep;
+    const std::int32_t base = learned.base > 0 ? learned.base : firstLimit(engines);
+    return std::min(base + completed / step, std::max<std::int32_t>(1, static_cast<std::int32_t>(engines)));
+}
+
+std::int32_t loadsElsewhere(const ModelLoadControl &control, const ZoneName &own, TimePoint now)
+{
+    std::int32_t loading = 0;
+    for (const auto &[zone, stated] : control.zones) {
+        loading += zone != own && isHeard(stated, now) ? stated.loads.loading : 0;
+    }
+    return loading;
+}
+
+void beginModelLoads(ModelLoadControl &control, const ZoneName &zone, TimePoint now)
+{
+    control.ownerSince = now;
+    control.slowed = 0;
+    control.sustained = 0;
+    const auto before = control.zones.find(zone);
+    if (before != control.zones.end()) {
+        if (before->second.loads.limit.epoch == control.limit.epoch) {
+            control.limit.completed = std::max(control.limit.completed, before->second.loads.limit.completed);
+        }
+        control.zones.erase(before);
+    }
+}
+
+void recordZoneLoads(ModelLoadControl &control, const ZoneName &zone, const ZoneModelLoads &loads, std::int64_t fencing,
+                     TimePoint now)
+{
+    StatedModelLoads &known = control.zones[zone];
+    if (fencing < known.fencing) {
+        return;
+    }
+    known = {loads, fencing, now};
+    if (isNewer(loads.limit, control.limit)) {
+        beginEpoch(control, loads.limit.epoch, loads.limit.base, now);
+    }
+}
+
+void recordModelLoadEnd(ModelLoadControl &control, const ModelLoadEnd &end, std::size_t engines, TimePoint now)
+{
+    if (end.loadTime.count() <= 0 || end.begun < control.epochBegun) {
+        return;
+    }
+    const std::int32_t limit = modelLoadLimit(control, engines);
+    const double shown = static_cast<double>((end.took - endDelay).count());
+    const double slowdown = shown / static_cast<double>(end.loadTime.count());
+    const bool ownCopy
+        = static_cast<double>(end.took.count()) < ownCopyFactor * static_cast<double>(end.loadTime.count());
+    if (slowdown > slowedFactor) {
+        recordSlowed(control, end.concurrent / slowdown, limit, now);
+        return;
+    }
+    control.slowed = 0;
+    control.sustained = 0;
+    if (ownCopy || end.concurrent * 2 >= limit) {
+        control.limit.completed += 1;
+    }
+}
+
+std::int32_t modelLoadsToStart(const ModelLoadControl &control, const ZoneName &zone, const ZoneModelLoads &own,
+                               std::size_t engines, const std::set<ZoneName> &engineZones, TimePoint now)
+{
+    std::vector<Competitor> competitors {competitorOf(zone, own, true)};
+    std::int32_t free = modelLoadLimit(control, engines) - own.loading - loadsElsewhere(control, zone, now);
+    for (const auto &[other, stated] : control.zones) {
+        if (other != zone && isHeard(stated, now)) {
+            competitors.push_back(competitorOf(other, stated.loads, false));
+        }
+    }
+    for (const ZoneName &other : engineZones) {
+        const auto stated = control.zones.find(other);
+        const bool heard = other == zone || (stated != control.zones.end() && isHeard(stated->second, now));
+        if (!heard && now - control.ownerSince < firstHearing) {
+            competitors.push_back({other, std::numeric_limits<std::int32_t>::max(), 0, false});
+        }
+    }
+    std::int32_t starts = 0;
+    for (; free > 0; --free) {
+        std::erase_if(competitors, [](const Competitor &one) { return one.waiting <= 0; });
+        const auto next = std::min_element(competitors.begin(), competitors.end(), goesFirst);
+        if (next == competitors.end()) {
+            break;
+        }
+        next->waiting -= 1;
+        next->provided += 1;
+        starts += next->own ? 1 : 0;
+    }
+    return starts;
+}
+
+Duration maxModelLoadTime(Duration loadTime, std::int32_t concurrent)
+{
+    const Duration one = loadTime.count() > 0 ? loadTime : unknownLoadTime;
+    const double longest = static_cast<double>(one.count()) * lostLoadFactor * std::max(1, concurrent);
+    return Duration(std::llround(longest)) + endDelay;
+}
+
+} // namespace lacewing
--- /dev/null
+++ b/lacewing/modelloads.h
@@ -0,0 +1,132 @@
+// Decides how many models the placement owners of all zones load from the weight store at a time.
+//
+//   recordZoneLoads(control, zone, loads, fencing, now);  // stated by the owner of another zone
+//   starts = modelLoadsToStart(control, zone, own, engines, now);
+//   recordModelLoadEnd(control, end, engines, now);       // of a load in the own zone
+//
+// Load pattern: all engines of a deployment return at once and hold no model. The weight store serves some loads at
+// full speed and slows all of them in proportion when there are more. Loads that begin together and share the speed end
+// together: no engine serves until nearly all models are loaded. With as many at a time as run at full speed, the first
+// engines serve after one load time, and the last ones are ready no later.
+//
+// How many run at full speed is not stated, so the limit follows the time that loads take, as congestion control does:
+// it grows with loads that used it and were not slowed, and falls to what slowed loads show. Zones share it: each owner
+// states its loads and what it has learned, and the zone with the fewest engines that have a model goes first.
+//
+// A zone whose owner is not heard does not count, so that a zone that is cut off goes on by itself.
+
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+
+#include "types.h"
+
+namespace lacewing {
+
+/// A deployment begins with one load at a time for so many engines: a store that serves more engines is larger.
+constexpr std::size_t enginesPerFirstLoad = 16;
+/// A load that takes longer than its load time by this factor was slowed by others.
+constexpr double slowedFactor = 1.25;
+/// A load that takes less than this share of its load time came from the endpoint's own memory or disk.
+constexpr double ownCopyFactor = 0.75;
+/// How much later than the end of a load its report can show it: reports are some hundred milliseconds old.
+constexpr Duration endDelay = milliseconds(400);
+/// Loads that are not slowed for each step by which the limit grows, until it has fallen for the first time.
+constexpr std::int32_t loadsPerEarlyStep = 2;
+/// The same later, when it is near what the store serves.
+constexpr std::int32_t loadsPerStep = 4;
+/// What the owner of a zone has stated holds for this time; it states it twice a second.
+constexpr Duration zoneLoadsLifetime = milliseconds(1700);
+/// How long a new owner leaves a share to zones that it has not heard yet: VMs that start together hear each other
+/// after about a second.
+constexpr Duration firstHearing = milliseconds(1200);
+
+/// What the loads so far have shown. Owners of several zones add up what they have learned: the highest epoch counts,
+/// and within it the sum of all completed loads.
+struct ModelLoadLimit {
+    std::int32_t epoch = 0; ///< how often the limit has fallen
+    std::int32_t base = 0; ///< limit when the epoch began; 0: the one of the number of engines
+    std::int32_t completed = 0; ///< loads of the own zone in this epoch that used the limit and were not slowed
+};
+
+/// Loads of models from the weight store to the endpoints of a zone.
+struct ZoneModelLoads {
+    std::int32_t waiting = 0; ///< endpoints that could load a model now
+    std::int32_t loading = 0;
+    std::int32_t placed = 0; ///< endpoints that have a model
+    ModelLoadLimit limit;
+};
+
+struct StatedModelLoads {
+    ZoneModelLoads loads;
+    std::int64_t fencing = 0; ///< of the owner that stated them
+    TimePoint heard;
+};
+
+struct ModelLoadControl {
+    ModelLoadLimit limit;
+    TimePoint epochBegun;
+    std::int32_t slowed = 0; ///< consecutive loads of this epoch
+    double sustained = 0; ///< loads that the store serves at full speed, by the least slowed of them
+    TimePoint ownerSince; ///< when this VM became the owner of its zone
+    std::map<ZoneName, StatedModelLoads> zones; ///< other zones, and the own zone while another VM owns it
+};
+
+/// A load that has ended.
+struct ModelLoadEnd {
+    TimePoint begun;
+    Duration took {0}; ///< until a report showed the end
+    Duration loadTime {0}; ///< from the weight store without contention
+    double concurrent = 1; ///< loads of all zones that were in progress meanwhile, in the mean
+};
+
+/// @param control what is known
+/// @param engines number of endpoints with engines in all zones
+/// @return maximum number of loads at a time in all zones together
+std::int32_t modelLoadLimit(const ModelLoadControl &control, std::size_t engines);
+
+/// @param control what is known
+/// @param now current time
+/// @return loads in progress in the other zones
+std::int32_t loadsElsewhere(const ModelLoadControl &control, const ZoneName &own, TimePoint now);
+
+/// Called when this VM becomes the owner of its zone: it goes on with what the owner before has learned.
+/// @param control updated
+/// @param zone of this VM
+/// @param now current time
+void beginModelLoads(ModelLoadControl &control, const ZoneName &zone, TimePoint now);
+
+/// Records what the owner of a zone has stated.
+/// @param control updated
+/// @param zone that is stated
+/// @param loads in that zone
+/// @param fencing of the owner; lower than one before: ignored
+/// @param now current time
+void recordZoneLoads(ModelLoadControl &control, const ZoneName &zone, const ZoneModelLoads &loads, std::int64_t fencing,
+                     TimePoint now);
+
+/// Updates the limit.
+/// @param control updated
+/// @param end load of the own zone that has ended
+/// @param engines number of endpoints with engines in all zones
+/// @param now current time
+void recordModelLoadEnd(ModelLoadControl &control, const ModelLoadEnd &end, std::size_t engines, TimePoint now);
+
+/// @param control what is known
+/// @param zone of this VM, which owns it
+/// @param own loads of this zone; its limit is not used
+/// @param engines number of endpoints with engines in all zones
+/// @param engineZones zones with such endpoints
+/// @param now current time
+/// @return number of loads that this zone may start now
+std::int32_t modelLoadsToStart(const ModelLoadControl &control, const ZoneName &zone, const ZoneModelLoads &own,
+                               std::size_t engines, const std::set<ZoneName> &engineZones, TimePoint now);
+
+/// @param loadTime from the weight store without contention
+/// @param concurrent maximum number of loads of all zones that were in progress meanwhile
+/// @return time after which a load counts as lost, so that it does not keep others from beginning
+Duration maxModelLoadTime(Duration loadTime, std::int32_t concurrent);
+
+} // namespace lacewing
--- a/lacewing/placementowner.cpp
+++ b/lacewing/placementowner.cpp
@@ -57,6 +57,8 @@
     this->planRequested = false;
     this->tokensRefilled = this->now();
     this->state.modelLoadTokens = 1;
+    beginModelLoads(this->modelLoadControl, this->zone, this->now());
+    this->runAfter(firstHearing, [this] { this->requestPlan(); });
     logEvent("placement_owner", {{"zone", this->zone}, {"fencing", std::to_string(fencing)}, {"owner", "yes"}});
 }
 
@@ -97,7 +99,8 @@
 void PlacementOwner::sync(const Fleet &fleet, const RouteConfig &config, const AdapterVersions &versions)
 {
     this->zoneOfEndpoint.clear();
-    std::set<ZoneName> engineZones;
+    this->engineZones.clear();
+    this->engineCount = 0;
     this->state.versions = versions;
     this->state.engines.clear();
     for (const auto &[name, service] : config.services) {
@@ -113,7 +116,8 @@
         if (!this->state.engines.contains(known.entry.service)) {
             continue;
         }
-        engineZones.insert(known.entry.zone);
+        this->engineZones.insert(known.entry.zone);
+        this->engineCount += known.entry.leaving || isSupplanted(known, this->now()) ? 0 : 1;
         if (known.entry.zone != this->zone || !this->isActive) {
             continue;
         }
@@ -139,7 +143,6 @@
             this->readReport(id);
         }
     }
-    this->zoneCount = std::max<std::size_t>(1, engineZones.size());
     this->requestPlan();
 }
 
@@ -203,7 +206,8 @@
 {
     const TimePoint time = this->now();
     const double elapsed = static_cast<double>((time - this->tokensRefilled).count()) / microsecondsPerSecond;
-    const double share = modelLoadShare * this->modelLoadRate / static_cast<double>(this->zoneCount);
+    const double share = modelLoadShare * this->modelLoadRate
+        / static_cast<double>(std::max<std::size_t>(1, this->engineZones.size()));
     this->state.modelLoadTokens = std::min(1.0 + share, this->state.modelLoadTokens + elapsed * share);
     this->tokensRefilled = time;
 }
@@ -245,6 +249,9 @@
     this->plansMade += 1;
     this->mergeDemand();
     this->refillModelLoadTokens();
+    this->state.modelLoadsAllowed
+        = modelLoadsToStart(this->modelLoadControl, this->zone, countModelLoads(this->state, this->lastPlan),
+                            this->engineCount, this->engineZones, this->lastPlan);
     const std::int64_t plannedIn = this->term;
     for (const PlacementOrder &order : planOrders(this->state, this->lastPlan)) {
         if (this->term != plannedIn) {
@@ -252,6 +259,7 @@
         }
         this->send(order);
     }
+    this->stateModelLoads(false);
 }
 
 void PlacementOwner::send(const PlacementOrder &order)
@@ -323,6 +331,7 @@
         return;
     } else if (reply == OrderReply::Held) {
         endpoint.loading.erase(weights); // another endpoint may load them
+        endpoint.modelLoad.reset();
         endpoint.ready = false;
         this->schedulePoll(order.endpoint, failureRetryDelay);
     } else {
@@ -346,6 +355,9 @@
 {
     if (order.adapter.empty()) {
         endpoint.busy = true;
+        if (endpoint.modelLoad) {
+            endpoint.modelLoad->accepted = true;
+        }
         this->schedulePoll(order.endpoint, pollInterval);
     } else {
         const bool fast = findRemembered(endpoint.rememberedAdapters, weightsOf(order), order.version) != nullptr;
@@ -402,6 +414,9 @@
     notice.zone = this->zone;
     notice.fencing = this->fencingNumber;
     notice.idlePlaces = this->idlePlaces();
+    if (this->statedModelLoads != wire::ModelLoads()) {
+        notice.__set_modelLoads(this->statedModelLoads);
+    }
     return notice;
 }
 
--- a/lacewing/placementowner.h
+++ b/lacewing/placementowner.h
@@ -17,6 +17,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -63,6 +64,13 @@
     /// report is read.
     /// @param id of the endpoint
     void distrustOrders(const EndpointName &id);
+    /// Records what the owner of another zone states, or that of this zone while this VM does not own it.
+    /// @param ofZone zone of that owner
+    /// @param loads of models in that zone
+    /// @param fencedBy fencing number of that owner
+    void recordModelLoads(const ZoneName &ofZone, const wire::ModelLoads &loads, std::int64_t fencedBy);
+    /// States the loads of models again and plans those that others may have made room for; called twice a second.
+    void refreshModelLoads();
     /// @param vm VM that has left the deployment
     void forgetVm(const VmId &vm);
 
@@ -77,6 +85,8 @@
 
     /// Called with the changes of what endpoints hold, collected over some milliseconds.
     std::function<void(const wire::PlacementNotice &)> onChanged;
+    /// Called when the loads of models in this zone have changed, and when others have to hear of them again.
+    std::function<void(const wire::ModelLoads &)> onModelLoads;
     /// Returns whether an order may be sent; called before each order. If unset, orders are always allowed. The
     /// callback may call end().
     std::function<bool()> mayOrder;
@@ -90,6 +100,10 @@
     std::int64_t loadChecks = 0;
     std::int64_t plansMade = 0;
     std::int64_t reportsRead = 0;
+    /// @return loads of models in this zone, for the metrics page
+    ZoneModelLoads modelLoads() const;
+    /// @return maximum number of loads of models at a time in all zones together
+    std::int32_t modelLoadLimit() const;
 
 private:
     struct VmDemand {
@@ -118,6 +132,9 @@
     void readReport(const EndpointName &id);
     void onReport(const EndpointName &id, PlacedEndpoint &endpoint, const EndpointReport &report);
     void schedulePoll(const EndpointName &id, Duration delay);
+    void trackModelLoad(const EndpointName &id, PlacedEndpoint &endpoint, const EndpointReport &report);
+    void onModelLoadEnd(const EndpointName &id, const ModelLoad &load, bool held);
+    void stateModelLoads(bool always);
     void mergeDemand();
     void refillModelLoadTokens();
     bool isOrderAllowed() const;
@@ -142,7 +159,10 @@
     TimePoint lastPlan; ///< when the last plan was computed
     double modelLoadRate = 1; ///< allowed rate, per second
     TimePoint tokensRefilled;
-    std::size_t zoneCount = 1; ///< zones with engines, which share the allowed rate
+    std::set<ZoneName> engineZones; ///< zones with engines, which share the allowed rate
+    std::size_t engineCount = 0; ///< endpoints with engines in all zones, without those that leave or have ended
+    ModelLoadControl modelLoadControl;
+    wire::ModelLoads statedModelLoads; ///< to the owners of other zones
 };
 
 } // namespace lacewing
--- /dev/null
+++ b/lacewing/placementownermodels.cpp
@@ -0,0 +1,144 @@
+// The part of PlacementOwner that follows loads of models. A report names the adapters that are being loaded but no
+// models: an endpoint that carries out an order and holds nothing is loading one, for this owner or for the one before.
+
+#include "placementowner.h"
+
+#include <algorithm>
+
+#include "clock.h"
+#include "eventlog.h"
+#include "weightsname.h"
+
+namespace lacewing {
+
+namespace {
+
+/// The end of a load that was not in a report for longer than this is not known well enough to learn from it.
+constexpr Duration maxUnseenTime = milliseconds(500);
+
+wire::ModelLoads encode(const ZoneModelLoads &loads)
+{
+    wire::ModelLoads encoded;
+    encoded.waiting = loads.waiting;
+    encoded.loading = loads.loading;
+    encoded.placed = loads.placed;
+    encoded.epoch = loads.limit.epoch;
+    encoded.base = loads.limit.base;
+    encoded.completed = loads.limit.completed;
+    return encoded;
+}
+
+ZoneModelLoads decode(const wire::ModelLoads &encoded)
+{
+    ZoneModelLoads loads;
+    loads.waiting = encoded.waiting;
+    loads.loading = encoded.loading;
+    loads.placed = encoded.placed;
+    loads.limit = {encoded.epoch, encoded.base, encoded.completed};
+    return loads;
+}
+
+} // namespace
+
+void PlacementOwner::trackModelLoad(const EndpointName &id, PlacedEndpoint &endpoint, const EndpointReport &report)
+{
+    const TimePoint time = this->now();
+    if (!report.busy) {
+        if (endpoint.modelLoad) {
+            const ModelLoad load = *endpoint.modelLoad;
+            endpoint.modelLoad.reset();
+            this->onModelLoadEnd(id, load, report.held.contains(load.model));
+        }
+        return;
+    }
+    if (!endpoint.modelLoad && report.held.empty()) {
+        endpoint.modelLoad = ModelLoad {};
+        endpoint.modelLoad->since = time;
+    }
+    if (!endpoint.modelLoad) {
+        return;
+    }
+    ModelLoad &load = *endpoint.modelLoad;
+    if (!load.model.empty()) {
+        endpoint.loading[load.model] = {0, load.since};
+    }
+    const std::int32_t concurrent
+        = countModelLoads(this->state, time).loading + loadsElsewhere(this->modelLoadControl, this->zone, time);
+    load.lastSeen = time;
+    load.concurrentSum += std::max(1, concurrent);
+    load.reports += 1;
+    load.mostConcurrent = std::max(load.mostConcurrent, concurrent);
+}
+
+void PlacementOwner::onModelLoadEnd(const EndpointName &id, const ModelLoad &load, bool held)
+{
+    const TimePoint time = this->now();
+    ModelLoadEnd end;
+    end.begun = load.since;
+    end.took = time - load.since;
+    end.loadTime = modelLoadTime(this->state, this->state.endpoints.at(id), load.model);
+    end.concurrent = load.reports > 0 ? load.concurrentSum / load.reports : 1;
+    if (load.accepted && held && time - load.lastSeen <= maxUnseenTime) {
+        recordModelLoadEnd(this->modelLoadControl, end, this->engineCount, time);
+    }
+    logEvent("model_load_ended",
+             {{"endpoint", id},
+              {"weights", load.model},
+              {"loaded", held ? "yes" : "no"},
+              {"took_ms", inMilliseconds(end.took)},
+              {"load_time_ms", inMilliseconds(end.loadTime)},
+              {"concurrent", std::to_string(end.concurrent)},
+              {"limit", std::to_string(this->modelLoadLimit())},
+              {"falls", std::to_string(this->modelLoadControl.limit.epoch)}});
+}
+
+void PlacementOwner::recordModelLoads(const ZoneName &ofZone, const wire::ModelLoads &loads, std::int64_t fencedBy)
+{
+    if (this->isActive && ofZone == this->zone) {
+        return;
+    }
+    recordZoneLoads(this->modelLoadControl, ofZone, decode(loads), fencedBy, this->now());
+    if (this->isActive && countModelLoads(this->state, this->now()).waiting > 0) {
+        this->requestPlan();
+    }
+}
+
+void PlacementOwner::refreshModelLoads()
+{
+    if (!this->isActive) {
+        return;
+    }
+    if (countModelLoads(this->state, this->now()).waiting > 0) {
+        this->requestPlan();
+    }
+    this->stateModelLoads(true);
+}
+
+void PlacementOwner::stateModelLoads(bool always)
+{
+    ZoneModelLoads loads = countModelLoads(this->state, this->now());
+    const bool learned = this->modelLoadControl.limit.epoch > 0 || this->modelLoadControl.limit.completed > 0;
+    const bool any = loads.waiting > 0 || loads.loading > 0;
+    if (!learned && !any) {
+        loads = {}; // an owner that has nothing to load states nothing
+    }
+    loads.limit = this->modelLoadControl.limit;
+    const wire::ModelLoads next = encode(loads);
+    const bool changed = next != this->statedModelLoads;
+    this->statedModelLoads = next;
+    if ((changed || (always && any)) && this->onModelLoads) {
+        this->onModelLoads(next);
+    }
+}
+
+ZoneModelLoads PlacementOwner::modelLoads() const
+{
+    return countModelLoads(this->state, this->now());
+}
+
+std::int32_t PlacementOwner::modelLoadLimit() const
+{
+    return lacewing::modelLoadLimit(this->modelLoadControl, this->engineCount);
+}
+
+} // namespace lacewing
--- a/lacewing/placementownerreports.cpp
+++ b/lacewing/placementownerreports.cpp
@@ -190,6 +190,8 @@
         }
     }
     endpoint.loading = std::move(loading);
+    endpoint.ownCopies = report.ownCopies;
+    this->trackModelLoad(id, endpoint, report);
     if (endpoint.busy) {
         this->schedulePoll(id, pollInterval);
     }
--- a/lacewing/platformport.h
+++ b/lacewing/platformport.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -50,6 +51,7 @@
     bool busy = false;
     HeldVersions held;
     HeldVersions loading;
+    std::set<std::string> ownCopies; ///< models in its own memory or on its own disk, from where they load faster
     std::int32_t running = 0;
     std::int32_t queued = 0;
 };
--- a/lacewing/testing/adapterplantest.cpp
+++ b/lacewing/testing/adapterplantest.cpp
@@ -237,6 +237,67 @@
     cr_assert_eq(zone.planUntilStable().size(), 1);
 }
 
+Test(adapterplan, modelLoadsInProgressAreBounded)
+{
+    Zone zone(12);
+    for (auto &[id, endpoint] : zone.state.endpoints) {
+        endpoint.held.clear();
+    }
+    zone.state.modelLoadTokens = 100;
+    zone.state.modelLoadsAllowed = 3;
+    cr_assert_eq(planOrders(zone.state, zone.now).size(), 3);
+}
+
+Test(adapterplan, modelsFromOwnCopiesAreNotBounded)
+{
+    Zone zone(12);
+    for (auto &[id, endpoint] : zone.state.endpoints) {
+        endpoint.held.clear();
+        endpoint.ownCopies = {"m"};
+    }
+    zone.state.modelLoadTokens = 0;
+    zone.state.modelLoadsAllowed = 0;
+    cr_assert_eq(countModelLoads(zone.state, zone.now).waiting, 0);
+    cr_assert_eq(zone.planUntilStable().size(), 12);
+    cr_assert_eq(countModelLoads(zone.state, zone.now).loading, 0);
+    cr_assert_geq(zone.state.modelLoadTokens, 0);
+}
+
+Test(adapterplan, adaptersAreLoadedWhileOtherEndpointsLoadTheirModel)
+{
+    // Guards against loads of models that use up the bound on loads of adapters.
+    Zone zone(12);
+    int index = 0;
+    for (auto &[id, endpoint] : zone.state.endpoints) {
+        if (++index > 1) {
+            endpoint.held.clear();
+            endpoint.loading["m"] = {0, zone.now};
+            endpoint.busy = true;
+        }
+    }
+    zone.state.demand["m/a"].waiting = 1;
+    const auto orders = zone.planUntilStable();
+    cr_assert_eq(orders.size(), 1);
+    cr_assert_eq(orders[0].adapter, "a");
+}
+
+Test(adapterplan, noServiceWaitsForAllCopiesOfTheModelOfAnother)
+{
+    Zone zone(12);
+    zone.state.engines["t"] = zone.state.engines.at("s");
+    zone.state.engines["t"].models = {{"n", 900, 12, milliseconds(600)}};
+    int index = 0;
+    for (auto &[id, endpoint] : zone.state.endpoints) {
+        endpoint.held.clear();
+        endpoint.service = ++index > 6 ? "t" : "s";
+    }
+    zone.state.modelLoadTokens = 100;
+    zone.state.modelLoadsAllowed = 2;
+    const auto orders = planOrders(zone.state, zone.now);
+    cr_assert_eq(orders.size(), 2);
+    cr_assert_neq(orders[0].model, orders[1].model);
+}
+
 Test(adapterplan, aPopularAdapterGetsACopyAndAnIdleOneDoesNot)
 {
     Zone zone(3);
--- a/lacewing/testing/placementownertest.cpp
+++ b/lacewing/testing/placementownertest.cpp
@@ -87,6 +87,58 @@
     PlacementOwner owner;
 };
 
+/// A zone whose endpoints hold no model, and load one until the test ends the load.
+struct EmptyZone : Zone {
+    struct Engine {
+        std::int64_t orders = 0;
+        bool loading = false;
+        bool loaded = false;
+    };
+
+    EmptyZone()
+    {
+        this->port.order = [this](const PlacementOrder &order, const std::string &, std::int64_t,
+                                  const std::function<void(OrderReply)> &done) {
+            this->orders.push_back(order);
+            Engine &engine = this->engines[order.endpoint];
+            engine.orders += 1;
+            engine.loading = true;
+            asio::post(this->context, [done] { done(OrderReply::Accepted); });
+        };
+        this->port.report = [this](const EndpointName &id, const std::string &,
+                                   const std::function<void(const ReportAnswer &)> &done) {
+            const Engine &engine = this->engines[id];
+            ReportAnswer answer;
+            answer.report.emplace();
+            answer.report->orders = engine.orders;
+            answer.report->busy = engine.loading;
+            if (engine.loaded) {
+                answer.report->held["m"] = 1;
+            }
+            asio::post(this->context, [done, answer] { done(answer); });
+        };
+        this->config.services["s"].engine->loadsPerSecond = 100;
+        this->orders.clear();
+        this->owner.end();
+    }
+
+    void begin()
+    {
+        this->owner.begin(2);
+        this->owner.sync(this->fleet, this->config, {});
+    }
+
+    void endLoads()
+    {
+        for (auto &[id, engine] : this->engines) {
+            engine.loaded = engine.loaded || engine.loading;
+            engine.loading = false;
+        }
+    }
+
+    std::map<EndpointName, Engine> engines;
+};
+
 wire::DemandReport makeDemand(int first, int count)
 {
     wire::DemandReport report;
@@ -227,6 +279,54 @@
     }
 }
 
+Test(placementowner, aModelThatIsLoadingCountsUntilAReportShowsItsEnd)
+{
+    // Guards against loads that share the weight store with all others and end only together. Reports name no models
+    // that are being loaded.
+    EmptyZone zone;
+    zone.begin();
+    zone.run(milliseconds(500));
+    cr_assert_eq(zone.orders.size(), 1, "%zu loads at once", zone.orders.size());
+    cr_assert_eq(zone.owner.modelLoads().loading, 1);
+    zone.endLoads();
+    zone.run(milliseconds(300));
+    cr_assert_eq(zone.orders.size(), 2, "the next one begins");
+}
+
+Test(placementowner, aModelThatLoadsForTheOwnerBeforeCounts)
+{
+    EmptyZone zone;
+    zone.engines["i-7"] = {1, true, false};
+    zone.begin();
+    zone.run(milliseconds(400));
+    cr_assert_eq(zone.owner.modelLoads().loading, 1);
+    cr_assert_eq(zone.orders.size(), 0);
+    zone.endLoads();
+    zone.run(milliseconds(300));
+    cr_assert_eq(zone.orders.size(), 1);
+}
+
+Test(placementowner, zonesTakeTurnsWithTheirLoadsOfModels)
+{
+    EmptyZone zone;
+    wire::ModelLoads loads;
+    loads.waiting = 3;
+    loads.loading = 1;
+    zone.owner.recordModelLoads("a", loads, 5);
+    zone.begin();
+    zone.run(milliseconds(200));
+    cr_assert_eq(zone.orders.size(), 0, "the other zone loads");
+    loads.loading = 0;
+    loads.placed = 1;
+    zone.owner.recordModelLoads("a", loads, 5);
+    zone.run(milliseconds(50));
+    cr_assert_eq(zone.orders.size(), 1, "this zone has no model, the other one has");
+    zone.owner.recordModelLoads("a", {}, 4);
+    zone.endLoads();
+    zone.run(milliseconds(300));
+    cr_assert_eq(zone.orders.size(), 1, "it is the turn of the other zone, whose owner from before is not believed");
+}
+
 Test(placementowner, anEndpointThatWasTakenForEndedGetsOrdersAgain)
 {
     // A later process was listed at its address and is no longer. Guards against an endpoint whose report is never
--- a/lacewing/vmgossip.cpp
+++ b/lacewing/vmgossip.cpp
@@ -215,6 +215,9 @@
     if (datagram.__isset.quotaLedger && this->onQuotaLedger) {
         this->onQuotaLedger(datagram.vm, datagram.zone, datagram.quotaLedger);
     }
+    if (datagram.__isset.modelLoads && this->onModelLoads) {
+        this->onModelLoads(datagram.modelLoads);
+    }
     if (datagram.__isset.newsAsked && this->onUpdateRequest) {
         this->onUpdateRequest(datagram.vm, datagram.newsAsked);
     }
@@ -307,6 +310,13 @@
     this->sendToVm(vm, datagram);
 }
 
+void VmGossip::sendModelLoads(const VmId &vm, const wire::ModelLoadNews &news)
+{
+    wire::VmDatagram datagram = this->newDatagram();
+    datagram.__set_modelLoads(news);
+    this->sendToVm(vm, datagram);
+}
+
 void VmGossip::sendHeartbeat(const wire::CrashNews &news)
 {
     wire::VmDatagram datagram = this->newDatagram();
--- a/lacewing/vmgossip.h
+++ b/lacewing/vmgossip.h
@@ -108,6 +108,7 @@
 
     void sendListAsk(const VmId &vm, const wire::ListAsk &ask);
     void sendListAnswer(const VmId &vm, const wire::ListAnswer &answer);
+    void sendModelLoads(const VmId &vm, const wire::ModelLoadNews &news);
     /// Forwards changes of the platform's list to the VMs of this zone.
     void sendListToZone(const wire::ListChange &change);
     /// @return zones of all VMs that may be running, including the zone of this VM
@@ -142,6 +143,7 @@
     std::function<void(const VmId &, const wire::OriginAnswer &)> onOriginAnswer;
     std::function<void(const VmId &, const wire::ListAsk &)> onListAsk;
     std::function<void(const VmId &, const wire::ListAnswer &)> onListAnswer;
+    std::function<void(const wire::ModelLoadNews &)> onModelLoads;
     std::function<void(const wire::CrashNews &)> onCrashUpdate;
     std::function<void(const VmId &, const wire::LimitNews &)> onLimitUpdate;
     std::function<void(const wire::RejectionDigest &)> onRejectionDigest;
