--- a/lacewing/adapterplan.h
+++ b/lacewing/adapterplan.h
@@ -76,6 +76,7 @@
     TimePoint since;
     TimePoint lastSeen; ///< when a report last showed it in progress
     bool accepted = false; ///< the endpoint has accepted this owner's order
+    bool fromOwnCopy = false; ///< the endpoint had the model in its memory or on its disk
     double concurrentSum = 0; ///< loads of all zones in progress, added up over the reports
     std::int32_t reports = 0;
     std::int32_t mostConcurrent = 1;
--- a/lacewing/adapterplanstate.cpp
+++ b/lacewing/adapterplanstate.cpp
@@ -25,7 +25,8 @@
         endpoint.modelLoad->model = order.model;
         endpoint.modelLoad->since = now;
         endpoint.modelLoad->lastSeen = now;
-        state.modelLoadTokens -= endpoint.ownCopies.contains(order.model) ? 0 : 1;
+        endpoint.modelLoad->fromOwnCopy = endpoint.ownCopies.contains(order.model);
+        state.modelLoadTokens -= endpoint.modelLoad->fromOwnCopy ? 0 : 1;
     }
 }
 
@@ -100,8 +101,7 @@
         if (endpoint.modelLoad) {
             const ModelLoad &load = *endpoint.modelLoad;
             const Duration most = maxModelLoadTime(modelLoadTime(state, endpoint, load.model), load.mostConcurrent);
-            const bool fromStore = !endpoint.ownCopies.contains(load.model);
-            loads.loading += fromStore && now - load.since < most ? 1 : 0;
+            loads.loading += !load.fromOwnCopy && now - load.since < most ? 1 : 0;
         } else if (!endpoint.held.empty()) {
             loads.placed += 1;
         } else if (waitsForModel(engine->second, endpoint)) {
--- a/lacewing/placementownermodels.cpp
+++ b/lacewing/placementownermodels.cpp
@@ -78,7 +78,7 @@
     end.took = time - load.since;
     end.loadTime = modelLoadTime(this->state, this->state.endpoints.at(id), load.model);
     end.concurrent = load.reports > 0 ? load.concurrentSum / load.reports : 1;
-    if (load.accepted && held && time - load.lastSeen <= maxUnseenTime) {
+    if (load.accepted && held && !load.fromOwnCopy && time - load.lastSeen <= maxUnseenTime) {
         recordModelLoadEnd(this->modelLoadControl, end, this->engineCount, time);
     }
     logEvent("model_load_ended",
--- a/lacewing/testing/placementownertest.cpp
+++ b/lacewing/testing/placementownertest.cpp
@@ -112,6 +112,7 @@
             answer.report.emplace();
             answer.report->orders = engine.orders;
             answer.report->busy = engine.loading;
+            answer.report->ownCopies = this->ownCopies;
             if (engine.loaded) {
                 answer.report->held["m"] = 1;
             }
@@ -137,6 +138,7 @@
     }
 
     std::map<EndpointName, Engine> engines;
+    std::set<std::string> ownCopies; ///< models that each endpoint has on its disk
 };
 
 wire::DemandReport makeDemand(int first, int count)
@@ -306,6 +308,20 @@
     cr_assert_eq(zone.orders.size(), 1);
 }
 
+Test(placementowner, modelsFromOwnCopiesLoadAtOnceAndTeachNothing)
+{
+    EmptyZone zone;
+    zone.ownCopies = {"m"};
+    zone.begin();
+    zone.run(milliseconds(300));
+    cr_assert_eq(zone.orders.size(), static_cast<std::size_t>(endpointCount));
+    const std::int32_t limit = zone.owner.modelLoadLimit();
+    zone.endLoads();
+    zone.run(milliseconds(300));
+    cr_assert_eq(zone.owner.modelLoads().placed, endpointCount);
+    cr_assert_eq(zone.owner.modelLoadLimit(), limit);
+}
+
 Test(placementowner, zonesTakeTurnsWithTheirLoadsOfModels)
 {
     EmptyZone zone;
