Loads of models: an owner that may not order leaves its turn to other zones

A zone whose owner has just claimed it, has no token or whose engines were just refused an order stated that they wait, and as the zone with the fewest models it held up the others where one load runs at full speed. Found in the read-through; anOwnerThatMayNotOrderLeavesItsTurnToOtherZones fails before.

--- a/lacewing/adapterplanstate.cpp
+++ b/lacewing/adapterplanstate.cpp
@@ -104,7 +104,7 @@
             loads.loading += !load.fromOwnCopy && now - load.since < most ? 1 : 0;
         } else if (!endpoint.held.empty()) {
             loads.placed += 1;
-        } else if (waitsForModel(engine->second, endpoint)) {
+        } else if (waitsForModel(engine->second, endpoint) && now >= endpoint.notBefore) {
             loads.waiting += 1;
         }
     }
--- a/lacewing/entrynodeupdates.cpp
+++ b/lacewing/entrynodeupdates.cpp
@@ -24,6 +24,9 @@
         return;
     }
     this->owner.refreshModelLoads();
+    if (!this->owner.active()) {
+        return; // it has ended within the call
+    }
     wire::PlacementNotice notice = this->owner.nextNotice();
     const ListFreshness &list = this->dataPath.fleet().list;
     if (isKnown(list.position)) {
--- a/lacewing/placementownermodels.cpp
+++ b/lacewing/placementownermodels.cpp
@@ -54,6 +54,7 @@
     if (!endpoint.modelLoad && report.held.empty()) {
         endpoint.modelLoad = ModelLoad {};
         endpoint.modelLoad->since = time;
+        endpoint.modelLoad->fromOwnCopy = !report.ownCopies.empty();
     }
     if (!endpoint.modelLoad) {
         return;
@@ -108,6 +109,7 @@
     if (!this->isActive) {
         return;
     }
+    this->refillModelLoadTokens();
     if (countModelLoads(this->state, this->now()).waiting > 0) {
         this->requestPlan();
     }
@@ -116,7 +118,12 @@
 
 void PlacementOwner::stateModelLoads(bool always)
 {
+    const bool mayLoad = this->isOrderAllowed() && this->state.modelLoadTokens >= 1;
+    if (!this->isActive) {
+        return; // it has ended within the call
+    }
     ZoneModelLoads loads = countModelLoads(this->state, this->now());
+    loads.waiting = mayLoad ? loads.waiting : 0; // zones that can load now do not wait for this one
     const bool learned = this->modelLoadControl.limit.epoch > 0 || this->modelLoadControl.limit.completed > 0;
     const bool any = loads.waiting > 0 || loads.loading > 0;
     if (!learned && !any) {
--- a/lacewing/testing/placementownertest.cpp
+++ b/lacewing/testing/placementownertest.cpp
@@ -322,6 +322,22 @@
     cr_assert_eq(zone.owner.modelLoadLimit(), limit);
 }
 
+Test(placementowner, anOwnerThatMayNotOrderLeavesItsTurnToOtherZones)
+{
+    EmptyZone zone;
+    std::int32_t stated = -1;
+    bool allowed = false;
+    zone.owner.onModelLoads = [&](const wire::ModelLoads &loads) { stated = loads.waiting; };
+    zone.owner.mayOrder = [&] { return allowed; };
+    zone.begin();
+    zone.run(milliseconds(100));
+    zone.owner.refreshModelLoads();
+    cr_assert_leq(stated, 0, "it states %d endpoints that could load", stated);
+    allowed = true;
+    zone.owner.refreshModelLoads();
+    cr_assert_eq(stated, endpointCount);
+}
+
 Test(placementowner, zonesTakeTurnsWithTheirLoadsOfModels)
 {
     EmptyZone zone;
