Loads of models: a limit of one grows only after four loads

Where the store serves one load at full speed, the step to two after two loads made the third and fourth engine return together after 16 s in place of 12.3 and 16.2 s. enginesreturnemptytest failed once so in five runs: one kind of request had 2 of 14 served after the bound (KNOWN-RED.txt: the check counts each kind by itself). zonesTakeTurnsWhereTheStoreServesOneLoad asks for three engines after three loads now, and failed before.

--- a/lacewing/modelloads.cpp
+++ b/lacewing/modelloads.cpp
@@ -89,6 +89,7 @@
     }
     const std::int32_t step = learned.epoch == 0 ? loadsPerEarlyStep : loadsPerStep;
     const std::int32_t base = learned.base > 0 ? learned.base : firstLimit(engines);
+    completed = base == 1 ? std::max(0, completed + step - loadsBeforeSecond) : completed;
     return std::min(base + completed / step, std::max<std::int32_t>(1, static_cast<std::int32_t>(engines)));
 }
 
--- a/lacewing/modelloads.h
+++ b/lacewing/modelloads.h
@@ -35,7 +35,10 @@
 constexpr Duration endDelay = milliseconds(400);
 /// Loads that are not slowed for each step by which the limit grows, until it has fallen for the first time.
 constexpr std::int32_t loadsPerEarlyStep = 2;
-/// The same later, when it is near what the store serves.
+/// Loads before the first step from a limit of one: where the store serves one at full speed, two at a time are ready
+/// only when the second of them would have been.
+constexpr std::int32_t loadsBeforeSecond = 4;
+/// Loads for each step later, when the limit is near what the store serves.
 constexpr std::int32_t loadsPerStep = 4;
 /// What the owner of a zone has stated holds for this time; it states it twice a second.
 constexpr Duration zoneLoadsLifetime = milliseconds(1700);
--- a/lacewing/testing/modelloadstest.cpp
+++ b/lacewing/testing/modelloadstest.cpp
@@ -261,9 +261,10 @@
 Test(modelloads, zonesTakeTurnsWhereTheStoreServesOneLoad)
 {
     Simulation simulation(slowStore);
-    simulation.run(milliseconds(8000));
+    simulation.run(3 * (slowStore.loadTime + reportDelay + 2 * tick));
     cr_assert_eq(simulation.most, 1U);
-    simulation.run(milliseconds(32000));
+    cr_assert_eq(simulation.ready(), 3U);
+    simulation.run(milliseconds(28000));
     const auto [least, greatest]
         = std::minmax_element(simulation.zones.begin(), simulation.zones.end(),
                               [](const Zone &one, const Zone &other) { return one.placed < other.placed; });
