Loads of models: silence is no statement, and loads are measured against one alone

What a reading of the change found, in the limit of loads of models: - Where all loads take longer than stated, each counted as slowed by others: the limit fell to one and stayed there. A load that had the store to itself is the measure now; owners state it. - An owner that stood still took all others for gone, as what they had stated was still unread, and its own loads for lost. It leaves them a share again, as at its start, and its loads get the time in which it stood still. - An owner that had read no report yet stated that nothing waits, so that other zones took its share. It states nothing until it knows, and one that has nothing to load says so. - Models that no service names were kept from reports without a bound.

Tests: loadsThatAlwaysTakeLongerThanStatedAreNotTakenForShared and anOwnerThatStoodStillLeavesAShareToZonesItHasNotHeardSince failed before; anOwnerStatesNothingBeforeItHasReadTheReportsOfItsEndpoints has one half that the code before did not meet by construction.

--- a/lacewing/adapterplan.cpp
+++ b/lacewing/adapterplan.cpp
@@ -9,13 +9,13 @@
 
 #include <algorithm>
 #include <cmath>
-#include <map>
 #include <set>
 #include <string_view>
 #include <unordered_map>
 
 #include "adaptercopies.h"
 #include "adapterhome.h"
+#include "modelplan.h"
 #include "wantorder.h"
 #include "weightsname.h"
 
@@ -67,7 +67,10 @@
 
     std::vector<PlacementOrder> plan()
     {
-        this->planModels();
+        for (const PlannedModel &planned : planModels(this->state, this->now)) {
+            const PlacedEndpoint &endpoint = this->state.endpoints.at(planned.endpoint);
+            this->add(makeOrder(PlacementAction::Load, planned.endpoint, endpoint, planned.model, 0));
+        }
         this->planVersions();
         this->planDemand();
         return std::move(this->orders);
@@ -105,8 +108,7 @@
 
     bool isAvailable(const EndpointName &id, const PlacedEndpoint &endpoint) const
     {
-        return endpoint.ready && !endpoint.orderPending && !endpoint.busy && this->now >= endpoint.notBefore
-            && !this->orderedEndpoints.contains(id);
+        return acceptsOrder(endpoint, this->now) && !this->orderedEndpoints.contains(id);
     }
 
     void add(PlacementOrder order)
@@ -116,62 +118,9 @@
         this->orders.push_back(std::move(order));
     }
 
-    /// Loads from the endpoints' own copies first; then those from the weight store, for the services whose models have
-    /// the fewest copies.
-    void planModels()
-    {
-        double tokens = this->state.modelLoadTokens;
-        std::int32_t allowed = this->state.modelLoadsAllowed;
-        std::map<ServiceName, std::vector<EndpointName>> waiting;
-        for (const auto &[id, endpoint] : this->state.endpoints) {
-            const auto engine = this->state.engines.find(endpoint.service);
-            const bool empty = endpoint.held.empty() && endpoint.loading.empty();
-            if (!empty || engine == this->state.engines.end() || engine->second.models.empty()
-                || !this->isAvailable(id, endpoint)) {
-                continue;
-            }
-            if (endpoint.ownCopies.contains(this->rarestModel(endpoint.service))) {
-                this->planModel(id);
-            } else {
-                waiting[endpoint.service].push_back(id);
-            }
-        }
-        for (; tokens >= 1 && allowed > 0 && !waiting.empty(); tokens -= 1, --allowed) {
-            const auto next
-                = std::min_element(waiting.begin(), waiting.end(), [this](const auto &one, const auto &other) {
-                      return this->copies(this->rarestModel(one.first)) < this->copies(this->rarestModel(other.first));
-                  });
-            this->planModel(next->second.back());
-            next->second.pop_back();
-            if (next->second.empty()) {
-                waiting.erase(next);
-            }
-        }
-    }
-
-    void planModel(const EndpointName &id)
-    {
-        const PlacedEndpoint &endpoint = this->state.endpoints.at(id);
-        const std::string model = this->rarestModel(endpoint.service);
-        this->plannedModels[model] += 1;
-        this->add(makeOrder(PlacementAction::Load, id, endpoint, model, 0));
-    }
-
-    /// Returns the service's model with the fewest copies, so that each model is placed somewhere.
-    std::string rarestModel(const ServiceName &service) const
-    {
-        const std::vector<ModelSpec> &models = this->state.engines.at(service).models;
-        const auto rarest
-            = std::min_element(models.begin(), models.end(), [this](const ModelSpec &one, const ModelSpec &other) {
-                  return this->copies(one.name) < this->copies(other.name);
-              });
-        return rarest->name;
-    }
-
     std::size_t copies(const std::string &weights) const
     {
-        const auto planned = this->plannedModels.find(weights);
-        return this->summaryOf(weights).copies + (planned == this->plannedModels.end() ? 0 : planned->second);
+        return this->summaryOf(weights).copies;
     }
 
     bool hasNewest(const std::string &weights, std::int32_t version) const
@@ -411,7 +360,6 @@
     std::vector<Want> wants;
     std::set<EndpointName> orderedEndpoints;
     std::set<std::string> plannedWeights; ///< weights that this plan orders
-    std::map<std::string, std::size_t> plannedModels; ///< copies of models that this plan orders
     std::vector<PlacementOrder> orders;
 };
 
--- a/lacewing/adapterplan.h
+++ b/lacewing/adapterplan.h
@@ -12,8 +12,7 @@
 // its next load. Popular adapters get extra copies when they use a large share of their endpoints' slots, or when many
 // of this zone's streams run on them in another zone.
 //
-// Models have no such demand: each endpoint without one loads one. modelloads.h decides how many at a time; those from
-// an endpoint's own memory or disk are not bounded.
+// Models have no such demand: each endpoint without one loads one (modelplan.h).
 
 #pragma once
 
@@ -80,6 +79,7 @@
     double concurrentSum = 0; ///< loads of all zones in progress, added up over the reports
     std::int32_t reports = 0;
     std::int32_t mostConcurrent = 1;
+    Duration ownerStalled {0}; ///< time in which this process stood still meanwhile
 };
 
 struct PlacedEndpoint {
@@ -88,6 +88,7 @@
     std::string address;
     std::int32_t slots = 1;
     bool ready = false; ///< listed as ready, and its report has been read
+    bool reported = false; ///< this incarnation has given a report
     bool shunned = false; ///< failing for other VMs, or has reported a limit
     bool orderPending = false; ///< an order has not been answered yet
     bool busy = false; ///< executing an order that blocks others
@@ -167,9 +168,8 @@
 /// @return the same with the engine taken from the state; 0 if the endpoint's service has no engine
 std::size_t adapterPlaces(const PlacementState &state, const PlacedEndpoint &endpoint);
 
-/// @param engine of the endpoint's service
-/// @return whether the endpoint has no model and can be ordered to load one from the weight store
-bool waitsForModel(const EngineSpec &engine, const PlacedEndpoint &endpoint);
+/// @return whether the endpoint can be sent an order now
+bool acceptsOrder(const PlacedEndpoint &endpoint, TimePoint now);
 
 /// @return loads of models in the zone; without what was learned from them
 ZoneModelLoads countModelLoads(const PlacementState &state, TimePoint now);
--- a/lacewing/adapterplanstate.cpp
+++ b/lacewing/adapterplanstate.cpp
@@ -70,11 +70,16 @@
     return engine == state.engines.end() ? 0 : adapterPlaces(engine->second, endpoint);
 }
 
-bool waitsForModel(const EngineSpec &engine, const PlacedEndpoint &endpoint)
+bool acceptsOrder(const PlacedEndpoint &endpoint, TimePoint now)
+{
+    return endpoint.ready && !endpoint.orderPending && !endpoint.busy && now >= endpoint.notBefore;
+}
+
+/// @return whether the endpoint has no model and can be ordered to load one from the weight store
+static bool needsWeightStore(const EngineSpec &engine, const PlacedEndpoint &endpoint, TimePoint now)
 {
     const auto isElsewhere = [&endpoint](const ModelSpec &model) { return !endpoint.ownCopies.contains(model.name); };
-    const bool idle = endpoint.ready && !endpoint.busy && !endpoint.orderPending;
-    return idle && endpoint.held.empty() && endpoint.loading.empty()
+    return acceptsOrder(endpoint, now) && endpoint.held.empty() && endpoint.loading.empty()
         && std::any_of(engine.models.begin(), engine.models.end(), isElsewhere);
 }
 
@@ -101,10 +106,10 @@
         if (endpoint.modelLoad) {
             const ModelLoad &load = *endpoint.modelLoad;
             const Duration most = maxModelLoadTime(modelLoadTime(state, endpoint, load.model), load.mostConcurrent);
-            loads.loading += !load.fromOwnCopy && now - load.since < most ? 1 : 0;
+            loads.loading += !load.fromOwnCopy && now - load.since < most + load.ownerStalled ? 1 : 0;
         } else if (!endpoint.held.empty()) {
             loads.placed += 1;
-        } else if (waitsForModel(engine->second, endpoint) && now >= endpoint.notBefore) {
+        } else if (needsWeightStore(engine->second, endpoint, now)) {
             loads.waiting += 1;
         }
     }
--- a/lacewing/entrynodeplacement.cpp
+++ b/lacewing/entrynodeplacement.cpp
@@ -42,9 +42,10 @@
 
 void EntryNode::checkForStall()
 {
-    if (this->stallDetector.gap() >= stallGap) {
+    if (const Duration gap = this->stallDetector.gap(); gap >= stallGap) {
         logEvent("stalled", {{"owner", this->claim.held ? "yes" : "no"}});
         recordStall(this->claim, this->clock.now());
+        this->owner.recordStall(gap);
         this->restartVersionWatch("stalled");
         this->origins.restartCollection();
     }
--- a/lacewing/entrynodeupdates.cpp
+++ b/lacewing/entrynodeupdates.cpp
@@ -82,7 +82,9 @@
     known.fencing = notice.fencing;
     known.heard = now;
     known.idlePlaces = notice.idlePlaces;
-    this->owner.recordModelLoads(notice.zone, notice.modelLoads, notice.fencing); // none are stated if there are none
+    if (notice.__isset.modelLoads) {
+        this->owner.recordModelLoads(notice.zone, notice.modelLoads, notice.fencing);
+    }
     if (notice.zone == this->settings.zone) {
         this->dataPath.reachStartStep("zone_owner");
     }
--- a/lacewing/lacewing.thrift
+++ b/lacewing/lacewing.thrift
@@ -276,13 +276,14 @@
 }
 
 /** Loads of models from the weight store to the endpoints of a zone, and what they have shown (modelloads.h). */
-struct ModelLoads {
-  1: i32 waiting = 0,                  // endpoints that could load a model now
-  2: i32 loading = 0,
-  3: i32 placed = 0,                   // endpoints that have a model
-  4: i32 epoch = 0,                    // how often the limit of loads at a time has fallen
-  5: i32 base = 0,                     // limit when the epoch began; 0: the one of the number of engines
-  6: i32 completed = 0                 // loads in this epoch that used the limit and were not slowed
+struct ModelLoads {                    // a number that is not set is 0
+  1: optional i32 waiting,             // endpoints that could load a model now
+  2: optional i32 loading,
+  3: optional i32 placed,              // endpoints that have a model
+  4: optional i32 epoch,               // how often the limit of loads at a time has fallen
+  5: optional i32 base,                // limit when the epoch began; 0: the one of the number of engines
+  6: optional i32 completed,           // loads in this epoch that used the limit and were not slowed
+  7: optional i32 unsharedMilliseconds // shortest load in this epoch without others beside it; 0: none
 }
 /** The placement owner of a zone tells the other owners of its loads. */
 struct ModelLoadNews { 1: string zone, 2: i64 fencing, 3: ModelLoads loads }
@@ -301,7 +302,7 @@
   10: i64 news = 0,
   11: binary loads,                    // requests in progress at each endpoint, a byte each, by index; 255: not known
   12: optional i64 listEra,            // of the store, to which listChange and listOffset belong
-  13: optional ModelLoads modelLoads   // if there are any, or something was learned from them
+  13: optional ModelLoads modelLoads   // unless the sender does not know yet
 }
 
 /** A VM that has missed news of a zone asks its owner for them. */
--- a/lacewing/modelloads.cpp
+++ b/lacewing/modelloads.cpp
@@ -2,8 +2,8 @@
 // times as long as with k or fewer. One slow engine shows the same, so that the limit falls by half at most at a time,
 // and only after two loads in a row; with one or two loads at a time, after one.
 //
-// A limit that is too high costs no throughput, only time until the first engines are ready. One that is too low costs
-// throughput. So it grows soon and begins to grow more slowly only when it has fallen.
+// A limit that is too high delays the first engines and costs no throughput; one that is too low costs throughput. So
+// the limit grows by half in each round until it falls for the first time, and more slowly afterwards.
 
 #include "modelloads.h"
 
@@ -20,6 +20,8 @@
 constexpr std::int32_t slowedLoadsForFall = 2;
 /// Up to this limit, one slowed load is enough: there may be no second one at the same time.
 constexpr std::int32_t smallLimit = 2;
+/// With fewer loads in the mean, a load had the store to itself nearly all the time.
+constexpr double sharedFrom = 1.1;
 /// How much longer a load may take than one that shares a store which serves one at a time.
 constexpr double lostLoadFactor = 1.5;
 /// Load time if the configuration does not name one.
@@ -42,17 +44,17 @@
 
 void beginEpoch(ModelLoadControl &control, std::int32_t epoch, std::int32_t base, TimePoint now)
 {
-    control.limit = {epoch, base, 0};
+    control.limit = {epoch, base, 0, Duration {0}};
     control.epochBegun = now;
     control.slowed = 0;
-    control.sustained = 0;
+    control.fullSpeedLoads = 0;
 }
 
-void recordSlowed(ModelLoadControl &control, double sustained, std::int32_t limit, TimePoint now)
+void recordSlowed(ModelLoadControl &control, double fullSpeedLoads, std::int32_t limit, TimePoint now)
 {
     control.slowed += 1;
-    control.sustained = std::max(control.sustained, sustained);
-    const auto next = static_cast<std::int32_t>(std::lround(control.sustained));
+    control.fullSpeedLoads = std::max(control.fullSpeedLoads, fullSpeedLoads);
+    const auto next = static_cast<std::int32_t>(std::lround(control.fullSpeedLoads));
     const std::int32_t needed = limit <= smallLimit ? 1 : slowedLoadsForFall;
     if (control.slowed < needed || next >= limit) {
         return;
@@ -60,6 +62,24 @@
     beginEpoch(control, control.limit.epoch + 1, std::max({1, limit / 2, next}), now);
 }
 
+/// @return the shorter time that was measured; 0: not measured
+Duration shorterMeasured(Duration one, Duration other)
+{
+    return one.count() == 0 || other.count() == 0 ? std::max(one, other) : std::min(one, other);
+}
+
+/// @return time that a load takes which shares the store with none
+Duration unsharedTime(const ModelLoadControl &control, Duration stated)
+{
+    Duration measured = control.limit.unshared;
+    for (const auto &[zone, known] : control.zones) {
+        if (known.loads.limit.epoch == control.limit.epoch) {
+            measured = shorterMeasured(measured, known.loads.limit.unshared);
+        }
+    }
+    return std::max(stated, measured);
+}
+
 /// A zone that competes for loads.
 struct Competitor {
     ZoneName zone;
@@ -104,9 +124,9 @@
 
 void beginModelLoads(ModelLoadControl &control, const ZoneName &zone, TimePoint now)
 {
-    control.ownerSince = now;
+    control.hearingSince = now;
     control.slowed = 0;
-    control.sustained = 0;
+    control.fullSpeedLoads = 0;
     const auto before = control.zones.find(zone);
     if (before != control.zones.end()) {
         if (before->second.loads.limit.epoch == control.limit.epoch) {
@@ -116,6 +136,11 @@
     }
 }
 
+void recordOwnerStall(ModelLoadControl &control, TimePoint now)
+{
+    control.hearingSince = now;
+}
+
 void recordZoneLoads(ModelLoadControl &control, const ZoneName &zone, const ZoneModelLoads &loads, std::int64_t fencing,
                      TimePoint now)
 {
@@ -135,8 +160,12 @@
         return;
     }
     const std::int32_t limit = modelLoadLimit(control, engines);
-    const double shown = static_cast<double>((end.took - endDelay).count());
-    const double slowdown = shown / static_cast<double>(end.loadTime.count());
+    const Duration took = std::max(Duration {1}, end.took - endDelay);
+    if (end.concurrent < sharedFrom) {
+        control.limit.unshared = shorterMeasured(control.limit.unshared, took);
+    }
+    const double slowdown
+        = static_cast<double>(took.count()) / static_cast<double>(unsharedTime(control, end.loadTime).count());
     const bool ownCopy
         = static_cast<double>(end.took.count()) < ownCopyFactor * static_cast<double>(end.loadTime.count());
     if (slowdown > slowedFactor) {
@@ -144,7 +173,7 @@
         return;
     }
     control.slowed = 0;
-    control.sustained = 0;
+    control.fullSpeedLoads = 0;
     if (ownCopy || end.concurrent * 2 >= limit) {
         control.limit.completed += 1;
     }
@@ -163,7 +192,7 @@
     for (const ZoneName &other : engineZones) {
         const auto stated = control.zones.find(other);
         const bool heard = other == zone || (stated != control.zones.end() && isHeard(stated->second, now));
-        if (!heard && now - control.ownerSince < firstHearing) {
+        if (!heard && now - control.hearingSince < firstHearing) {
             competitors.push_back({other, std::numeric_limits<std::int32_t>::max(), 0, false});
         }
     }
--- a/lacewing/modelloads.h
+++ b/lacewing/modelloads.h
@@ -10,7 +10,8 @@
 // engines serve after one load time, and the last ones are ready no later.
 //
 // How many run at full speed is not stated, so the limit follows the time that loads take, as congestion control does:
-// it grows with loads that used it and were not slowed, and falls to what slowed loads show. Zones share it: each owner
+// it grows with loads that used it and were not slowed, and falls to what slowed loads show. A load that had the store
+// to itself and still took longer than stated shows that all loads take longer. Zones share it: each owner
 // states its loads and what it has learned, and the zone with the fewest engines that have a model goes first.
 //
 // A zone whose owner is not heard does not count, so that a zone that is cut off goes on by itself.
@@ -35,15 +36,14 @@
 constexpr Duration endDelay = milliseconds(400);
 /// Loads that are not slowed for each step by which the limit grows, until it has fallen for the first time.
 constexpr std::int32_t loadsPerEarlyStep = 2;
-/// Loads before the first step from a limit of one: where the store serves one at full speed, two at a time are ready
-/// only when the second of them would have been.
+/// Loads before the limit grows from one: if the store serves one at full speed, two at a time both take twice as long.
 constexpr std::int32_t loadsBeforeSecond = 4;
 /// Loads for each step later, when the limit is near what the store serves.
 constexpr std::int32_t loadsPerStep = 4;
 /// What the owner of a zone has stated holds for this time; it states it twice a second.
 constexpr Duration zoneLoadsLifetime = milliseconds(1700);
-/// How long a new owner leaves a share to zones that it has not heard yet: VMs that start together hear each other
-/// after about a second.
+/// How long an owner that has just begun or resumed leaves a share to zones that it has not heard: VMs that start
+/// together hear each other after about a second.
 constexpr Duration firstHearing = milliseconds(1200);
 
 /// What the loads so far have shown. Owners of several zones add up what they have learned: the highest epoch counts,
@@ -52,6 +52,7 @@
     std::int32_t epoch = 0; ///< how often the limit has fallen
     std::int32_t base = 0; ///< limit when the epoch began; 0: the one of the number of engines
     std::int32_t completed = 0; ///< loads of the own zone in this epoch that used the limit and were not slowed
+    Duration unshared {0}; ///< shortest load of the own zone in this epoch without others beside it; 0: none
 };
 
 /// Loads of models from the weight store to the endpoints of a zone.
@@ -72,8 +73,8 @@
     ModelLoadLimit limit;
     TimePoint epochBegun;
     std::int32_t slowed = 0; ///< consecutive loads of this epoch
-    double sustained = 0; ///< loads that the store serves at full speed, by the least slowed of them
-    TimePoint ownerSince; ///< when this VM became the owner of its zone
+    double fullSpeedLoads = 0; ///< that the store serves, as the least slowed of them shows
+    TimePoint hearingSince; ///< when this VM became the owner of its zone, or resumed after it stood still
     std::map<ZoneName, StatedModelLoads> zones; ///< other zones, and the own zone while another VM owns it
 };
 
@@ -101,6 +102,11 @@
 /// @param now current time
 void beginModelLoads(ModelLoadControl &control, const ZoneName &zone, TimePoint now);
 
+/// Records that this VM stood still: what the other owners have stated meanwhile is still to be read.
+/// @param control updated
+/// @param now current time
+void recordOwnerStall(ModelLoadControl &control, TimePoint now);
+
 /// Records what the owner of a zone has stated.
 /// @param control updated
 /// @param zone that is stated
--- a/lacewing/placementowner.cpp
+++ b/lacewing/placementowner.cpp
@@ -19,8 +19,6 @@
 
 namespace {
 
-/// Time from an accepted load to the first check if the adapter is in host memory: such a load takes 25 ms.
-constexpr Duration fastLoadDelay = milliseconds(26);
 /// Minimum interval between two plans; the reports and answers that arrive in between are handled by one plan.
 constexpr Duration minPlanInterval = milliseconds(15);
 /// The demand report of a VM expires after this time.
@@ -58,6 +56,7 @@
     this->tokensRefilled = this->now();
     this->state.modelLoadTokens = 1;
     beginModelLoads(this->modelLoadControl, this->zone, this->now());
+    this->statedModelLoads.reset();
     this->runAfter(firstHearing, [this] { this->requestPlan(); });
     logEvent("placement_owner", {{"zone", this->zone}, {"fencing", std::to_string(fencing)}, {"owner", "yes"}});
 }
@@ -351,45 +350,6 @@
     this->requestPlan();
 }
 
-void PlacementOwner::onLoadAccepted(PlacedEndpoint &endpoint, const PlacementOrder &order)
-{
-    if (order.adapter.empty()) {
-        endpoint.busy = true;
-        if (endpoint.modelLoad) {
-            endpoint.modelLoad->accepted = true;
-        }
-        this->schedulePoll(order.endpoint, pollInterval);
-    } else {
-        const bool fast = findRemembered(endpoint.rememberedAdapters, weightsOf(order), order.version) != nullptr;
-        this->scheduleCheck(order, endpoint.incarnationStart, fast ? fastLoadDelay : firstCheckDelay(this->loadTime));
-    }
-}
-
-void PlacementOwner::onLoaded(PlacedEndpoint &endpoint, const PlacementOrder &order)
-{
-    const std::string weights = weightsOf(order);
-    const auto loading = endpoint.loading.find(weights);
-    const TimePoint time = this->now();
-    if (loading != endpoint.loading.end()) {
-        logEvent("load_ended",
-                 {{"endpoint", order.endpoint},
-                  {"weights", weights},
-                  {"took_ms", std::to_string(toMilliseconds(time - loading->second.since))}});
-        if (findRemembered(endpoint.rememberedAdapters, weights, order.version) == nullptr) {
-            this->recordLoadTime(time - loading->second.since);
-        }
-        endpoint.loading.erase(loading);
-    }
-    endpoint.rememberedAdapters.erase(weights);
-    endpoint.held[weights] = {std::max(1, order.version), time, 0};
-    this->updates.recordGained(order.endpoint, weights, std::max(1, order.version));
-}
-
-void PlacementOwner::recordLoadTime(Duration took)
-{
-    this->loadTime = updateLoadTime(this->loadTime, took);
-}
-
 std::int32_t PlacementOwner::idlePlaces() const
 {
     return lacewing::idlePlaces(this->state);
@@ -414,8 +374,8 @@
     notice.zone = this->zone;
     notice.fencing = this->fencingNumber;
     notice.idlePlaces = this->idlePlaces();
-    if (this->statedModelLoads != wire::ModelLoads()) {
-        notice.__set_modelLoads(this->statedModelLoads);
+    if (this->statedModelLoads) {
+        notice.__set_modelLoads(*this->statedModelLoads);
     }
     return notice;
 }
--- a/lacewing/placementowner.h
+++ b/lacewing/placementowner.h
@@ -69,6 +69,9 @@
     /// @param loads of models in that zone
     /// @param fencedBy fencing number of that owner
     void recordModelLoads(const ZoneName &ofZone, const wire::ModelLoads &loads, std::int64_t fencedBy);
+    /// Records that this process stood still: what others have stated and endpoints have reported is older by that.
+    /// @param length time in which it did not run
+    void recordStall(Duration length);
     /// States the loads of models again and plans those that others may have made room for; called twice a second.
     void refreshModelLoads();
     /// @param vm VM that has left the deployment
@@ -130,11 +133,14 @@
     void recordOrderAnswer(PlacedEndpoint &endpoint, OrderReply reply) const;
     void recordLoadTime(Duration took);
     void readReport(const EndpointName &id);
+    /// @return those of the named models that the service has
+    std::set<std::string> knownModels(const ServiceName &service, const std::set<std::string> &named) const;
     void onReport(const EndpointName &id, PlacedEndpoint &endpoint, const EndpointReport &report);
     void schedulePoll(const EndpointName &id, Duration delay);
     void trackModelLoad(const EndpointName &id, PlacedEndpoint &endpoint, const EndpointReport &report);
     void onModelLoadEnd(const EndpointName &id, const ModelLoad &load, bool held);
     void stateModelLoads(bool always);
+    bool knowsModelLoads() const;
     void mergeDemand();
     void refillModelLoadTokens();
     bool isOrderAllowed() const;
@@ -162,7 +168,7 @@
     std::set<ZoneName> engineZones; ///< zones with engines, which share the allowed rate
     std::size_t engineCount = 0; ///< endpoints with engines in all zones, without those that leave or have ended
     ModelLoadControl modelLoadControl;
-    wire::ModelLoads statedModelLoads; ///< to the owners of other zones
+    std::optional<wire::ModelLoads> statedModelLoads; ///< to other VMs in this term; nothing: not known yet
 };
 
 } // namespace lacewing
--- a/lacewing/placementownermodels.cpp
+++ b/lacewing/placementownermodels.cpp
@@ -19,12 +19,18 @@
 wire::ModelLoads encode(const ZoneModelLoads &loads)
 {
     wire::ModelLoads encoded;
-    encoded.waiting = loads.waiting;
-    encoded.loading = loads.loading;
-    encoded.placed = loads.placed;
-    encoded.epoch = loads.limit.epoch;
-    encoded.base = loads.limit.base;
-    encoded.completed = loads.limit.completed;
+    const auto set = [&encoded](std::int64_t number, void (wire::ModelLoads::*setter)(std::int32_t)) {
+        if (number != 0) { // numbers that are 0 are left out
+            (encoded.*setter)(static_cast<std::int32_t>(number));
+        }
+    };
+    set(loads.waiting, &wire::ModelLoads::__set_waiting);
+    set(loads.loading, &wire::ModelLoads::__set_loading);
+    set(loads.placed, &wire::ModelLoads::__set_placed);
+    set(loads.limit.epoch, &wire::ModelLoads::__set_epoch);
+    set(loads.limit.base, &wire::ModelLoads::__set_base);
+    set(loads.limit.completed, &wire::ModelLoads::__set_completed);
+    set(toMilliseconds(loads.limit.unshared), &wire::ModelLoads::__set_unsharedMilliseconds);
     return encoded;
 }
 
@@ -34,7 +40,7 @@
     loads.waiting = encoded.waiting;
     loads.loading = encoded.loading;
     loads.placed = encoded.placed;
-    loads.limit = {encoded.epoch, encoded.base, encoded.completed};
+    loads.limit = {encoded.epoch, encoded.base, encoded.completed, milliseconds(encoded.unsharedMilliseconds)};
     return loads;
 }
 
@@ -54,7 +60,7 @@
     if (!endpoint.modelLoad && report.held.empty()) {
         endpoint.modelLoad = ModelLoad {};
         endpoint.modelLoad->since = time;
-        endpoint.modelLoad->fromOwnCopy = !report.ownCopies.empty();
+        endpoint.modelLoad->fromOwnCopy = !endpoint.ownCopies.empty();
     }
     if (!endpoint.modelLoad) {
         return;
@@ -90,7 +96,7 @@
               {"load_time_ms", inMilliseconds(end.loadTime)},
               {"concurrent", std::to_string(end.concurrent)},
               {"limit", std::to_string(this->modelLoadLimit())},
-              {"falls", std::to_string(this->modelLoadControl.limit.epoch)}});
+              {"epoch", std::to_string(this->modelLoadControl.limit.epoch)}});
 }
 
 void PlacementOwner::recordModelLoads(const ZoneName &ofZone, const wire::ModelLoads &loads, std::int64_t fencedBy)
@@ -116,19 +122,36 @@
     this->stateModelLoads(true);
 }
 
+bool PlacementOwner::knowsModelLoads() const
+{
+    const bool heardAll = !this->state.endpoints.empty()
+        && std::all_of(this->state.endpoints.begin(), this->state.endpoints.end(),
+                       [](const auto &entry) { return entry.second.reported; });
+    return heardAll || this->now() - this->modelLoadControl.hearingSince >= firstHearing;
+}
+
+void PlacementOwner::recordStall(Duration length)
+{
+    recordOwnerStall(this->modelLoadControl, this->now());
+    for (auto &[id, endpoint] : this->state.endpoints) {
+        if (endpoint.modelLoad) {
+            endpoint.modelLoad->ownerStalled += length;
+        }
+    }
+}
+
 void PlacementOwner::stateModelLoads(bool always)
 {
     const bool mayLoad = this->isOrderAllowed() && this->state.modelLoadTokens >= 1;
     if (!this->isActive) {
         return; // it has ended within the call
     }
+    if (!this->knowsModelLoads()) {
+        return; // the other zones leave a share to one that has stated nothing
+    }
     ZoneModelLoads loads = countModelLoads(this->state, this->now());
     loads.waiting = mayLoad ? loads.waiting : 0; // zones that can load now do not wait for this one
-    const bool learned = this->modelLoadControl.limit.epoch > 0 || this->modelLoadControl.limit.completed > 0;
     const bool any = loads.waiting > 0 || loads.loading > 0;
-    if (!learned && !any) {
-        loads = {}; // an owner that has nothing to load states nothing
-    }
     loads.limit = this->modelLoadControl.limit;
     const wire::ModelLoads next = encode(loads);
     const bool changed = next != this->statedModelLoads;
--- a/lacewing/placementownerreports.cpp
+++ b/lacewing/placementownerreports.cpp
@@ -12,6 +12,8 @@
 
 namespace {
 
+/// Time from an accepted load to the first check if the adapter is in host memory: such a load takes 25 ms.
+constexpr Duration fastLoadDelay = milliseconds(26);
 /// A load that has not completed within this time counts as lost.
 constexpr Duration maxLoadTime = milliseconds(4000);
 
@@ -27,6 +29,45 @@
 
 } // namespace
 
+void PlacementOwner::onLoadAccepted(PlacedEndpoint &endpoint, const PlacementOrder &order)
+{
+    if (order.adapter.empty()) {
+        endpoint.busy = true;
+        if (endpoint.modelLoad) {
+            endpoint.modelLoad->accepted = true;
+        }
+        this->schedulePoll(order.endpoint, pollInterval);
+    } else {
+        const bool fast = findRemembered(endpoint.rememberedAdapters, weightsOf(order), order.version) != nullptr;
+        this->scheduleCheck(order, endpoint.incarnationStart, fast ? fastLoadDelay : firstCheckDelay(this->loadTime));
+    }
+}
+
+void PlacementOwner::onLoaded(PlacedEndpoint &endpoint, const PlacementOrder &order)
+{
+    const std::string weights = weightsOf(order);
+    const auto loading = endpoint.loading.find(weights);
+    const TimePoint time = this->now();
+    if (loading != endpoint.loading.end()) {
+        logEvent("load_ended",
+                 {{"endpoint", order.endpoint},
+                  {"weights", weights},
+                  {"took_ms", std::to_string(toMilliseconds(time - loading->second.since))}});
+        if (findRemembered(endpoint.rememberedAdapters, weights, order.version) == nullptr) {
+            this->recordLoadTime(time - loading->second.since);
+        }
+        endpoint.loading.erase(loading);
+    }
+    endpoint.rememberedAdapters.erase(weights);
+    endpoint.held[weights] = {std::max(1, order.version), time, 0};
+    this->updates.recordGained(order.endpoint, weights, std::max(1, order.version));
+}
+
+void PlacementOwner::recordLoadTime(Duration took)
+{
+    this->loadTime = updateLoadTime(this->loadTime, took);
+}
+
 void PlacementOwner::scheduleCheck(const PlacementOrder &order, std::int64_t incarnationStart, Duration delay)
 {
     this->runAfter(delay, [this, order, incarnationStart] { this->checkLoad(order, incarnationStart); });
@@ -155,6 +196,20 @@
     this->onReport(id, *endpoint, *report);
 }
 
+std::set<std::string> PlacementOwner::knownModels(const ServiceName &service, const std::set<std::string> &named) const
+{
+    std::set<std::string> known;
+    const auto engine = this->state.engines.find(service);
+    if (engine != this->state.engines.end()) {
+        for (const ModelSpec &model : engine->second.models) {
+            if (named.contains(model.name)) {
+                known.insert(model.name);
+            }
+        }
+    }
+    return known;
+}
+
 void PlacementOwner::onReport(const EndpointName &id, PlacedEndpoint &endpoint, const EndpointReport &report)
 {
     const TimePoint time = this->now();
@@ -190,7 +245,8 @@
         }
     }
     endpoint.loading = std::move(loading);
-    endpoint.ownCopies = report.ownCopies;
+    endpoint.reported = true;
+    endpoint.ownCopies = this->knownModels(endpoint.service, report.ownCopies);
     this->trackModelLoad(id, endpoint, report);
     if (endpoint.busy) {
         this->schedulePoll(id, pollInterval);
--- a/lacewing/testing/modelloadstest.cpp
+++ b/lacewing/testing/modelloadstest.cpp
@@ -27,6 +27,7 @@
     double atFullSpeed = 1; ///< loads at a time
     Duration loadTime {0};
     Duration bound {0}; ///< for the service to be back
+    double slowerThanStated = 1; ///< factor by which a load takes longer than its stated load time
 };
 
 constexpr Deployment small {
@@ -205,7 +206,7 @@
         for (; starts > 0 && zone.empty > 0; --starts) {
             Load load;
             load.begun = this->now;
-            load.left = static_cast<double>(this->deployment.loadTime.count());
+            load.left = static_cast<double>(this->deployment.loadTime.count()) * this->deployment.slowerThanStated;
             if (this->slowEngines > 0) {
                 this->slowEngines -= 1;
                 load.slowness = 5;
@@ -297,6 +298,37 @@
     cr_assert_geq(simulation.ready(), 1U);
 }
 
+Test(modelloads, loadsThatAlwaysTakeLongerThanStatedAreNotTakenForShared)
+{
+    // Guards against a limit that stays at one for good: no number of loads makes them as fast as stated.
+    Deployment deployment = large;
+    deployment.slowerThanStated = 2;
+    Simulation simulation(deployment);
+    // Twice what a store that never idles needs, and as much again for the fall to one load and the growth from it.
+    simulation.run(milliseconds(4 * 90 * 5200 / 8));
+    cr_assert_eq(simulation.ready(), deployment.engines, "%zu of %zu engines ready, limit %d", simulation.ready(),
+                 deployment.engines, modelLoadLimit(simulation.zones.front().control, deployment.engines));
+}
+
+Test(modelloads, anOwnerThatStoodStillLeavesAShareToZonesItHasNotHeardSince)
+{
+    ModelLoadControl control;
+    const std::set<ZoneName> engineZones {"a", "b"};
+    ZoneModelLoads loads;
+    loads.waiting = 5;
+    loads.loading = 1;
+    const TimePoint heard = start + firstHearing;
+    beginModelLoads(control, "b", start);
+    recordZoneLoads(control, "a", loads, 1, heard);
+    ZoneModelLoads own;
+    own.waiting = 5;
+    own.placed = 1;
+    const TimePoint resumed = heard + milliseconds(10000);
+    recordOwnerStall(control, resumed);
+    cr_assert_eq(modelLoadsToStart(control, "b", own, 10, engineZones, resumed), 0);
+    cr_assert_eq(modelLoadsToStart(control, "b", own, 10, engineZones, resumed + firstHearing), 1);
+}
+
 Test(modelloads, aZoneThatIsCutOffLoadsByItself)
 {
     Simulation simulation(slowStore);
--- a/lacewing/testing/placementownertest.cpp
+++ b/lacewing/testing/placementownertest.cpp
@@ -113,6 +113,9 @@
             answer.report->orders = engine.orders;
             answer.report->busy = engine.loading;
             answer.report->ownCopies = this->ownCopies;
+            if (!this->reports) {
+                answer.report.reset();
+            }
             if (engine.loaded) {
                 answer.report->held["m"] = 1;
             }
@@ -139,6 +142,7 @@
 
     std::map<EndpointName, Engine> engines;
     std::set<std::string> ownCopies; ///< models that each endpoint has on its disk
+    bool reports = true; ///< endpoints answer when they are asked for their report
 };
 
 wire::DemandReport makeDemand(int first, int count)
@@ -338,18 +342,48 @@
     cr_assert_eq(stated, endpointCount);
 }
 
+Test(placementowner, anOwnerStatesNothingBeforeItHasReadTheReportsOfItsEndpoints)
+{
+    // Guards against a zone that seems to have nothing to load while its owner does not know yet.
+    EmptyZone zone;
+    zone.reports = false;
+    zone.begin();
+    zone.run(milliseconds(100));
+    cr_assert_not(zone.owner.nextNotice().__isset.modelLoads);
+    zone.reports = true;
+    zone.run(failureRetryDelay + milliseconds(100));
+    cr_assert(zone.owner.nextNotice().__isset.modelLoads);
+    Zone loaded;
+    loaded.owner.refreshModelLoads();
+    const wire::PlacementNotice notice = loaded.owner.nextNotice();
+    cr_assert(notice.__isset.modelLoads, "an owner that has nothing to load says so");
+    cr_assert_eq(notice.modelLoads.placed, endpointCount);
+}
+
+Test(placementowner, ownCopiesThatNoServiceNamesAreDropped)
+{
+    EmptyZone zone;
+    zone.ownCopies = {"unknown"};
+    zone.begin();
+    zone.run(milliseconds(300));
+    cr_assert_eq(zone.owner.modelLoads().loading, 1, "the model comes from the weight store");
+    zone.endLoads();
+    zone.run(milliseconds(300));
+    cr_assert_eq(zone.orders.size(), 2U);
+}
+
 Test(placementowner, zonesTakeTurnsWithTheirLoadsOfModels)
 {
     EmptyZone zone;
     wire::ModelLoads loads;
-    loads.waiting = 3;
-    loads.loading = 1;
+    loads.__set_waiting(3);
+    loads.__set_loading(1);
     zone.owner.recordModelLoads("a", loads, 5);
     zone.begin();
     zone.run(milliseconds(200));
     cr_assert_eq(zone.orders.size(), 0, "the other zone loads");
-    loads.loading = 0;
-    loads.placed = 1;
+    loads.__set_loading(0);
+    loads.__set_placed(1);
     zone.owner.recordModelLoads("a", loads, 5);
     zone.run(milliseconds(50));
     cr_assert_eq(zone.orders.size(), 1, "this zone has no model, the other one has");
