Endpoints: an answer of another process at an address shows that the entry is of an ended one

Refused with 503, retry_budget_spent.

Cause: the status 421 for a plain request, an order or the question for a report says that another process has the address. It taught nothing: each VM went on to choose the ended endpoint, and had to send the request once more, for which the retry budget of a VM (1.3 retries, one in 15 s) does not suffice. An address was known to belong to the process that was started last only where entries name the start.

Change: such an answer marks the endpoint as displaced, which withdraws it for the time of those behind a later start. The VM tells all others. It counts only while another process is listed at the address, and for orders and reports, which name no request, the second time in a row, since a late answer may be to another endpoint's.

--- a/lacewing/entrynode.cpp
+++ b/lacewing/entrynode.cpp
@@ -132,6 +132,7 @@
         this->owner.recordModelLoads(news.zone, news.loads, news.fencing);
     };
     this->owner.mayOrder = [this] { return this->mayOrderNow(); };
+    this->owner.onDisplaced = [this](const EndpointInstance &instance) { this->dataPath.recordDisplaced(instance); };
     this->owner.onFenced = [this] {
         recordFenced(this->claim, this->clock.now());
         this->stopOwning("fenced");
--- a/lacewing/fleet.cpp
+++ b/lacewing/fleet.cpp
@@ -39,6 +39,9 @@
 {
     std::erase(fleet.byAddress[address], id);
     updateSupplanted(fleet, address, now);
+    if (fleet.byAddress[address].size() == 1) {
+        recordPresent(fleet, fleet.byAddress[address].front());
+    }
     if (fleet.byAddress[address].empty()) {
         fleet.byAddress.erase(address);
     }
@@ -122,9 +125,33 @@
     return found != fleet.endpoints.end() && found->second.entry.born == born;
 }
 
+bool recordDisplaced(Fleet &fleet, const EndpointInstance &instance, TimePoint now)
+{
+    if (!isIncarnation(fleet, instance.id, instance.born)) {
+        return false;
+    }
+    FleetEndpoint &endpoint = fleet.endpoints.at(instance.id);
+    if (fleet.byAddress.at(endpoint.entry.address).size() < 2) {
+        return false;
+    }
+    const bool gotWork = !isSupplanted(endpoint, now);
+    endpoint.displacedSince = now;
+    return gotWork;
+}
+
+void recordPresent(Fleet &fleet, const EndpointName &id)
+{
+    const auto found = fleet.endpoints.find(id);
+    if (found != fleet.endpoints.end()) {
+        found->second.displacedSince.reset();
+    }
+}
+
 bool isSupplanted(const FleetEndpoint &endpoint, TimePoint now)
 {
-    return endpoint.supplantedSince && now - *endpoint.supplantedSince < supplantedTime;
+    const auto isRecent
+        = [now](const std::optional<TimePoint> &since) { return since && now - *since < supplantedTime; };
+    return isRecent(endpoint.supplantedSince) || isRecent(endpoint.displacedSince);
 }
 
 bool isWithdrawn(const FleetEndpoint &endpoint, TimePoint now)
--- a/lacewing/fleet.h
+++ b/lacewing/fleet.h
@@ -58,6 +58,7 @@
     std::int32_t allRunning = 0; ///< requests of all VMs in progress there, as last reported by the placement owner
     std::int32_t ownRunningAtReport = 0; ///< ownRunning at the time of that report
     std::optional<TimePoint> supplantedSince; ///< when a process that was started later was first listed at its address
+    std::optional<TimePoint> displacedSince; ///< when another process answered at its address
     TimePoint lastListed; ///< when the platform's list last contained it
 };
 
@@ -132,13 +133,29 @@
 bool isReplaced(const Fleet &fleet, const EndpointInstance &instance, const ServiceName &service,
                 std::string_view address);
 
-/// How long an endpoint gets no work because a later process is listed at its address. The list may be wrong, and
-/// without work nothing would show that the endpoint lives.
+/// How long an endpoint gets no work because a later process is listed at its address, or another one has answered
+/// there. The list may be wrong, and without work nothing would show that the endpoint lives.
 constexpr Duration supplantedTime = milliseconds(60000);
 
+/// Records that another process has answered at the address of an endpoint.
+///
+/// Load pattern: entries of ended endpoints stay on the list beside those of the processes that have their addresses
+/// now, and none names its start. Each request to one is a retry of each VM, and the retry budget covers few. Where no
+/// other process is listed at the address, the answer proves nothing of what is listed, and the endpoint stays in use.
+/// @param fleet updated; unchanged if that incarnation is not the known one, or is the only one listed at its address
+/// @param instance that was asked for there
+/// @param now current time
+/// @return whether the endpoint got work until now
+bool recordDisplaced(Fleet &fleet, const EndpointInstance &instance, TimePoint now);
+
+/// Records that an endpoint has answered as itself.
+/// @param fleet updated
+/// @param id of the endpoint
+void recordPresent(Fleet &fleet, const EndpointName &id);
+
 /// @param endpoint of the list
 /// @param now current time
-/// @return whether it is taken for ended, since a later process is listed at its address
+/// @return whether it is taken for ended: a later process is listed at its address, or another one has answered there
 bool isSupplanted(const FleetEndpoint &endpoint, TimePoint now);
 
 /// @param endpoint of the list
--- a/lacewing/gateway.h
+++ b/lacewing/gateway.h
@@ -162,6 +162,9 @@
     /// @param stated in its answer
     /// @param request id of the request that is answered, for the log
     void recordStatement(const EndpointInstance &instance, const EndpointStatement &stated, const std::string &request);
+    /// Records that another process has answered at the address of an endpoint, and tells the other VMs.
+    /// @param instance that was asked for there
+    void recordDisplaced(const EndpointInstance &instance);
     /// Decides whether an order or a question may be sent to an endpoint now.
     /// @param instance to send to
     /// @param what is sent, for the log
--- a/lacewing/gatewayupdates.cpp
+++ b/lacewing/gatewayupdates.cpp
@@ -43,6 +43,7 @@
     if (found == this->fleetState.endpoints.end()) {
         return;
     }
+    recordPresent(this->fleetState, id);
     if (recordSuccess(found->second.trust) && shouldAnnounceSuccess(found->second.failures, this->now())) {
         this->announceEndpointStatus(id, true);
     }
@@ -58,6 +59,24 @@
     }
 }
 
+void Gateway::recordDisplaced(const EndpointInstance &instance)
+{
+    if (!lacewing::recordDisplaced(this->fleetState, instance, this->now())) {
+        return;
+    }
+    logEvent("endpoint_displaced", {{"endpoint", instance.id}, {"by", "answer"}});
+    wire::EndpointNews update;
+    update.endpoint = instance.id;
+    update.born = instance.born;
+    update.__set_displaced(true);
+    if (this->onEndpointUpdate) {
+        this->onEndpointUpdate(update);
+    }
+    if (this->onStatement) {
+        this->onStatement();
+    }
+}
+
 void Gateway::announceEndpointStatus(const EndpointName &id, bool works)
 {
     wire::EndpointNews update;
@@ -82,9 +101,16 @@
     if (!isIncarnation(this->fleetState, update.endpoint, update.born)) {
         return false;
     }
+    const TimePoint now = this->now();
+    if (update.displaced) {
+        const bool changed = lacewing::recordDisplaced(this->fleetState, {update.endpoint, update.born}, now);
+        if (changed) {
+            logEvent("endpoint_displaced", {{"endpoint", update.endpoint}, {"by", vm}});
+        }
+        return changed;
+    }
     FleetEndpoint &endpoint = this->fleetState.endpoints.at(update.endpoint);
     SharedFailures &failures = endpoint.failures;
-    const TimePoint now = this->now();
     const bool wasShunned = isShunned(failures, now);
     if (update.works) {
         clearReports(failures);
--- a/lacewing/lacewing.thrift
+++ b/lacewing/lacewing.thrift
@@ -312,7 +312,8 @@
 struct EndpointNews {
   1: string endpoint,
   2: i64 born = 0,                     // start of its incarnation, Unix milliseconds
-  3: bool works = false                // a request succeeded there, of which failures were told; otherwise one failed
+  3: bool works = false,               // a request succeeded there, of which failures were told; otherwise one failed
+  4: optional bool displaced           // another process has answered at its address
 }
 
 /** What an endpoint takes from all VMs together, and what was sent to it. */
--- a/lacewing/placementowner.cpp
+++ b/lacewing/placementowner.cpp
@@ -131,6 +131,7 @@
         endpoint.service = known.entry.service;
         endpoint.address = known.entry.address;
         endpoint.slots = std::max(1, known.entry.slots);
+        endpoint.supplanted = isSupplanted(known, this->now());
         const bool isShunned = !acceptsPlacement(fleet, known, this->now());
         if (known.entry.leaving) {
             endpoint.ready = false;
--- a/lacewing/placementowner.h
+++ b/lacewing/placementowner.h
@@ -93,6 +93,8 @@
     /// Returns whether an order may be sent; called before each order. If unset, orders are always allowed. The
     /// callback may call end().
     std::function<bool()> mayOrder;
+    /// Called when another process has answered repeatedly at the address of an endpoint.
+    std::function<void(const EndpointInstance &)> onDisplaced;
     /// Called when an endpoint has refused this owner's fencing number.
     std::function<void()> onFenced;
     /// Called when a handler for a plan or an answer has failed; the state of the endpoints may be wrong then.
@@ -131,6 +133,7 @@
     void onLoadChecked(const PlacementOrder &order, std::int64_t incarnationStart, OrderReply reply);
     void onReportAnswer(const EndpointName &id, std::int64_t incarnationStart, const ReportAnswer &answer);
     void recordOrderAnswer(PlacedEndpoint &endpoint, OrderReply reply) const;
+    void recordMisdirected(const EndpointName &id, PlacedEndpoint &endpoint);
     void recordLoadTime(Duration took);
     void readReport(const EndpointName &id);
     /// @return those of the named models that the service has
--- a/lacewing/placementownerreports.cpp
+++ b/lacewing/placementownerreports.cpp
@@ -16,6 +16,11 @@
 constexpr Duration fastLoadDelay = milliseconds(26);
 /// A load that has not completed within this time counts as lost.
 constexpr Duration maxLoadTime = milliseconds(4000);
+/// How often it is looked whether an endpoint that is taken for ended gets work again.
+constexpr Duration supplantedPollInterval = milliseconds(5000);
+/// Consecutive answers that name another endpoint. One may be a late answer to a request to another endpoint at the
+/// same address: answers to orders and reports name no request.
+constexpr int misdirectedToDisplace = 2;
 
 PlacementOrder makeLoad(const EndpointName &id, const std::string &weights, std::int32_t version)
 {
@@ -174,6 +179,15 @@
     }
 }
 
+void PlacementOwner::recordMisdirected(const EndpointName &id, PlacedEndpoint &endpoint)
+{
+    endpoint.misdirected += 1;
+    if (endpoint.misdirected >= misdirectedToDisplace && this->onDisplaced) {
+        endpoint.misdirected = 0;
+        this->onDisplaced({id, endpoint.incarnationStart}); // may remove the endpoint
+    }
+}
+
 void PlacementOwner::onReportAnswer(const EndpointName &id, std::int64_t incarnationStart, const ReportAnswer &answer)
 {
     const std::optional<EndpointReport> &report = answer.report;
@@ -189,10 +203,15 @@
         if (answer.unreadable) {
             recordUnreadable(endpoint->reportPause, this->now());
         }
-        this->schedulePoll(id, std::max(failureRetryDelay, pauseLeft(endpoint->reportPause, this->now())));
+        const Duration delay = endpoint->supplanted ? supplantedPollInterval : failureRetryDelay;
+        this->schedulePoll(id, std::max(delay, pauseLeft(endpoint->reportPause, this->now())));
+        if (answer.fromOther) {
+            this->recordMisdirected(id, *endpoint);
+        }
         return;
     }
     endpoint->reportPause = {};
+    endpoint->misdirected = 0;
     this->onReport(id, *endpoint, *report);
 }
 
--- a/lacewing/relayanswer.cpp
+++ b/lacewing/relayanswer.cpp
@@ -108,6 +108,8 @@
     const auto target = this->gateway.fleetState.endpoints.find(this->endpoint);
     if (target != this->gateway.fleetState.endpoints.end() && status == misdirected && !this->weights.empty()) {
         target->second.entry.held.erase(this->weights); // until the next endpoint update lists them again
+    } else if (status == misdirected) { // a plain request has no other reason
+        this->gateway.recordDisplaced({this->endpoint, this->incarnationStart});
     }
     const auto used = this->link;
     this->link.reset();
--- a/lacewing/testing/endpointchoicetest.cpp
+++ b/lacewing/testing/endpointchoicetest.cpp
@@ -493,3 +493,28 @@
     removeEndpoint(fleet, "later", start);
     cr_expect_eq(chooseEndpoint(fleet, need(), start).endpoint, "ended", "nothing says that it has ended");
 }
+
+Test(endpointchoice, anEndpointAtWhoseAddressAnotherProcessAnswersIsNotSelected)
+{
+    // As above, and no entry names the start of its process.
+    Fleet fleet;
+    EndpointEntry ended = makeEntry("ended", "a");
+    ended.address = "10.0.0.1:80";
+    putEndpoint(fleet, ended, start);
+    cr_expect_not(recordDisplaced(fleet, {"ended", 0}, start), "no other one is listed there");
+    cr_assert_eq(chooseEndpoint(fleet, need(), start).endpoint, "ended");
+    EndpointEntry later = makeEntry("later", "b");
+    later.address = ended.address;
+    putEndpoint(fleet, later, start);
+    cr_expect_not(recordDisplaced(fleet, {"ended", 1}, start), "another incarnation");
+    cr_expect(recordDisplaced(fleet, {"ended", 0}, start));
+    cr_expect_not(recordDisplaced(fleet, {"ended", 0}, start), "known");
+    cr_expect_eq(chooseEndpoint(fleet, need(), start).endpoint, "later");
+    cr_expect_eq(checkSend(fleet, {"ended", 0}, std::nullopt, start), SendHold::Gone);
+    cr_expect_eq(checkSend(fleet, {"ended", 0}, std::nullopt, start + supplantedTime), SendHold::None);
+    recordPresent(fleet, "ended");
+    cr_expect_eq(checkSend(fleet, {"ended", 0}, std::nullopt, start), SendHold::None, "it has answered as itself");
+    recordDisplaced(fleet, {"ended", 0}, start);
+    removeEndpoint(fleet, "later", start);
+    cr_expect_eq(chooseEndpoint(fleet, need(), start).endpoint, "ended", "nothing says that it has ended");
+}
--- a/lacewing/testing/placementownertest.cpp
+++ b/lacewing/testing/placementownertest.cpp
@@ -113,8 +113,9 @@
             answer.report->orders = engine.orders;
             answer.report->busy = engine.loading;
             answer.report->ownCopies = this->ownCopies;
-            if (!this->reports) {
+            if (!this->reports || this->ended.contains(id)) {
                 answer.report.reset();
+                answer.fromOther = this->ended.contains(id);
             }
             if (engine.loaded) {
                 answer.report->held["m"] = 1;
@@ -143,6 +144,7 @@
     std::map<EndpointName, Engine> engines;
     std::set<std::string> ownCopies; ///< models that each endpoint has on its disk
     bool reports = true; ///< endpoints answer when they are asked for their report
+    std::set<EndpointName> ended; ///< endpoints at whose addresses another one answers
 };
 
 wire::DemandReport makeDemand(int first, int count)
@@ -424,3 +426,20 @@
     zone.run(milliseconds(50));
     cr_expect_eq(zone.orders.size(), 1);
 }
+
+Test(placementowner, anEndpointAtWhoseAddressAnotherOneAnswersTwiceIsReported)
+{
+    // Guards against entries of ended endpoints that are asked for their report again and again. A single answer may be
+    // a late one to a request to another endpoint at the same address.
+    EmptyZone zone;
+    std::vector<EndpointName> displaced;
+    zone.owner.onDisplaced = [&](const EndpointInstance &instance) { displaced.push_back(instance.id); };
+    zone.ended = {"i-3", "i-4"};
+    zone.begin();
+    zone.run(milliseconds(50));
+    cr_assert_eq(displaced.size(), 0);
+    zone.ended = {"i-3"};
+    zone.run(failureRetryDelay + milliseconds(50));
+    cr_assert_eq(displaced.size(), 1);
+    cr_assert_eq(displaced.front(), "i-3");
+}
