Loads of models: engines count once they have answered

Cause: the first loads at a time are one for each 16 listed engines. With 900 entries for 90 engines 62 loads were in progress at once, the first ended after 8.3 s, and 15 engines had their model 19 s after the return.

Change: an owner counts the engines of its zone that have given it a report, and states their number with its loads; of a zone that it does not hear it takes the same share of the list to answer. A build without the field is counted as not heard.

placementownertest: entriesThatDoNotAnswerDoNotRaiseTheLimitOfModelLoads failed with the count by the list.

--- a/lacewing/lacewing.thrift
+++ b/lacewing/lacewing.thrift
@@ -283,7 +283,8 @@
   4: optional i32 epoch,               // how often the limit of loads at a time has fallen
   5: optional i32 base,                // limit when the epoch began; 0: the one of the number of engines
   6: optional i32 completed,           // loads in this epoch that used the limit and were not slowed
-  7: optional i32 unsharedMilliseconds // shortest load in this epoch without others beside it; 0: none
+  7: optional i32 unsharedMilliseconds, // shortest load in this epoch without others beside it; 0: none
+  8: optional i32 engines              // endpoints that have answered; not set: not stated
 }
 /** The placement owner of a zone tells the other owners of its loads. */
 struct ModelLoadNews { 1: string zone, 2: i64 fencing, 3: ModelLoads loads }
--- a/lacewing/modelloads.cpp
+++ b/lacewing/modelloads.cpp
@@ -100,6 +100,27 @@
 
 } // namespace
 
+std::size_t countEngines(const ModelLoadControl &control, const ZoneName &own,
+                         const std::map<ZoneName, ZoneEngines> &engines, TimePoint now)
+{
+    const auto found = engines.find(own);
+    const ZoneEngines ownZone = found == engines.end() ? ZoneEngines {} : found->second;
+    const double share
+        = ownZone.listed == 0 ? 1.0 : static_cast<double>(ownZone.answering) / static_cast<double>(ownZone.listed);
+    std::size_t count = ownZone.answering;
+    for (const auto &[zone, one] : engines) {
+        if (zone == own) {
+            continue;
+        }
+        const auto stated = control.zones.find(zone);
+        const bool known
+            = stated != control.zones.end() && isHeard(stated->second, now) && stated->second.loads.engines > 0;
+        count += known ? static_cast<std::size_t>(stated->second.loads.engines)
+                       : static_cast<std::size_t>(std::lround(share * static_cast<double>(one.listed)));
+    }
+    return count;
+}
+
 std::int32_t modelLoadLimit(const ModelLoadControl &control, std::size_t engines)
 {
     const ModelLoadLimit &learned = control.limit;
--- a/lacewing/modelloads.h
+++ b/lacewing/modelloads.h
@@ -60,6 +60,7 @@
     std::int32_t waiting = 0; ///< endpoints that could load a model now
     std::int32_t loading = 0;
     std::int32_t placed = 0; ///< endpoints that have a model
+    std::int32_t engines = 0; ///< endpoints that have answered; 0: not stated
     ModelLoadLimit limit;
 };
 
@@ -78,6 +79,12 @@
     std::map<ZoneName, StatedModelLoads> zones; ///< other zones, and the own zone while another VM owns it
 };
 
+/// Endpoints with engines in a zone.
+struct ZoneEngines {
+    std::size_t listed = 0; ///< by the platform, without those that leave or have ended
+    std::size_t answering = 0; ///< of them, as far as this VM knows; of the own zone only
+};
+
 /// A load that has ended.
 struct ModelLoadEnd {
     TimePoint begun;
@@ -86,6 +93,20 @@
     double concurrent = 1; ///< loads of all zones that were in progress meanwhile, in the mean
 };
 
+/// Counts the endpoints that can load a model.
+///
+/// Load pattern: all endpoints have ended and others have started, and the entries of the former stay on the list.
+/// Counted by the list, the first loads would be several times as many as the weight store serves at full speed. An
+/// owner knows which endpoints of its zone have answered it, and states their number. Of a zone that is not heard, the
+/// same share is taken to answer.
+/// @param control what is known
+/// @param own zone of this VM
+/// @param engines of each zone
+/// @param now current time
+/// @return number of endpoints with engines in all zones that have answered
+std::size_t countEngines(const ModelLoadControl &control, const ZoneName &own,
+                         const std::map<ZoneName, ZoneEngines> &engines, TimePoint now);
+
 /// @param control what is known
 /// @param engines number of endpoints with engines in all zones
 /// @return maximum number of loads at a time in all zones together
--- a/lacewing/placementowner.cpp
+++ b/lacewing/placementowner.cpp
@@ -99,7 +99,7 @@
 {
     this->zoneOfEndpoint.clear();
     this->engineZones.clear();
-    this->engineCount = 0;
+    this->listedEngines.clear();
     this->state.versions = versions;
     this->state.engines.clear();
     for (const auto &[name, service] : config.services) {
@@ -116,7 +116,7 @@
             continue;
         }
         this->engineZones.insert(known.entry.zone);
-        this->engineCount += known.entry.leaving || isSupplanted(known, this->now()) ? 0 : 1;
+        this->listedEngines[known.entry.zone] += isWithdrawn(known, this->now()) ? 0 : 1;
         if (known.entry.zone != this->zone || !this->isActive) {
             continue;
         }
@@ -251,7 +251,7 @@
     this->refillModelLoadTokens();
     this->state.modelLoadsAllowed
         = modelLoadsToStart(this->modelLoadControl, this->zone, countModelLoads(this->state, this->lastPlan),
-                            this->engineCount, this->engineZones, this->lastPlan);
+                            this->engineCount(), this->engineZones, this->lastPlan);
     const std::int64_t plannedIn = this->term;
     for (const PlacementOrder &order : planOrders(this->state, this->lastPlan)) {
         if (this->term != plannedIn) {
--- a/lacewing/placementowner.h
+++ b/lacewing/placementowner.h
@@ -144,6 +144,10 @@
     void onModelLoadEnd(const EndpointName &id, const ModelLoad &load, bool held);
     void stateModelLoads(bool always);
     bool knowsModelLoads() const;
+    /// @return endpoints of the zone with engines that have answered this owner, without those that have ended
+    std::size_t answeringEngines() const;
+    /// @return the same of all zones, as far as this owner knows
+    std::size_t engineCount() const;
     void mergeDemand();
     void refillModelLoadTokens();
     bool isOrderAllowed() const;
@@ -169,7 +173,7 @@
     double modelLoadRate = 1; ///< allowed rate, per second
     TimePoint tokensRefilled;
     std::set<ZoneName> engineZones; ///< zones with engines, which share the allowed rate
-    std::size_t engineCount = 0; ///< endpoints with engines in all zones, without those that leave or have ended
+    std::map<ZoneName, std::size_t> listedEngines; ///< of each zone, without those that leave or have ended
     ModelLoadControl modelLoadControl;
     std::optional<wire::ModelLoads> statedModelLoads; ///< to other VMs in this term; nothing: not known yet
 };
--- a/lacewing/placementownermodels.cpp
+++ b/lacewing/placementownermodels.cpp
@@ -31,6 +31,7 @@
     set(loads.limit.base, &wire::ModelLoads::__set_base);
     set(loads.limit.completed, &wire::ModelLoads::__set_completed);
     set(toMilliseconds(loads.limit.unshared), &wire::ModelLoads::__set_unsharedMilliseconds);
+    set(loads.engines, &wire::ModelLoads::__set_engines);
     return encoded;
 }
 
@@ -40,6 +41,7 @@
     loads.waiting = encoded.waiting;
     loads.loading = encoded.loading;
     loads.placed = encoded.placed;
+    loads.engines = encoded.engines;
     loads.limit = {encoded.epoch, encoded.base, encoded.completed, milliseconds(encoded.unsharedMilliseconds)};
     return loads;
 }
@@ -86,7 +88,7 @@
     end.loadTime = modelLoadTime(this->state, this->state.endpoints.at(id), load.model);
     end.concurrent = load.reports > 0 ? load.concurrentSum / load.reports : 1;
     if (load.accepted && held && !load.fromOwnCopy && time - load.lastSeen <= maxUnseenTime) {
-        recordModelLoadEnd(this->modelLoadControl, end, this->engineCount, time);
+        recordModelLoadEnd(this->modelLoadControl, end, this->engineCount(), time);
     }
     logEvent("model_load_ended",
              {{"endpoint", id},
@@ -130,6 +132,26 @@
     return heardAll || this->now() - this->modelLoadControl.hearingSince >= firstHearing;
 }
 
+std::size_t PlacementOwner::answeringEngines() const
+{
+    const auto &all = this->state.endpoints;
+    return static_cast<std::size_t>(std::count_if(
+        all.begin(), all.end(), [](const auto &entry) { return entry.second.reported && !entry.second.supplanted; }));
+}
+
+std::size_t PlacementOwner::engineCount() const
+{
+    std::map<ZoneName, ZoneEngines> engines;
+    for (const auto &[name, listed] : this->listedEngines) {
+        engines[name] = {listed, 0};
+    }
+    const auto own = engines.find(this->zone);
+    if (own != engines.end()) {
+        own->second.answering = std::min(own->second.listed, this->answeringEngines());
+    }
+    return countEngines(this->modelLoadControl, this->zone, engines, this->now());
+}
+
 void PlacementOwner::recordStall(Duration length)
 {
     recordOwnerStall(this->modelLoadControl, this->now());
@@ -153,6 +175,7 @@
     loads.waiting = mayLoad ? loads.waiting : 0; // zones that can load now do not wait for this one
     const bool any = loads.waiting > 0 || loads.loading > 0;
     loads.limit = this->modelLoadControl.limit;
+    loads.engines = static_cast<std::int32_t>(this->answeringEngines());
     const wire::ModelLoads next = encode(loads);
     const bool changed = next != this->statedModelLoads;
     this->statedModelLoads = next;
@@ -168,7 +191,7 @@
 
 std::int32_t PlacementOwner::modelLoadLimit() const
 {
-    return lacewing::modelLoadLimit(this->modelLoadControl, this->engineCount);
+    return lacewing::modelLoadLimit(this->modelLoadControl, this->engineCount());
 }
 
 } // namespace lacewing
--- a/lacewing/testing/placementownertest.cpp
+++ b/lacewing/testing/placementownertest.cpp
@@ -443,3 +443,25 @@
     cr_assert_eq(displaced.size(), 1);
     cr_assert_eq(displaced.front(), "i-3");
 }
+
+Test(placementowner, entriesThatDoNotAnswerDoNotRaiseTheLimitOfModelLoads)
+{
+    // Guards against as many loads at once as the list has entries, which all end together, while most entries are of
+    // endpoints that have ended.
+    EmptyZone zone;
+    for (int number = endpointCount; number < 10 * endpointCount; ++number) {
+        EndpointEntry entry = zone.fleet.endpoints.at("i-0").entry;
+        entry.id = "ended-" + std::to_string(number);
+        entry.zone = number % 2 == 0 ? "z" : "other";
+        putEndpoint(zone.fleet, entry, zone.clock.now());
+        zone.ended.insert(entry.id);
+    }
+    zone.begin();
+    zone.run(milliseconds(500));
+    cr_assert_eq(zone.owner.modelLoadLimit(), 2, "%d loads at a time for %d endpoints", zone.owner.modelLoadLimit(),
+                 endpointCount);
+    wire::ModelLoads loads;
+    loads.__set_engines(3 * endpointCount);
+    zone.owner.recordModelLoads("other", loads, 5);
+    cr_assert_eq(zone.owner.modelLoadLimit(), 5, "with those that the owner of the other zone states");
+}
