--- a/lacewing/placementownerreports.cpp
+++ b/lacewing/placementownerreports.cpp
@@ -19,7 +19,7 @@
 /// How often it is looked whether an endpoint that is taken for ended gets work again.
 constexpr Duration supplantedPollInterval = milliseconds(5000);
 /// Consecutive answers that name another endpoint. One may be a late answer to a request to another endpoint at the
-/// same address: answers to orders and reports name no request.
+/// same address: answers to reports name no request.
 constexpr int misdirectedToDisplace = 2;
 
 PlacementOrder makeLoad(const EndpointName &id, const std::string &weights, std::int32_t version)
