Loads of models: of a zone that is not heard, the same share of its whole list is taken to answer

Cause: the share of listed engines that answer was taken of the entries that are not known to have ended.

Change: the share is of the whole list of both; what is known to have ended elsewhere still lowers the number.

placementownertest: the limit stays at 2 for 20 engines once the ended ones of the own zone are known.

--- a/lacewing/modelloads.cpp
+++ b/lacewing/modelloads.cpp
@@ -115,8 +115,9 @@
         const auto stated = control.zones.find(zone);
         const bool known
             = stated != control.zones.end() && isHeard(stated->second, now) && stated->second.loads.engines > 0;
+        const auto expected = static_cast<std::size_t>(std::lround(share * static_cast<double>(one.listed)));
         count += known ? static_cast<std::size_t>(stated->second.loads.engines)
-                       : static_cast<std::size_t>(std::lround(share * static_cast<double>(one.listed)));
+                       : std::min(expected, one.listed - one.ended);
     }
     return count;
 }
--- a/lacewing/modelloads.h
+++ b/lacewing/modelloads.h
@@ -81,8 +81,9 @@
 
 /// Endpoints with engines in a zone.
 struct ZoneEngines {
-    std::size_t listed = 0; ///< by the platform, without those that leave or have ended
-    std::size_t answering = 0; ///< of them, as far as this VM knows; of the own zone only
+    std::size_t listed = 0; ///< by the platform, without those that leave
+    std::size_t ended = 0; ///< of them, as far as this VM knows: another process is at their addresses
+    std::size_t answering = 0; ///< of them, to this VM; of the own zone only
 };
 
 /// A load that has ended.
@@ -98,7 +99,7 @@
 /// Load pattern: all endpoints have ended and others have started, and the entries of the former stay on the list.
 /// Counted by the list, the first loads would be several times as many as the weight store serves at full speed. An
 /// owner knows which endpoints of its zone have answered it, and states their number. Of a zone that is not heard, the
-/// same share is taken to answer.
+/// same share of the list is taken to answer: which of its endpoints have ended is known later than of the own zone.
 /// @param control what is known
 /// @param own zone of this VM
 /// @param engines of each zone
--- a/lacewing/placementowner.cpp
+++ b/lacewing/placementowner.cpp
@@ -99,7 +99,7 @@
 {
     this->zoneOfEndpoint.clear();
     this->engineZones.clear();
-    this->listedEngines.clear();
+    this->engines.clear();
     this->state.versions = versions;
     this->state.engines.clear();
     for (const auto &[name, service] : config.services) {
@@ -116,7 +116,11 @@
             continue;
         }
         this->engineZones.insert(known.entry.zone);
-        this->listedEngines[known.entry.zone] += isWithdrawn(known, this->now()) ? 0 : 1;
+        if (!known.entry.leaving) {
+            ZoneEngines &ofZone = this->engines[known.entry.zone];
+            ofZone.listed += 1;
+            ofZone.ended += isSupplanted(known, this->now()) ? 1 : 0;
+        }
         if (known.entry.zone != this->zone || !this->isActive) {
             continue;
         }
--- a/lacewing/placementowner.h
+++ b/lacewing/placementowner.h
@@ -173,7 +173,7 @@
     double modelLoadRate = 1; ///< allowed rate, per second
     TimePoint tokensRefilled;
     std::set<ZoneName> engineZones; ///< zones with engines, which share the allowed rate
-    std::map<ZoneName, std::size_t> listedEngines; ///< of each zone, without those that leave or have ended
+    std::map<ZoneName, ZoneEngines> engines; ///< as listed, of each zone
     ModelLoadControl modelLoadControl;
     std::optional<wire::ModelLoads> statedModelLoads; ///< to other VMs in this term; nothing: not known yet
 };
--- a/lacewing/placementownermodels.cpp
+++ b/lacewing/placementownermodels.cpp
@@ -141,15 +141,12 @@
 
 std::size_t PlacementOwner::engineCount() const
 {
-    std::map<ZoneName, ZoneEngines> engines;
-    for (const auto &[name, listed] : this->listedEngines) {
-        engines[name] = {listed, 0};
-    }
-    const auto own = engines.find(this->zone);
-    if (own != engines.end()) {
+    std::map<ZoneName, ZoneEngines> known = this->engines;
+    const auto own = known.find(this->zone);
+    if (own != known.end()) {
         own->second.answering = std::min(own->second.listed, this->answeringEngines());
     }
-    return countEngines(this->modelLoadControl, this->zone, engines, this->now());
+    return countEngines(this->modelLoadControl, this->zone, known, this->now());
 }
 
 void PlacementOwner::recordStall(Duration length)
--- a/lacewing/testing/placementownertest.cpp
+++ b/lacewing/testing/placementownertest.cpp
@@ -460,6 +460,18 @@
     zone.run(milliseconds(500));
     cr_assert_eq(zone.owner.modelLoadLimit(), 2, "%d loads at a time for %d endpoints", zone.owner.modelLoadLimit(),
                  endpointCount);
+    for (const EndpointName &id : zone.ended) {
+        EndpointEntry other = zone.fleet.endpoints.at(id).entry;
+        if (other.zone == "z") {
+            other.id = "other-" + id;
+            other.service = "plain";
+            putEndpoint(zone.fleet, other, zone.clock.now()); // at the same address
+            recordDisplaced(zone.fleet, {id, 0}, zone.clock.now());
+        }
+    }
+    zone.owner.sync(zone.fleet, zone.config, {});
+    cr_assert_eq(zone.owner.modelLoadLimit(), 2, "%d: those of the other zone are not known to have ended",
+                 zone.owner.modelLoadLimit());
     wire::ModelLoads loads;
     loads.__set_engines(3 * endpointCount);
     zone.owner.recordModelLoads("other", loads, 5);
